--- /dev/null
+++ b/galenashed/budget/_desk.py
@@ -0,0 +1,320 @@
+"""The asyncio task that owns an entry's escrow and talks to control."""
+
+import asyncio
+import time
+import typing
+
+import loguru
+
+from galenashed.budget import _escrow
+from galenashed.protocol import control as wire
+
+LOG = loguru.logger
+
+TICK_SECONDS = 0.05
+OPEN_TIMEOUT_SECONDS = 2.0
+SETTLE_TIMEOUT_SECONDS = 5.0
+SHORT_RETRY_SECONDS = 0.1
+
+
+class BudgetExhaustedError(Exception):
+    """The budget does not cover the request.
+
+    ``elsewhere`` is what other entries hold of it, in tokens.
+    """
+
+    def __init__(self, *, needed: int, available: int, elsewhere: int):
+        super().__init__(
+            f"the request may take {needed} tokens; {available} are left"
+        )
+        self.needed = needed
+        self.available = available
+        self.elsewhere = elsewhere
+
+
+class Proposer(typing.Protocol):
+    """Commits commands; see ``ControlClient``."""
+
+    async def propose(
+        self, command: wire.Command, *, timeout: float
+    ) -> wire.Reply:
+        """Returns the committed reply; raises if control is not there."""
+
+
+class _Waiter:
+    __slots__ = ("budget", "deadline", "fut", "tokens")
+
+    def __init__(self, *, budget, tokens, deadline, fut):
+        self.budget = budget
+        self.tokens = tokens
+        self.deadline = deadline
+        self.fut = fut
+
+
+class BudgetDesk:
+    """Reserves and bills for the requests of one entry.
+
+    Parameters
+    ----------
+    escrow : Escrow
+        Owned by the desk.
+    control : Proposer
+        Commits grants and bills.
+    unavailable : type of Exception
+        What ``control.propose`` raises when it has no answer.
+    """
+
+    def __init__(self, *, escrow, control: Proposer, unavailable):
+        self.escrow = escrow
+        self.control = control
+        self.unavailable = unavailable
+        self._waiters: list[_Waiter] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._ticker: asyncio.Task | None = None
+        self._settled = asyncio.Event()
+        self._bill_added = asyncio.Event()
+
+    async def start(self) -> None:
+        """Starts the task that settles bills and closes grants."""
+        self._ticker = asyncio.create_task(self._tick_forever())
+
+    async def close(self) -> None:
+        """Bills what is open and gives every grant back."""
+        self.escrow.recall_all()
+        while not self.escrow.is_empty:
+            self._tick()
+            await asyncio.sleep(TICK_SECONDS)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Stops at once, leaving the grants to control."""
+        tasks = list(self._tasks)
+        if self._ticker is not None:
+            tasks.append(self._ticker)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def reserve(self, budget: str, tokens: int) -> _escrow.Reservation:
+        """Sets tokens aside for a request.
+
+        Raises BudgetExhaustedError, or the control client's error if the
+        tokens held don't suffice and control does not answer.
+        """
+        now = time.monotonic()
+        reservation = self.escrow.reserve(budget, tokens, now)
+        if reservation is not None:
+            if self.escrow.wants_more(budget, now):
+                self._open(budget, 1, 1)
+            return reservation
+        fut = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(
+            budget=budget,
+            tokens=tokens,
+            deadline=now + self.escrow.policy.recall_wait,
+            fut=fut,
+        )
+        self._waiters.append(waiter)
+        self._ask_for(budget)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            self._drop(waiter)
+            raise
+
+    def _drop(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        fut = waiter.fut
+        if fut.done() and not fut.cancelled() and fut.exception() is None:
+            self.escrow.release(fut.result(), time.monotonic())
+
+    def release(self, reservation: _escrow.Reservation) -> None:
+        """Gives a reservation back unused."""
+        self.escrow.release(reservation, time.monotonic())
+        self._serve(reservation.budget)
+
+    def bill(
+        self, reservation: _escrow.Reservation, bill: wire.Bill
+    ) -> wire.Bill:
+        """Bills a request; returns the bill as it is settled."""
+        final = self.escrow.bill(reservation, bill, time.monotonic())
+        self._bill_added.set()
+        self._serve(reservation.budget)
+        return final
+
+    def recall(self, budget: str) -> None:
+        """Gives idle tokens back, for another entry needs them."""
+        if any(waiter.budget == budget for waiter in self._waiters):
+            return
+        self.escrow.recall(budget)
+        self._close_grants()
+
+    async def flush(self) -> None:
+        """Waits until the bills of this moment are acknowledged."""
+        while self.escrow.has_bills:
+            self._settled.clear()
+            await self._settled.wait()
+
+    # Waiters
+
+    def _ask_for(self, budget: str) -> None:
+        """Asks for what the first waiting request needs, at best for all."""
+        wanted = [w.tokens for w in self._waiters if w.budget == budget]
+        free = self.escrow.free(budget)
+        need = max(1, wanted[0] - free)
+        self._open(budget, need, max(need, sum(wanted) - free))
+
+    def _serve(self, budget: str) -> None:
+        """Gives waiting requests their tokens, in order."""
+        now = time.monotonic()
+        for waiter in list(self._waiters):
+            if waiter.budget != budget:
+                continue
+            if waiter.fut.done():
+                self._waiters.remove(waiter)
+                continue
+            reservation = self.escrow.reserve(budget, waiter.tokens, now)
+            if reservation is None:
+                break
+            self._waiters.remove(waiter)
+            waiter.fut.set_result(reservation)
+
+    def _open(self, budget: str, need: int, missing: int) -> None:
+        command = self.escrow.open_grant(
+            budget, need=need, missing=missing, now=time.monotonic()
+        )
+        if command is not None:
+            self._spawn(self._send_open(command))
+
+    async def _send_open(self, command: wire.OpenGrant) -> None:
+        try:
+            reply = await self._commit_open(command)
+        except self.unavailable as exc:
+            refused = wire.Refused(findings=[str(exc)])
+            self.escrow.on_opened(command, refused, time.monotonic())
+            # The grant may still be made; only its holder can give it back.
+            self._spawn(self._take_back(command))
+            self._fail(command.budget, exc)
+            return
+        self.escrow.on_opened(command, reply, time.monotonic())
+        self._serve(command.budget)
+        if isinstance(reply, wire.Refused):
+            self._fail(
+                command.budget,
+                BudgetExhaustedError(
+                    needed=command.need, available=0, elsewhere=0
+                ),
+            )
+        elif isinstance(reply, wire.Short):
+            await self._on_short(command.budget, reply)
+        if any(w.budget == command.budget for w in self._waiters):
+            self._ask_for(command.budget)
+
+    async def _commit_open(self, command: wire.OpenGrant) -> wire.Reply:
+        return await self.control.propose(
+            command, timeout=OPEN_TIMEOUT_SECONDS
+        )
+
+    async def _take_back(self, command: wire.OpenGrant) -> None:
+        """Learns what became of a grant whose answer was lost."""
+        while True:
+            try:
+                reply = await self._commit_open(command)
+            except self.unavailable:
+                continue
+            if isinstance(reply, wire.Granted):
+                self.escrow.on_opened(command, reply, time.monotonic())
+                self._serve(command.budget)
+            return
+
+    async def _on_short(self, budget: str, reply: wire.Short) -> None:
+        """Refuses, or waits a little for what others give back."""
+        now = time.monotonic()
+        account = self.escrow.accounts[budget]
+        for waiter in list(self._waiters):
+            if waiter.budget != budget or waiter.fut.done():
+                continue
+            within = reply.available + account.free >= waiter.tokens
+            hopeful = reply.elsewhere > 0 and now < waiter.deadline
+            if within or hopeful:
+                continue
+            self._waiters.remove(waiter)
+            error = BudgetExhaustedError(
+                needed=waiter.tokens,
+                available=reply.available + account.free,
+                elsewhere=reply.elsewhere,
+            )
+            waiter.fut.set_exception(error)
+        await asyncio.sleep(SHORT_RETRY_SECONDS)
+        self.escrow.clear_short(budget)
+
+    def _fail(self, budget: str, exc: Exception) -> None:
+        for waiter in list(self._waiters):
+            if waiter.budget == budget:
+                self._waiters.remove(waiter)
+                if not waiter.fut.done():
+                    waiter.fut.set_exception(exc)
+
+    # Bills and grants
+
+    async def _tick_forever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_SECONDS * 10):
+                    await self._bill_added.wait()
+            except TimeoutError:
+                pass
+            self._bill_added.clear()
+            self._tick()
+            # Bills that come close together travel in one command.
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _tick(self) -> None:
+        batch = self.escrow.settle()
+        if batch is not None:
+            self._spawn(self._send_bills(batch))
+        self._close_grants()
+
+    def _close_grants(self) -> None:
+        for command in self.escrow.close_grants(time.monotonic()):
+            self._spawn(self._send_close(command))
+
+    async def _send_bills(self, batch: wire.SettleBills) -> None:
+        while True:
+            try:
+                reply = await self.control.propose(
+                    batch, timeout=SETTLE_TIMEOUT_SECONDS
+                )
+            except self.unavailable:
+                LOG.warning("bills wait for control: {}", len(batch.bills))
+                continue
+            break
+        if isinstance(reply, wire.Settled):
+            self.escrow.on_settled(reply)
+        else:
+            LOG.error("bills were refused: {}", reply)
+        self._settled.set()
+        self._bill_added.set()
+
+    async def _send_close(self, command: wire.CloseGrant) -> None:
+        try:
+            reply = await self.control.propose(
+                command, timeout=SETTLE_TIMEOUT_SECONDS
+            )
+        except self.unavailable:
+            self.escrow.retry_close(command)
+            return
+        if isinstance(reply, wire.Refused):
+            LOG.error("grant {} was not closed: {}", command.grant, reply)
+        self.escrow.on_closed(command)
+
+    def _spawn(self, coro) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.opt(exception=task.exception()).error("budget task failed")
--- /dev/null
+++ b/galenashed/budget/_policy.py
@@ -0,0 +1,54 @@
+"""How much an entry asks for ahead of its demand."""
+
+
+class Policy:
+    """Sizes of grants; times in seconds, sizes in tokens.
+
+    ``horizon`` is how long a grant should last at the present demand,
+    ``idle`` how long an unused grant is kept, ``serve_when_stale`` whether
+    an entry that is cut off from control goes on spending what it holds.
+    """
+
+    __slots__ = (
+        "horizon",
+        "idle",
+        "min_slice",
+        "recall_wait",
+        "serve_when_stale",
+    )
+
+    def __init__(
+        self,
+        *,
+        horizon: float,
+        idle: float,
+        min_slice: int,
+        recall_wait: float,
+        serve_when_stale: bool,
+    ):
+        self.horizon = horizon
+        self.idle = idle
+        self.min_slice = min_slice
+        self.recall_wait = recall_wait
+        self.serve_when_stale = serve_when_stale
+
+
+# Neither may overspend.  The first strands few tokens when an entry is lost
+# and stops serving on old configuration; the second holds more ahead and
+# goes on through a partition.
+POLICIES = {
+    "overspend-first": Policy(
+        horizon=5.0,
+        idle=5.0,
+        min_slice=2_000,
+        recall_wait=1.0,
+        serve_when_stale=False,
+    ),
+    "refusals-first": Policy(
+        horizon=60.0,
+        idle=60.0,
+        min_slice=20_000,
+        recall_wait=2.0,
+        serve_when_stale=True,
+    ),
+}
--- /dev/null
+++ b/galenashed/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/galenashed/config/__init__.py
@@ -0,0 +1,28 @@
+"""Settings and release notes: TOML files turned into checked objects.
+
+A file is checked whole before anything uses it.  Every fault is a
+:class:`Finding` with its file, line and key; all of them are returned
+together as the error of an ``expression.Result``.
+"""
+
+from galenashed.config._findings import Finding
+from galenashed.config._notes import load_note
+from galenashed.config._settings import ControlSettings
+from galenashed.config._settings import detect_kind
+from galenashed.config._settings import EntrySettings
+from galenashed.config._settings import hash_of
+from galenashed.config._settings import load_settings
+from galenashed.config._settings import LogSettings
+from galenashed.config._settings import OperatorSettings
+
+__all__ = [
+    "ControlSettings",
+    "EntrySettings",
+    "Finding",
+    "LogSettings",
+    "OperatorSettings",
+    "detect_kind",
+    "hash_of",
+    "load_note",
+    "load_settings",
+]
--- /dev/null
+++ b/galenashed/config/_settings.py
@@ -0,0 +1,217 @@
+"""Settings of the programs: TOML files turned into checked objects."""
+
+import pathlib
+import typing
+
+import expression
+import msgspec
+
+from galenashed.config import _findings
+from galenashed.config import _reader
+from galenashed.protocol import rpc
+
+PRESETS = ["overspend-first", "refusals-first"]
+
+
+class LogSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How a program logs."""
+
+    level: str
+    format: str
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of ``galenashed entry``; times in seconds."""
+
+    name: str
+    failure_domain: str
+    callers_address: str
+    max_body_bytes: int
+    max_connections: int
+    max_queue: int
+    receive_timeout: float
+    instances_max_age: float
+    peers_address: str
+    seeds: list[str]
+    peer_key: str
+    replicas: dict[str, str]
+    target_key_hash: str
+    target_lease: float
+    preset: str
+    max_stale: float
+    log: LogSettings
+    statsd: str
+
+
+class ControlSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of ``galenashed control``."""
+
+    name: str
+    failure_domain: str
+    data: str
+    cluster: str
+    address: str
+    replicas: dict[str, str]
+    peer_key: str
+    operator_key_hash: str
+    snapshot_every: int
+    log: LogSettings
+    statsd: str
+
+
+class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of the operator's commands."""
+
+    replicas: dict[str, str]
+    operator_key: str
+
+
+Settings = EntrySettings | ControlSettings | OperatorSettings
+
+
+def load_settings(
+    path: pathlib.Path, kind: str
+) -> expression.Result[typing.Any, list[_findings.Finding]]:
+    """Reads the settings of an ``entry``, ``control`` or ``operator``.
+
+    Paths in the file are relative to the file's folder.
+    """
+    path = pathlib.Path(path)
+    builders = {
+        "entry": _build_entry,
+        "control": _build_control,
+        "operator": _build_operator,
+    }
+    build = builders[kind]
+    return _reader.read_document(path, lambda root: build(root, path.parent))
+
+
+def detect_kind(path: pathlib.Path) -> str:
+    """Returns what kind of settings a file looks like."""
+    text = pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+    if "[callers]" in text:
+        return "entry"
+    if "[storage]" in text:
+        return "control"
+    return "operator"
+
+
+def _build_entry(root: _reader.Section, base: pathlib.Path) -> EntrySettings:
+    instance = root.section("instance")
+    callers = root.section("callers")
+    peers = root.section("peers")
+    control = root.section("control")
+    targets = root.section("targets")
+    policy = root.section("policy", required=False)
+    return EntrySettings(
+        name=instance.name(),
+        failure_domain=instance.name("failure_domain"),
+        callers_address=callers.address("listen"),
+        max_body_bytes=callers.integer(
+            "max_body_bytes", 2**20, low=1024, high=2**30
+        ),
+        max_connections=callers.integer(
+            "max_connections", 1000, low=1, high=100_000
+        ),
+        max_queue=callers.integer("max_queue", 256, low=0, high=100_000),
+        receive_timeout=callers.number(
+            "receive_timeout", 10.0, low=0.1, high=600.0
+        ),
+        instances_max_age=callers.number(
+            "instances_max_age", 5.0, low=0.1, high=3600.0
+        ),
+        peers_address=peers.address("listen"),
+        seeds=peers.addresses("seeds"),
+        peer_key=_read_key(peers, base),
+        replicas=control.address_map("replicas"),
+        target_key_hash=targets.key_hash(),
+        target_lease=targets.number("lease", 3.0, low=0.1, high=600.0),
+        preset=policy.choice("preset", PRESETS, PRESETS[0]),
+        max_stale=policy.number("max_stale", 10.0, low=0.5, high=86400.0),
+        log=_build_log(root),
+        statsd=_build_statsd(root),
+    )
+
+
+def _build_control(
+    root: _reader.Section, base: pathlib.Path
+) -> ControlSettings:
+    instance = root.section("instance")
+    storage = root.section("storage")
+    peers = root.section("peers")
+    control = root.section("control")
+    operators = root.section("operators")
+    name = instance.name()
+    replicas = control.address_map("replicas")
+    if name and replicas and name not in replicas:
+        instance.add_fault(
+            "name",
+            f"{name!r} is not a control replica; allowed:"
+            f" {', '.join(replicas)}",
+        )
+    if replicas and len(replicas) not in (1, 3, 5, 7):
+        control.add_fault(
+            "replicas", f"has {len(replicas)} replicas; allowed: 1, 3, 5, 7"
+        )
+    return ControlSettings(
+        name=name,
+        failure_domain=instance.name("failure_domain"),
+        data=str(base / storage.text("folder")),
+        snapshot_every=storage.integer(
+            "snapshot_every", 10_000, low=10, high=10**7
+        ),
+        cluster=control.name("cluster"),
+        address=peers.address("listen"),
+        replicas=replicas,
+        peer_key=_read_key(peers, base),
+        operator_key_hash=operators.key_hash(),
+        log=_build_log(root),
+        statsd=_build_statsd(root),
+    )
+
+
+def _build_operator(
+    root: _reader.Section, base: pathlib.Path
+) -> OperatorSettings:
+    control = root.section("control")
+    operators = root.section("operators")
+    return OperatorSettings(
+        replicas=control.address_map("replicas"),
+        operator_key=_read_key(operators, base),
+    )
+
+
+def _build_log(root: _reader.Section) -> LogSettings:
+    table = root.section("log", required=False)
+    levels = ["DEBUG", "INFO", "WARNING", "ERROR"]
+    return LogSettings(
+        level=table.choice("level", levels, "INFO"),
+        format=table.choice("format", ["json", "human"], "human"),
+    )
+
+
+def _build_statsd(root: _reader.Section) -> str:
+    table = root.section("metrics", required=False)
+    return table.address("statsd", "")
+
+
+def _read_key(table: _reader.Section, base: pathlib.Path) -> str:
+    """Reads the file that ``key_file`` names and returns the key in it."""
+    name = table.text("key_file")
+    if not name:
+        return ""
+    try:
+        key = (base / name).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        table.add_fault("key_file", f"can't be read: {exc}")
+        return ""
+    if len(key) < 16:
+        table.add_fault(
+            "key_file", "holds a key that is too short; allowed: 16 or more"
+        )
+    return key
+
+
+def hash_of(key: str) -> str:
+    """Returns the form in which settings and notes hold a key's hash."""
+    return "sha256:" + rpc.hash_key(key)
--- /dev/null
+++ b/galenashed/consensus/__init__.py
@@ -0,0 +1,29 @@
+"""A replicated log: elections, replication, storage and snapshots.
+
+:class:`Core` is the sans-IO state machine, :class:`Storage` keeps its state
+on disk and :class:`Node` is the asyncio task that owns both.  A program that
+embeds the log brings a :class:`Machine` to apply commands to and a
+:class:`Transport` to reach the other replicas.
+"""
+
+from galenashed.consensus._core import Core
+from galenashed.consensus._core import Ready
+from galenashed.consensus._core import Restored
+from galenashed.consensus._node import Machine
+from galenashed.consensus._node import Node
+from galenashed.consensus._node import NotLeaderError
+from galenashed.consensus._node import Transport
+from galenashed.consensus._storage import Storage
+from galenashed.consensus._storage import StorageError
+
+__all__ = [
+    "Core",
+    "Machine",
+    "Node",
+    "NotLeaderError",
+    "Ready",
+    "Restored",
+    "Storage",
+    "StorageError",
+    "Transport",
+]
--- /dev/null
+++ b/galenashed/consensus/_node.py
@@ -0,0 +1,280 @@
+"""The asyncio task that owns a replica's state machine and its disk."""
+
+import asyncio
+import random
+import time
+import typing
+
+import loguru
+
+from galenashed.consensus import _core
+from galenashed.consensus import _storage
+from galenashed.protocol import consensus as wire
+
+LOG = loguru.logger
+
+SNAPSHOT_EVERY_ENTRIES = 10_000
+SNAPSHOT_KEEP_ENTRIES = 1_000
+
+
+class NotLeaderError(Exception):
+    """The replica does not lead; ``leader`` names the one that may."""
+
+    def __init__(self, leader: str):
+        super().__init__(f"not the leader; last known leader: {leader!r}")
+        self.leader = leader
+
+
+class Machine(typing.Protocol):
+    """What the log is applied to; must be deterministic."""
+
+    def apply(self, index: int, data: bytes) -> object:
+        """Applies one committed command and returns its reply."""
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replaces the whole state by that of a snapshot."""
+
+
+class Transport(typing.Protocol):
+    """Carries messages to other replicas; may lose and reorder them."""
+
+    def send(self, peer: str, message: wire.Message) -> None:
+        """Queues a message; never waits."""
+
+
+class _Proposal(typing.NamedTuple):
+    data: bytes
+    fut: asyncio.Future
+
+
+class Node:
+    """One running replica.
+
+    Parameters
+    ----------
+    name : str
+        The replica's name.
+    members : list of str
+        All voting replicas.
+    storage : Storage
+        Its open data folder is owned by the node from :meth:`start` on.
+    machine : Machine
+        Applied to in the node's task only.
+    transport : Transport
+        Reaches the other replicas.
+    election_timeout, heartbeat : float
+        Seconds.
+    rng : random.Random
+        Source of election jitter.
+    snapshot_every : int
+        Applied entries between two snapshots.
+    on_failure : callable
+        Called with the error when the disk fails; the node has stopped.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        members: list[str],
+        storage: _storage.Storage,
+        machine: Machine,
+        transport: Transport,
+        election_timeout: float = 0.5,
+        heartbeat: float = 0.1,
+        rng: random.Random,
+        snapshot_every: int = SNAPSHOT_EVERY_ENTRIES,
+        on_failure: typing.Callable[[Exception], None],
+    ):
+        self.name = name
+        self.members = members
+        self.storage = storage
+        self.machine = machine
+        self.transport = transport
+        self.election_timeout = election_timeout
+        self.heartbeat = heartbeat
+        self.rng = rng
+        self.snapshot_every = snapshot_every
+        self.on_failure = on_failure
+        self.core: _core.Core
+        self._inbox: list[wire.Message] = []
+        self._proposals: list[_Proposal] = []
+        self._waiting: dict[int, tuple[int, asyncio.Future]] = {}
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task | None = None
+        self._last_snapshot = 0
+
+    async def start(self) -> None:
+        """Reads the disk, restores the machine and starts the task."""
+        restored = self.storage.open()
+        if restored.snapshot.index:
+            self.machine.restore(
+                restored.snapshot.index, restored.snapshot_data
+            )
+        self._last_snapshot = restored.snapshot.index
+        self.core = _core.Core(
+            name=self.name,
+            members=self.members,
+            election_timeout=self.election_timeout,
+            heartbeat=self.heartbeat,
+            rng=self.rng,
+            restored=restored,
+            now=time.monotonic(),
+        )
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stops the task and closes the disk."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._fail_waiting()
+        self.storage.close()
+
+    @property
+    def is_leader(self) -> bool:
+        return self.core.role is _core.Role.LEADER
+
+    @property
+    def leader(self) -> str:
+        """The last known leader's name, or an empty string."""
+        return self.core.leader
+
+    def contact_age(self) -> float:
+        """Returns the seconds since this replica was surely up to date.
+
+        Zero on a leader that a majority answers.
+        """
+        now = time.monotonic()
+        if self.is_leader:
+            return 0.0 if self.core.has_quorum_contact(now) else now
+        return now - self.core.leader_contact
+
+    def deliver(self, messages: list[wire.Message]) -> None:
+        """Takes messages from other replicas."""
+        self._inbox.extend(messages)
+        self._wake.set()
+
+    async def propose(self, data: bytes) -> object:
+        """Returns the machine's reply once the command is committed.
+
+        Raises NotLeaderError if this replica does not lead, or has stopped
+        leading before the command was committed.  In the latter case the
+        command may still be committed: it must be safe to send again.
+        """
+        if not self.is_leader:
+            raise NotLeaderError(self.leader)
+        fut = asyncio.get_running_loop().create_future()
+        self._proposals.append(_Proposal(data, fut))
+        self._wake.set()
+        return await fut
+
+    async def _run(self) -> None:
+        try:
+            while True:
+                await self._wait()
+                self._take_input()
+                while self.core.has_ready():
+                    await self._handle_ready()
+                await self._maybe_snapshot()
+        except _storage.StorageError as exc:
+            LOG.error("replica stopped: {}", exc)
+            self._fail_waiting()
+            self.on_failure(exc)
+
+    async def _wait(self) -> None:
+        if self._inbox or self._proposals:
+            # Lets other tasks run even under continuous load.
+            await asyncio.sleep(0)
+            return
+        self._wake.clear()
+        delay = self.core.next_tick() - time.monotonic()
+        if delay > 0:
+            try:
+                async with asyncio.timeout(delay):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    def _take_input(self) -> None:
+        now = time.monotonic()
+        was_leader = self.is_leader
+        inbox, self._inbox = self._inbox, []
+        for message in inbox:
+            self.core.step(now, message)
+        proposals, self._proposals = self._proposals, []
+        for proposal in proposals:
+            entry = self.core.propose(proposal.data)
+            if entry is None:
+                _fail(proposal.fut, self.leader)
+            else:
+                self._waiting[entry.index] = (entry.term, proposal.fut)
+        if proposals and self.is_leader:
+            self.core.replicate()
+        self.core.tick(now)
+        if was_leader and not self.is_leader:
+            LOG.info("replica {} no longer leads", self.name)
+            self._fail_waiting()
+        elif not was_leader and self.is_leader:
+            LOG.info("replica {} leads in term {}", self.name, self.core.term)
+
+    async def _handle_ready(self) -> None:
+        ready = self.core.take_ready()
+        if ready.durable:
+            loop = asyncio.get_running_loop()
+            await loop.run_in_executor(None, self.storage.save, ready)
+            self.core.persisted(ready, time.monotonic())
+        for peer, message in ready.messages:
+            self.transport.send(peer, message)
+        if ready.snapshot is not None:
+            self.machine.restore(ready.snapshot.index, ready.snapshot_data)
+            self._last_snapshot = ready.snapshot.index
+        for entry in ready.committed:
+            self._apply(entry)
+
+    def _apply(self, entry: wire.Entry) -> None:
+        reply = None
+        if entry.data:
+            reply = self.machine.apply(entry.index, entry.data)
+        term, fut = self._waiting.pop(entry.index, (0, None))
+        if fut is None or fut.done():
+            return
+        if term == entry.term:
+            fut.set_result(reply)
+        else:
+            _fail(fut, self.leader)
+
+    async def _maybe_snapshot(self) -> None:
+        core = self.core
+        if core.applied - self._last_snapshot < self.snapshot_every:
+            return
+        term = core.log.term_at(core.applied)
+        assert term is not None
+        meta = wire.SnapshotMeta(index=core.applied, term=term)
+        data = self.machine.snapshot()
+        hard_state = wire.HardState(
+            term=core.term, voted_for=core.voted_for, commit=core.commit
+        )
+        entries = core.log.between(meta.index, core.log.last_index)
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(
+            None, self.storage.save_snapshot, meta, data, hard_state, entries
+        )
+        core.compact(meta, data, SNAPSHOT_KEEP_ENTRIES)
+        self._last_snapshot = meta.index
+
+    def _fail_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, {}
+        for _, fut in waiting.values():
+            _fail(fut, "")
+        proposals, self._proposals = self._proposals, []
+        for proposal in proposals:
+            _fail(proposal.fut, "")
+
+
+def _fail(fut: asyncio.Future, leader: str) -> None:
+    if not fut.done():
+        fut.set_exception(NotLeaderError(leader))
--- /dev/null
+++ b/galenashed/control/_machine.py
@@ -0,0 +1,260 @@
+"""The deterministic state that the replicated log is applied to."""
+
+import typing
+
+import msgspec
+
+from galenashed.control import _budgets
+from galenashed.control import _calls
+from galenashed.control import _notes
+from galenashed.control import _state
+from galenashed.protocol import control as wire
+
+EXPIRE_EVERY_SECONDS = 10.0
+MAX_AUDIT_RECORDS = 20_000
+
+_DECODER = msgspec.msgpack.Decoder(wire.Stamped)
+_STATE_DECODER = msgspec.msgpack.Decoder(_state.ControlState)
+
+
+class Listener(typing.Protocol):
+    """Is told of what concerns entries."""
+
+    def on_release(self) -> None:
+        """A new release is in force."""
+
+    def on_recall(self, budget: str) -> None:
+        """A grant was refused while others hold tokens of the budget."""
+
+    def on_quarantine(self) -> None:
+        """The set of suspected requests changed."""
+
+
+class ControlMachine:
+    """Applies commands to the control state.
+
+    The reply to a command is a message of
+    :data:`galenashed.protocol.control.Reply`.
+
+    Example::
+
+        machine = ControlMachine()
+        stamped = wire.Stamped(at=0.0, command=wire.Barrier())
+        machine.apply(1, msgspec.msgpack.encode(stamped))
+    """
+
+    def __init__(self) -> None:
+        self.state = _state.ControlState()
+        self.applied = 0
+        self.listener: Listener | None = None
+        self._grants: dict[str, str] = {}
+        self._handlers: dict[type, typing.Callable] = {
+            wire.PublishNote: self._publish,
+            wire.OpenGrant: self._open_grant,
+            wire.CloseGrant: self._close_grant,
+            wire.SettleBills: self._settle,
+            wire.ClaimCall: self._claim,
+            wire.FinishCall: self._finish,
+            wire.ReportCrash: self._report_crash,
+            wire.Barrier: self._barrier,
+        }
+
+    # The interface of the replicated log
+
+    def apply(self, index: int, data: bytes) -> wire.Reply:
+        """Applies one committed command."""
+        stamped = _DECODER.decode(data)
+        self.state.now = max(self.state.now, stamped.at)
+        self._expire()
+        self.applied = index
+        command = stamped.command
+        return self._handlers[type(command)](index, command)
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return msgspec.msgpack.encode(self.state)
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replaces the whole state."""
+        self.state = _STATE_DECODER.decode(data)
+        self.applied = index
+        self._grants = {
+            grant: held.name
+            for held in self.state.budgets.values()
+            for grant in held.grants
+        }
+        if self.listener is not None:
+            self.listener.on_release()
+            self.listener.on_quarantine()
+
+    # Queries
+
+    def query(self, query: wire.Query) -> wire.QueryReply:
+        """Answers from the state as it is here."""
+        if query.kind == "balance":
+            return wire.QueryReply(balances=self._balances(query))
+        if query.kind == "bill":
+            return wire.QueryReply(bills=self._bills(query))
+        audit = self.state.audit
+        found = [r for r in audit if query.subject in ("", r.subject)]
+        return wire.QueryReply(audit=found[-query.limit :])
+
+    def _balances(self, query: wire.Query) -> list[wire.Balance]:
+        found = []
+        for held in self.state.budgets.values():
+            if query.subject not in ("", held.name):
+                continue
+            if query.team in ("", held.team):
+                found.append(_budgets.balance(held))
+            if len(found) >= query.limit:
+                break
+        return found
+
+    def _bills(self, query: wire.Query) -> list[wire.Bill]:
+        return [
+            bill
+            for bill in self.state.recent_bills
+            if query.subject in ("", bill.id) and query.team in ("", bill.team)
+        ][-query.limit :]
+
+    def notes_after(self, index: int) -> list[wire.AcceptedNote] | None:
+        """Returns the notes accepted after ``index``, in their order.
+
+        None if some of them are no longer held; the whole release is to be
+        used then.
+        """
+        if index >= self.state.release.index:
+            return []
+        held = self.state.recent_notes
+        if index < self.state.notes_complete_after:
+            return None
+        return [note for note in held if note.index > index]
+
+    def quarantined(self) -> dict[str, int]:
+        """Returns suspected requests and how many targets they cost."""
+        return _calls.crash_counts(self.state)
+
+    def check_invariant(self) -> None:
+        """Raises AssertionError if a budget's books don't balance."""
+        for held in self.state.budgets.values():
+            open_tokens = sum(
+                grant.amount - grant.settled for grant in held.grants.values()
+            )
+            assert held.outstanding == open_tokens, held
+            assert held.settled + held.outstanding <= held.prepaid, held
+
+    # Commands
+
+    def _publish(self, index: int, cmd: wire.PublishNote) -> wire.Reply:
+        reply = _notes.check_number(self.state, cmd)
+        if reply is None:
+            reply = self._put_in_force(index, cmd)
+        self._audit_note(index, cmd, reply)
+        return reply
+
+    def _put_in_force(self, index: int, cmd: wire.PublishNote) -> wire.Reply:
+        state = self.state
+        merged = _notes.merge(state.release, cmd, index)
+        findings = _notes.find_faults(state, cmd.note, merged)
+        if findings:
+            return wire.Refused(findings=findings)
+        state.release = merged
+        _notes.record(state, cmd, index)
+        for budget in cmd.note.budgets:
+            _budgets.top_up(state, budget)
+            for top_up in budget.top_ups:
+                self._audit(
+                    index,
+                    actor=cmd.note.author,
+                    action="top-up",
+                    subject=budget.name,
+                    digest=top_up.id,
+                    result=f"{top_up.tokens:+d} tokens",
+                )
+        if self.listener is not None:
+            self.listener.on_release()
+        return wire.Done(index=index)
+
+    def _audit_note(self, index, cmd: wire.PublishNote, reply) -> None:
+        if isinstance(reply, wire.Refused):
+            result = "refused: " + "; ".join(reply.findings)
+        elif reply.index != index:
+            result = f"already accepted at index {reply.index}"
+        else:
+            result = "accepted"
+        self._audit(
+            index,
+            actor=cmd.note.author,
+            action="publish",
+            subject=f"note {cmd.note.number}",
+            digest=cmd.digest,
+            result=result,
+        )
+
+    def _audit(self, index, *, actor, action, subject, digest, result):
+        record = wire.AuditRecord(
+            index=index,
+            at=self.state.now,
+            actor=actor,
+            action=action,
+            subject=subject,
+            digest=digest,
+            result=result,
+        )
+        self.state.audit.append(record)
+        if len(self.state.audit) > MAX_AUDIT_RECORDS:
+            del self.state.audit[: MAX_AUDIT_RECORDS // 10]
+
+    def _open_grant(self, index: int, cmd: wire.OpenGrant) -> wire.Reply:
+        reply = _budgets.open_grant(self.state, cmd)
+        if isinstance(reply, wire.Granted):
+            self._grants[cmd.grant] = cmd.budget
+        elif (
+            isinstance(reply, wire.Short) and reply.elsewhere and self.listener
+        ):
+            self.listener.on_recall(cmd.budget)
+        return reply
+
+    def _close_grant(self, index: int, cmd: wire.CloseGrant) -> wire.Reply:
+        budget = self._grants.get(cmd.grant)
+        if budget is None:
+            return wire.Done(index=index)
+        held = self.state.budgets[budget].grants[cmd.grant]
+        if held.holder != cmd.holder:
+            return wire.Refused(findings=["the grant is not the sender's"])
+        del self._grants[cmd.grant]
+        return _budgets.close_grant(self.state, cmd, budget, index)
+
+    def _settle(self, index: int, cmd: wire.SettleBills) -> wire.Reply:
+        return _budgets.settle(self.state, cmd, self._grants)
+
+    def _claim(self, index: int, cmd: wire.ClaimCall) -> wire.Reply:
+        return _calls.claim(self.state, cmd)
+
+    def _finish(self, index: int, cmd: wire.FinishCall) -> wire.Reply:
+        return _calls.finish(self.state, cmd)
+
+    def _report_crash(self, index: int, cmd: wire.ReportCrash) -> wire.Reply:
+        reply = _calls.report_crash(self.state, cmd)
+        self._audit(
+            index,
+            actor="system",
+            action="crash",
+            subject=cmd.target,
+            digest=cmd.digest,
+            result=f"{reply.count} targets lost to this request",
+        )
+        if self.listener is not None:
+            self.listener.on_quarantine()
+        return reply
+
+    def _barrier(self, index: int, cmd: wire.Barrier) -> wire.Reply:
+        return wire.Done(index=index)
+
+    def _expire(self) -> None:
+        if self.state.now < self.state.next_expiry:
+            return
+        self.state.next_expiry = self.state.now + EXPIRE_EVERY_SECONDS
+        _budgets.expire(self.state)
+        if _calls.expire(self.state) and self.listener is not None:
+            self.listener.on_quarantine()
--- /dev/null
+++ b/galenashed/control/_server.py
@@ -0,0 +1,166 @@
+"""A control replica as a set of asyncio tasks."""
+
+import asyncio
+import random
+import time
+import typing
+
+import grpc
+import msgspec
+
+from galenashed import consensus
+from galenashed.control import _feed
+from galenashed.control import _links
+from galenashed.control import _machine
+from galenashed.control import _notes
+from galenashed.protocol import control as wire
+from galenashed.protocol import methods
+from galenashed.protocol import rpc
+
+
+class ControlServer:
+    """One control replica.
+
+    Parameters
+    ----------
+    name : str
+        The replica's name, a key of ``replicas``.
+    address : str
+        ``ip:port`` to listen on.
+    replicas : dict
+        Name to address of every replica, this one included.
+    storage : galenashed.consensus.Storage
+        The data folder, made by its ``create``.
+    peer_key : str
+        Presented to the other replicas.
+    key_hashes : dict
+        SHA-256 of the key of each role, ``peer`` and ``operator``.
+    rng : random.Random
+        Source of election jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        replicas: dict[str, str],
+        storage: consensus.Storage,
+        peer_key: str,
+        key_hashes: dict[str, str],
+        rng: random.Random,
+        snapshot_every: int = 10_000,
+    ):
+        self.name = name
+        self.replicas = replicas
+        self.storage = storage
+        self.machine = _machine.ControlMachine()
+        self.failed: asyncio.Future = (
+            asyncio.get_running_loop().create_future()
+        )
+        others = {n: a for n, a in replicas.items() if n != name}
+        self._links = _links.PeerLinks(addresses=others, key=peer_key)
+        self.node = consensus.Node(
+            name=name,
+            members=list(replicas),
+            storage=storage,
+            machine=self.machine,
+            transport=self._links,
+            rng=rng,
+            snapshot_every=snapshot_every,
+            on_failure=self._on_failure,
+        )
+        self._feed = _feed.Feed(
+            machine=self.machine, contact_age=self.node.contact_age
+        )
+        self._server = rpc.Server(
+            address=address,
+            keys=key_hashes,
+            handlers=[
+                (methods.DELIVER, self._deliver),
+                (methods.PROPOSE, self._propose),
+                (methods.PUBLISH, self._publish),
+                (methods.FOLLOW, self._feed.serve),
+                (methods.QUERY, self._query),
+                (methods.STATUS, self._status),
+            ],
+        )
+
+    async def start(self) -> None:
+        """Restores the state and starts to serve."""
+        await self.node.start()
+        await self._links.start()
+        await self._server.start()
+
+    async def wait_failed(self) -> None:
+        """Raises the disk's error when the replica has stopped over it."""
+        await self.failed
+
+    async def drain(self) -> None:
+        """Stops; nothing is lost that was acknowledged."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Stops serving and closes the disk."""
+        await self._server.close()
+        await self._links.close()
+        await self.node.close()
+
+    @property
+    def port(self) -> int:
+        return self._server.port
+
+    def _on_failure(self, exc: Exception) -> None:
+        if not self.failed.done():
+            self.failed.set_exception(exc)
+
+    async def _deliver(self, requests, context) -> bool:
+        async for messages in requests:
+            self.node.deliver(messages)
+        return True
+
+    async def _propose(self, commands, context) -> list[wire.Outcome]:
+        for command in commands:
+            if isinstance(command, wire.PublishNote):
+                await context.abort(
+                    grpc.StatusCode.PERMISSION_DENIED,
+                    "only operators publish notes",
+                )
+        tasks = [self._commit(command) for command in commands]
+        return await asyncio.gather(*tasks)
+
+    async def _publish(self, command, context) -> wire.Outcome:
+        if command.digest != _notes.digest_of(command.note):
+            findings = ["the digest does not match the note"]
+            return wire.Outcome(reply=wire.Refused(findings=findings))
+        return await self._commit(command)
+
+    async def _commit(self, command: wire.Command) -> wire.Outcome:
+        stamped = wire.Stamped(time.time(), command)
+        try:
+            reply = await self.node.propose(msgspec.msgpack.encode(stamped))
+        except consensus.NotLeaderError as exc:
+            return wire.Outcome(leader=exc.leader)
+        return wire.Outcome(reply=typing.cast(wire.Reply, reply))
+
+    async def _query(self, query, context) -> wire.QueryReply:
+        # The barrier's commit proves that no later leader exists.
+        outcome = await self._commit(wire.Barrier())
+        if outcome.leader is not None:
+            return wire.QueryReply(leader=outcome.leader)
+        return self.machine.query(query)
+
+    async def _status(self, request, context) -> wire.ReplicaStatus:
+        core = self.node.core
+        return wire.ReplicaStatus(
+            name=self.name,
+            role=core.role.value,
+            leader=core.leader,
+            term=core.term,
+            commit=core.commit,
+            applied=self.machine.applied,
+            note=self.machine.state.release.number,
+            contact_age=min(self.node.contact_age(), 1e6),
+            disk_bytes=self.storage.size(),
+            followers=self._feed.statuses(),
+        )
--- /dev/null
+++ b/galenashed/entry/_app.py
@@ -0,0 +1,386 @@
+"""The HTTP interface of an entry."""
+
+import asyncio
+import time
+import typing
+
+import blacksheep
+import blacksheep.exceptions
+import loguru
+import msgspec
+
+from galenashed import control
+from galenashed.entry import _calls
+from galenashed.entry import _configuration
+from galenashed.entry import _instances
+from galenashed.entry import _models
+from galenashed.entry import _requests
+from galenashed.protocol import control as wire
+from galenashed.protocol import rpc
+from galenashed.protocol import spread as spread_wire
+from galenashed import web
+
+LOG = loguru.logger
+
+QUERY_TIMEOUT_SECONDS = 3.0
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+RECEIVE_KEY = "galenashed.receive"
+
+
+class EntryApp:
+    """The routes of an entry.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The release in force.
+    models : ModelHandler
+        Serves model requests.
+    calls : CallHandler
+        Serves calls of plain services.
+    instances : Instances
+        Tells callers which instances to use.
+    proposer : ControlClient
+        Answers for balances and bills.
+    flush_bills : callable
+        Waits until bills are acknowledged.
+    announce : callable
+        Takes a target's announcement.
+    target_key_hash : str
+        SHA-256 of the key that targets present.
+    max_body_bytes : int
+        Larger bodies are refused.
+    receive_timeout : float
+        Seconds within which a body must come.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: _configuration.Configuration,
+        models: _models.ModelHandler,
+        calls: _calls.CallHandler,
+        instances: _instances.Instances,
+        proposer: control.ControlClient,
+        flush_bills,
+        announce,
+        target_key_hash: str,
+        max_body_bytes: int,
+        receive_timeout: float,
+    ):
+        self.configuration = configuration
+        self.models = models
+        self.calls = calls
+        self.instances = instances
+        self.proposer = proposer
+        self.flush_bills = flush_bills
+        self.announce = announce
+        self.target_key_hash = target_key_hash
+        self.max_body_bytes = max_body_bytes
+        self.receive_timeout = receive_timeout
+        self.in_flight = 0
+        self._app = web.make_app()
+        self._app.exceptions_handlers[404] = _on_not_found
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        add = self._add
+        for path in ("/v1/chat/completions", "/v1/completions"):
+            add("POST", path, self._complete)
+        add("GET", "/v1/models", self._list_models)
+        add("GET", "/v1/instances", self._list_instances)
+        add("GET", "/v1/budgets", self._list_budgets)
+        add("GET", "/v1/bills/:id", self._show_bill)
+        add("POST", "/targets/announce", self._announce)
+        add("GET", "/health", self._health)
+        for method in METHODS:
+            add(method, "/services/*", self._call_service)
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serves one ASGI connection."""
+        scope[RECEIVE_KEY] = receive
+        self.in_flight += 1
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self.in_flight -= 1
+
+    async def start(self) -> None:
+        """Prepares the routes."""
+        await self._app.start()
+
+    def _add(self, method: str, path: str, handler: web.Handler) -> None:
+        """Routes a path, with errors turned into the API's form."""
+
+        async def guarded(
+            request: blacksheep.Request,
+        ) -> blacksheep.Response:
+            try:
+                return await handler(request)
+            except web.ApiError as exc:
+                LOG.debug("{} {}", exc.code, exc.message)
+                return web.error_response(exc)
+            except blacksheep.exceptions.MessageAborted:
+                raise
+            except Exception:
+                LOG.exception("request failed")
+                error = web.ApiError(
+                    status=500,
+                    code="internal_error",
+                    message="internal error",
+                    run=web.Run.UNKNOWN,
+                )
+                return web.error_response(error)
+
+        web.add_route(self._app, method, path, guarded)
+
+    # What every request needs
+
+    def _authenticate(self, request: blacksheep.Request) -> wire.Team:
+        key = _bearer_key(request)
+        team = self.configuration.team_by_key(rpc.hash_key(key))
+        if not key or team is None:
+            raise _unauthorized()
+        return team
+
+    def _budget(self, request: blacksheep.Request, team: wire.Team) -> str:
+        names = self.configuration.budgets_of(team.name)
+        value = request.get_first_header(b"Galenashed-Budget")
+        if value is not None:
+            name = value.decode("latin-1")
+            if name in names:
+                return name
+            raise web.ApiError(
+                status=400,
+                code="unknown_budget",
+                message=f"Galenashed-Budget: {name!r}; allowed:"
+                f" {', '.join(names)}",
+            )
+        if not names:
+            raise web.ApiError(
+                status=429,
+                code="insufficient_quota",
+                message=f"team {team.name!r} has no budget",
+            )
+        return names[0]
+
+    async def _read_body(self, request: blacksheep.Request) -> bytes:
+        declared = request.get_first_header(b"Content-Length")
+        if declared is not None and int(declared) > self.max_body_bytes:
+            raise self._too_large()
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self.receive_timeout):
+                stream = typing.cast(typing.AsyncIterable, request.stream())
+                async for chunk in stream:
+                    body += chunk
+                    if len(body) > self.max_body_bytes:
+                        raise self._too_large()
+        except TimeoutError:
+            raise web.ApiError(
+                status=408,
+                code="request_timeout",
+                message="the body did not come within"
+                f" {self.receive_timeout} s",
+            ) from None
+        return bytes(body)
+
+    def _too_large(self) -> web.ApiError:
+        return web.ApiError(
+            status=413,
+            code="body_too_large",
+            message=f"the body passes {self.max_body_bytes} bytes",
+        )
+
+    # Handlers
+
+    async def _complete(self, request) -> blacksheep.Response:
+        self.configuration.check_serving()
+        team = self._authenticate(request)
+        body = await self._read_body(request)
+        parsed = _requests.parse_model_request(
+            request.scope["path"], body, self.configuration.release.models
+        )
+        key = _requests.read_key(request.get_first_header(b"Idempotency-Key"))
+        if key:
+            parsed.name_by_key(key)
+        parsed.priority = _requests.read_priority(
+            request.get_first_header(b"Galenashed-Priority")
+        )
+        budget = self._budget(request, team)
+        receive = request.scope[RECEIVE_KEY]
+        return await self.models.handle(parsed, team, budget, receive)
+
+    async def _call_service(self, request) -> blacksheep.Response:
+        self.configuration.check_serving()
+        team = self._authenticate(request)
+        raw = request.scope["raw_path"].decode("latin-1")
+        name, _, path = raw.removeprefix("/services/").partition("/")
+        service = self.configuration.release.services.get(name)
+        if service is None or service.kind != "plain":
+            raise web.ApiError(
+                status=404,
+                code="service_not_found",
+                message=f"no plain service {name!r} is in force",
+            )
+        query = request.scope["query_string"].decode("latin-1")
+        call = _calls.Call(
+            service=service,
+            team=team,
+            budget=self._budget(request, team) if service.cost else "",
+            method=request.method,
+            path=f"/{path}?{query}" if query else f"/{path}",
+            headers=[
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in request.headers
+            ],
+            body=await self._read_body(request),
+            key=_requests.read_key(
+                request.get_first_header(b"Idempotency-Key")
+            ),
+        )
+        return await self.calls.handle(call)
+
+    async def _list_models(self, request) -> blacksheep.Response:
+        self._authenticate(request)
+        created = int(time.time())
+        listed = [
+            {
+                "id": model.name,
+                "object": "model",
+                "created": created,
+                "owned_by": "galenashed",
+            }
+            for model in self.configuration.release.models.values()
+        ]
+        return _json({"object": "list", "data": listed})
+
+    async def _list_instances(self, request) -> blacksheep.Response:
+        self._authenticate(request)
+        domain = request.query.get("failure_domain", [""])[0]
+        listed = self.instances.ranked(domain)
+        response = _json(
+            {"instances": listed, "max_age": self.instances.max_age}
+        )
+        age = int(self.instances.max_age)
+        response.headers.add(b"Cache-Control", b"max-age=%d" % age)
+        return response
+
+    async def _list_budgets(self, request) -> blacksheep.Response:
+        team = self._authenticate(request)
+        await self._flush_bills()
+        found = await self._query(wire.Query(kind="balance", team=team.name))
+        listed = [
+            {
+                "budget": balance.budget,
+                "prepaid": balance.prepaid,
+                "settled": balance.settled,
+                "outstanding": balance.outstanding,
+                "remaining": balance.prepaid - balance.settled,
+            }
+            for balance in found.balances
+        ]
+        return _json({"budgets": listed})
+
+    async def _show_bill(self, request) -> blacksheep.Response:
+        team = self._authenticate(request)
+        await self._flush_bills()
+        wanted = request.route_values["id"]
+        found = await self._query(
+            wire.Query(kind="bill", subject=wanted, team=team.name)
+        )
+        if not found.bills:
+            raise web.ApiError(
+                status=404,
+                code="bill_not_found",
+                message=f"no recent bill {wanted!r} of this team",
+            )
+        bill = found.bills[-1]
+        return _json(
+            {
+                "id": bill.id,
+                "budget": bill.budget,
+                "subject": bill.subject,
+                "prompt_tokens": bill.prompt_tokens,
+                "output_tokens": bill.output_tokens,
+                "billed_tokens": bill.tokens,
+            }
+        )
+
+    async def _flush_bills(self) -> None:
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_SECONDS):
+                await self.flush_bills()
+        except TimeoutError:
+            raise _control_unavailable() from None
+
+    async def _query(self, query: wire.Query) -> wire.QueryReply:
+        try:
+            return await self.proposer.query(
+                query, timeout=QUERY_TIMEOUT_SECONDS
+            )
+        except control.ControlUnavailableError:
+            raise _control_unavailable() from None
+
+    async def _announce(self, request) -> blacksheep.Response:
+        if not rpc.key_matches(_bearer_key(request), self.target_key_hash):
+            raise _unauthorized()
+        body = await self._read_body(request)
+        try:
+            target = msgspec.json.decode(body, type=spread_wire.Target)
+        except msgspec.DecodeError as exc:
+            raise web.ApiError(
+                status=400, code="bad_announcement", message=str(exc)
+            ) from None
+        if target.state not in ("ready", "leaving"):
+            raise web.ApiError(
+                status=400,
+                code="bad_announcement",
+                message=f"state: {target.state!r}; allowed: ready, leaving",
+            )
+        self.announce(target)
+        return _json({"lease": self.instances.target_lease})
+
+    async def _health(self, request) -> blacksheep.Response:
+        serving = self.configuration.serving
+        return _json({"serving": serving}, status=200 if serving else 503)
+
+
+def _json(value, status: int = 200) -> blacksheep.Response:
+    content = blacksheep.Content(
+        b"application/json", msgspec.json.encode(value)
+    )
+    return blacksheep.Response(status, None, content)
+
+
+async def _on_not_found(app, request, exc) -> blacksheep.Response:
+    return web.error_response(
+        web.ApiError(
+            status=404,
+            code="not_found",
+            message=f"no such path: {request.scope['path']}",
+        )
+    )
+
+
+def _bearer_key(request: blacksheep.Request) -> str:
+    value = request.get_first_header(b"Authorization") or b""
+    kind, _, key = value.decode("latin-1").partition(" ")
+    return key.strip() if kind.lower() == "bearer" else ""
+
+
+def _unauthorized() -> web.ApiError:
+    return web.ApiError(
+        status=401,
+        code="invalid_api_key",
+        message="missing or wrong key; allowed: Authorization: Bearer KEY",
+    )
+
+
+def _control_unavailable() -> web.ApiError:
+    return web.ApiError(
+        status=503,
+        code="control_unavailable",
+        message="the control replicas do not answer",
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/galenashed/entry/_server.py
@@ -0,0 +1,254 @@
+"""An entry as a set of asyncio tasks."""
+
+import asyncio
+import random
+import time
+import uuid
+
+import loguru
+
+from galenashed import budget
+from galenashed import config
+from galenashed import control
+from galenashed import engines
+from galenashed.entry import _app
+from galenashed.entry import _calls
+from galenashed.entry import _configuration
+from galenashed.entry import _dispatcher
+from galenashed.entry import _instances
+from galenashed.entry import _models
+from galenashed.entry import _reservations
+from galenashed import membership
+from galenashed.protocol import control as control_wire
+from galenashed.protocol import methods
+from galenashed.protocol import rpc
+from galenashed.protocol import spread as wire
+from galenashed import routing
+from galenashed import telemetry
+from galenashed import web
+
+LOG = loguru.logger
+
+MAX_QUEUE_SECONDS = 10.0
+STALL_SECONDS = 10.0
+INSTANCE_LEASE_SECONDS = 3.0
+CATCH_UP_POLL_SECONDS = 0.02
+# What it takes until the other entries know that this one drains.
+SPREAD_SLACK_SECONDS = 1.0
+REPLICA_MAX_AGE_SECONDS = 2.0
+
+
+class EntryServer:
+    """One entry.
+
+    Parameters
+    ----------
+    cfg : galenashed.config.EntrySettings
+        Checked settings.
+    rng : random.Random
+        Spreads load and breaks ties.
+
+    Example::
+
+        entry = EntryServer(cfg=cfg, rng=random.Random())
+        await entry.start()
+        ...
+        await entry.drain()
+    """
+
+    def __init__(self, *, cfg: config.EntrySettings, rng: random.Random):
+        self.cfg = cfg
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.holder = f"{cfg.name}/{self.incarnation}"
+        self.started = time.time()
+        self._sequence = 0
+        self._state = "serving"
+        policy = budget.POLICIES[cfg.preset]
+        metrics = telemetry.open_metrics(cfg.statsd, f"galenashed.{cfg.name}")
+        self.configuration = _configuration.Configuration(
+            max_stale=cfg.max_stale, serve_when_stale=policy.serve_when_stale
+        )
+        self.proposer = control.ControlClient(
+            replicas=cfg.replicas, key=cfg.peer_key
+        )
+        self._follow = control.Follow(
+            client=self.proposer,
+            report=self._report,
+            on_event=self._on_event,
+            rng=rng,
+            max_age=REPLICA_MAX_AGE_SECONDS,
+        )
+        self.desk = budget.BudgetDesk(
+            escrow=budget.Escrow(holder=self.holder, policy=policy),
+            control=self.proposer,
+            unavailable=control.ControlUnavailableError,
+        )
+        self.targets = membership.Directory(lease=cfg.target_lease)
+        self.directory = membership.Directory(lease=INSTANCE_LEASE_SECONDS)
+        self.dispatcher = _dispatcher.Dispatcher(
+            router=routing.make_router("affinity", rng),
+            targets=self.targets,
+            configuration=self.configuration,
+            max_queue=cfg.max_queue,
+            max_wait=MAX_QUEUE_SECONDS,
+        )
+        self._spreader = membership.Spreader(
+            instances=self.directory,
+            targets=self.targets,
+            describe=self.describe,
+            seeds=cfg.seeds,
+            key=cfg.peer_key,
+            on_change=self.dispatcher.on_target,
+        )
+        self._client = engines.TargetClient(stall_timeout=STALL_SECONDS)
+        reservations = _reservations.Reservations(
+            desk=self.desk, metrics=metrics
+        )
+        self._calls = _calls.CallHandler(
+            configuration=self.configuration,
+            dispatcher=self.dispatcher,
+            reservations=reservations,
+            client=self._client,
+            proposer=self.proposer,
+            metrics=metrics,
+            holder=self.holder,
+            is_alive=self._is_alive,
+        )
+        self.app = _app.EntryApp(
+            configuration=self.configuration,
+            models=_models.ModelHandler(
+                configuration=self.configuration,
+                dispatcher=self.dispatcher,
+                reservations=reservations,
+                client=self._client,
+                proposer=self.proposer,
+                metrics=metrics,
+            ),
+            calls=self._calls,
+            instances=_instances.Instances(
+                directory=self.directory,
+                describe=self.describe,
+                max_age=cfg.instances_max_age,
+                target_lease=cfg.target_lease,
+                rng=rng,
+            ),
+            proposer=self.proposer,
+            flush_bills=self.desk.flush,
+            announce=self._spreader.announce,
+            target_key_hash=cfg.target_key_hash,
+            max_body_bytes=cfg.max_body_bytes,
+            receive_timeout=cfg.receive_timeout,
+        )
+        self._http = web.HttpServer(
+            app=self.app,
+            address=cfg.callers_address,
+            max_connections=cfg.max_connections,
+            head_timeout=cfg.receive_timeout,
+        )
+        self._peers = rpc.Server(
+            address=cfg.peers_address,
+            keys={"peer": rpc.hash_key(cfg.peer_key)},
+            handlers=[(methods.SPREAD, self._receive_spread)],
+        )
+
+    async def start(self) -> None:
+        """Starts to serve once the configuration has been caught up with."""
+        await self._client.start()
+        await self.proposer.start()
+        await self._follow.start()
+        await self.desk.start()
+        await self.dispatcher.start()
+        await self._peers.start()
+        await self.app.start()
+        while not self.configuration.serving:
+            await asyncio.sleep(CATCH_UP_POLL_SECONDS)
+        await self._http.start()
+        await self._spreader.start()
+        LOG.info("entry {} serves callers on port {}", self.holder, self.port)
+
+    async def drain(self) -> None:
+        """Stops without cutting anything off.
+
+        Callers who have kept an answer of ``/v1/instances`` are served
+        until it has run out, and every request to its end.
+        """
+        LOG.info("entry {} drains", self.holder)
+        self._state = "draining"
+        self._spreader.notify()
+        await asyncio.sleep(self.cfg.instances_max_age + SPREAD_SLACK_SECONDS)
+        await self._http.close()
+        await self._calls.close()
+        await self.desk.close()
+        await self._close_tasks()
+        LOG.info("entry {} has stopped", self.holder)
+
+    async def wait_failed(self) -> None:
+        """Never returns: nothing here ends by itself."""
+        await asyncio.Event().wait()
+
+    async def abort(self) -> None:
+        """Stops at once, as far as a process can that is not killed."""
+        await self._http.abort()
+        await self.desk.abort()
+        await self._close_tasks()
+
+    async def _close_tasks(self) -> None:
+        await self._spreader.close()
+        await self.dispatcher.close()
+        await self._follow.close()
+        await self.proposer.close()
+        await self._peers.close()
+        await self._client.close()
+
+    @property
+    def port(self) -> int:
+        return self._http.port
+
+    def describe(self) -> wire.Instance:
+        """Returns this entry's announcement, newer at each call."""
+        self._sequence += 1
+        state = self._state
+        if state == "serving" and not self.configuration.serving:
+            state = "cut-off"
+        host = self.cfg.callers_address.rpartition(":")[0]
+        return wire.Instance(
+            name=self.cfg.name,
+            incarnation=self.incarnation,
+            started=self.started,
+            sequence=self._sequence,
+            address=f"{host}:{self.port}",
+            peer_address=self.cfg.peers_address,
+            failure_domain=self.cfg.failure_domain,
+            state=state,
+            in_flight=self.app.in_flight,
+        )
+
+    def _is_alive(self, holder: str) -> bool:
+        """Whether that incarnation of an entry is known to be alive."""
+        if holder == self.holder:
+            return True
+        return any(
+            f"{peer.name}/{peer.incarnation}" == holder
+            for peer in self.directory.alive(time.monotonic())
+        )
+
+    def _report(self) -> control_wire.FollowReport:
+        release = self.configuration.release
+        return control_wire.FollowReport(
+            name=self.cfg.name,
+            incarnation=self.incarnation,
+            number=release.number,
+            index=release.index,
+            draining=self._state == "draining",
+        )
+
+    def _on_event(self, event: control_wire.FollowEvent) -> None:
+        if self.configuration.on_event(event):
+            LOG.info("note {} is in force", self.configuration.release.number)
+            self._follow.notify()
+        for name in event.recalls:
+            self.desk.recall(name)
+
+    async def _receive_spread(self, message, context) -> wire.SpreadReply:
+        self._spreader.receive(message)
+        return wire.SpreadReply()
--- /dev/null
+++ b/galenashed/protocol/control.py
@@ -0,0 +1,407 @@
+"""Messages of the replicated control state.
+
+Commands change the state through the log and must be safe to send twice.
+Amounts are whole tokens, times are seconds since the epoch.
+"""
+
+import msgspec
+
+
+class Model(msgspec.Struct, frozen=True, kw_only=True):
+    """A model that teams may call."""
+
+    name: str
+    version: str
+    adapters: list[str] = []
+    max_output: int = 4096
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """A group of equal targets.
+
+    ``kind`` is ``engine`` or ``plain``.  ``cost`` is what one call of a
+    plain service takes from the budget, in tokens.  ``concurrency`` bounds
+    the requests in flight at one target.  ``fencing`` says whether the
+    targets check fencing tokens.
+    """
+
+    name: str
+    kind: str
+    models: list[str] = []
+    cost: int = 0
+    concurrency: int = 16
+    fencing: bool = False
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+
+
+class Team(msgspec.Struct, frozen=True, kw_only=True):
+    """A team and the SHA-256 of its key, in hexadecimal."""
+
+    name: str
+    key_hash: str
+    weight: int = 1
+
+
+class TopUp(msgspec.Struct, frozen=True, kw_only=True):
+    """Adds ``tokens``, or takes them if negative, once per ``id``."""
+
+    id: str
+    tokens: int
+
+
+class Budget(msgspec.Struct, frozen=True, kw_only=True):
+    """A prepaid budget of a team, and what a note adds to it."""
+
+    name: str
+    team: str
+    top_ups: list[TopUp] = []
+
+
+class Withdrawn(msgspec.Struct, frozen=True, kw_only=True):
+    """Names that a note takes out of force."""
+
+    models: list[str] = []
+    services: list[str] = []
+    teams: list[str] = []
+    budgets: list[str] = []
+    targets: list[str] = []
+
+
+class Note(msgspec.Struct, frozen=True, kw_only=True):
+    """A release note: what is added or changed, and what is withdrawn."""
+
+    number: int
+    author: str
+    models: list[Model] = []
+    services: list[Service] = []
+    teams: list[Team] = []
+    budgets: list[Budget] = []
+    withdrawn: Withdrawn = Withdrawn()
+
+
+class Release(msgspec.Struct, kw_only=True):
+    """All notes in force taken together, as entries use it."""
+
+    number: int = 0
+    digest: str = ""
+    index: int = 0
+    models: dict[str, Model] = {}
+    services: dict[str, Service] = {}
+    teams: dict[str, Team] = {}
+    budgets: dict[str, str] = {}
+    withdrawn_targets: list[str] = []
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens taken from one grant."""
+
+    grant: str
+    tokens: int
+
+
+class Bill(msgspec.Struct, frozen=True, kw_only=True):
+    """What one request costs.
+
+    ``id`` names the request within its team; two bills of the same id count
+    once.  ``attempt`` names the run that the bill is for.
+    """
+
+    id: str
+    team: str
+    budget: str
+    subject: str
+    attempt: str
+    keyed: bool
+    prompt_tokens: int
+    output_tokens: int
+    parts: list[Part]
+
+    @property
+    def tokens(self) -> int:
+        return sum(part.tokens for part in self.parts)
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """The kept answer of a non-idempotent call."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    whole: bool
+
+
+# Commands
+
+
+class PublishNote(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Puts a release note in force."""
+
+    note: Note
+    digest: str
+
+
+class AcceptedNote(msgspec.Struct, frozen=True, kw_only=True):
+    """A note and the index at which it was accepted."""
+
+    index: int
+    publish: PublishNote
+
+
+class OpenGrant(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Asks for tokens to spend: at least ``need``, at best ``want``.
+
+    ``number`` counts the holder's grants; ``sequence`` is that of its last
+    settled batch of bills.
+    """
+
+    grant: str
+    budget: str
+    holder: str
+    number: int
+    sequence: int
+    need: int
+    want: int
+
+
+class CloseGrant(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Returns what is left of a grant; its holder spends no more of it."""
+
+    grant: str
+    holder: str
+
+
+class SettleBills(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Bills requests; ``sequence`` counts the holder's batches from 1."""
+
+    holder: str
+    sequence: int
+    bills: list[Bill]
+
+
+class ClaimCall(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Claims a non-idempotent call for one run by ``owner``."""
+
+    team: str
+    key: str
+    digest: str
+    owner: str
+
+
+class FinishCall(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Records the outcome of a claimed call.
+
+    ``outcome`` is ``run``, ``unknown`` or ``not_run``; the last one frees
+    the key for another try.
+    """
+
+    team: str
+    key: str
+    owner: str
+    outcome: str
+    answer: Answer | None = None
+
+
+class ReportCrash(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Says that a target died while it ran the request of ``digest``."""
+
+    digest: str
+    target: str
+
+
+class Barrier(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Changes nothing; its commit shows that the leader still leads."""
+
+
+Command = (
+    PublishNote
+    | OpenGrant
+    | CloseGrant
+    | SettleBills
+    | ClaimCall
+    | FinishCall
+    | ReportCrash
+    | Barrier
+)
+
+
+class Stamped(msgspec.Struct, array_like=True, frozen=True):
+    """A command with the time at which the leader took it."""
+
+    at: float
+    command: Command
+
+
+# Replies
+
+
+class Done(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """The command took effect, at this or an earlier sending."""
+
+    index: int
+
+
+class Refused(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """The command changed nothing; ``findings`` say why."""
+
+    findings: list[str]
+
+
+class Granted(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """``amount`` tokens may be spent from the grant."""
+
+    grant: str
+    amount: int
+
+
+class Closed(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """The grant was closed before, or a later one has been opened."""
+
+    grant: str
+
+
+class Short(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """No grant: ``available`` tokens are free, ``elsewhere`` are granted."""
+
+    available: int
+    elsewhere: int
+
+
+class Settled(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """The batch is recorded; ``duplicates`` were billed before."""
+
+    sequence: int
+    duplicates: list[str]
+
+
+class CallState(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """The record of a non-idempotent call.
+
+    ``state`` is ``claimed``, ``run``, ``unknown`` or ``not_run``;
+    ``fresh`` is set if this very command made the claim.
+    """
+
+    owner: str
+    digest: str
+    state: str
+    fresh: bool
+    answer: Answer | None = None
+
+
+class Crashes(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """How many targets died running the request."""
+
+    count: int
+
+
+Reply = (
+    Done | Refused | Granted | Closed | Short | Settled | CallState | Crashes
+)
+
+
+# Queries and the configuration feed
+
+
+class AuditRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of the audit trail."""
+
+    index: int
+    at: float
+    actor: str
+    action: str
+    subject: str
+    digest: str
+    result: str
+
+
+class Balance(msgspec.Struct, frozen=True, kw_only=True):
+    """What a budget stands at, in tokens."""
+
+    budget: str
+    team: str
+    prepaid: int
+    settled: int
+    outstanding: int
+    pending_cut: int
+    grants: int
+
+    @property
+    def free(self) -> int:
+        return self.prepaid - self.settled - self.outstanding
+
+
+class ReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """How one control replica is doing; ``contact_age`` in seconds."""
+
+    name: str
+    role: str
+    leader: str
+    term: int
+    commit: int
+    applied: int
+    note: int
+    contact_age: float
+    disk_bytes: int
+    followers: list["FollowerStatus"]
+
+
+class FollowerStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Which note an entry has in force; ``seen_ago`` in seconds."""
+
+    name: str
+    incarnation: str
+    note: int
+    seen_ago: float
+    connected: bool
+
+
+class Query(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Asks for balances, bills or audit records.
+
+    ``kind`` is ``balance``, ``bill`` or ``audit``; ``subject`` filters by
+    budget or by request, ``team`` by team.
+    """
+
+    kind: str
+    subject: str = ""
+    team: str = ""
+    limit: int = 100
+
+
+class QueryReply(msgspec.Struct, frozen=True, kw_only=True):
+    """What a :class:`Query` found, or with ``leader`` whom to ask."""
+
+    leader: str | None = None
+    balances: list[Balance] = []
+    bills: list[Bill] = []
+    audit: list[AuditRecord] = []
+
+
+class FollowReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Sent by an entry: what it has in force."""
+
+    name: str
+    incarnation: str
+    number: int
+    index: int
+    draining: bool = False
+
+
+class FollowEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """Sent to an entry: what is new, or only a sign of life.
+
+    ``age`` is the seconds since the replica was surely up to date.  News is
+    either the whole ``release`` or the ``notes`` accepted since.
+    """
+
+    age: float
+    release: Release | None = None
+    notes: list[AcceptedNote] = []
+    recalls: list[str] = []
+    quarantine: dict[str, int] | None = None
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a proposed command: a reply, or who leads."""
+
+    reply: Reply | None = None
+    leader: str | None = None
--- /dev/null
+++ b/galenashed/protocol/methods.py
@@ -0,0 +1,52 @@
+"""The methods of the inner protocol."""
+
+from galenashed.protocol import consensus
+from galenashed.protocol import control
+from galenashed.protocol import rpc
+from galenashed.protocol import spread
+
+DELIVER = rpc.Method(
+    path="/galenashed.Consensus/Deliver",
+    kind="client_stream",
+    request=list[consensus.Message],
+    reply=bool,
+)
+PUBLISH = rpc.Method(
+    path="/galenashed.Control/Publish",
+    kind="unary",
+    request=control.PublishNote,
+    reply=control.Outcome,
+    roles=("operator",),
+)
+PROPOSE = rpc.Method(
+    path="/galenashed.Control/Propose",
+    kind="unary",
+    request=list[control.Command],
+    reply=list[control.Outcome],
+)
+FOLLOW = rpc.Method(
+    path="/galenashed.Control/Follow",
+    kind="bidi",
+    request=control.FollowReport,
+    reply=control.FollowEvent,
+)
+QUERY = rpc.Method(
+    path="/galenashed.Control/Query",
+    kind="unary",
+    request=control.Query,
+    reply=control.QueryReply,
+    roles=("peer", "operator"),
+)
+STATUS = rpc.Method(
+    path="/galenashed.Control/Status",
+    kind="unary",
+    request=bool,
+    reply=control.ReplicaStatus,
+    roles=("peer", "operator"),
+)
+SPREAD = rpc.Method(
+    path="/galenashed.Entry/Spread",
+    kind="unary",
+    request=spread.Spread,
+    reply=spread.SpreadReply,
+)
--- /dev/null
+++ b/galenashed/protocol/spread.py
@@ -0,0 +1,60 @@
+"""Messages by which entries tell each other of entries and targets."""
+
+import msgspec
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """A target's own report: requests running and waiting."""
+
+    running: int = 0
+    waiting: int = 0
+
+
+class Target(msgspec.Struct, frozen=True, kw_only=True):
+    """A target's announcement.
+
+    ``sequence`` grows with each announcement of one ``incarnation``;
+    ``started`` orders incarnations, in seconds since the epoch.  ``state``
+    is ``ready`` or ``leaving``.
+    """
+
+    name: str
+    incarnation: str
+    started: float
+    sequence: int
+    service: str
+    address: str
+    failure_domain: str
+    state: str = "ready"
+    models: list[str] = []
+    resumes: bool = False
+    load: Load = Load()
+
+
+class Instance(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry's announcement to the other entries.
+
+    ``state`` is ``serving`` or ``draining``; ``in_flight`` counts requests.
+    """
+
+    name: str
+    incarnation: str
+    started: float
+    sequence: int
+    address: str
+    peer_address: str
+    failure_domain: str
+    state: str = "serving"
+    in_flight: int = 0
+
+
+class Spread(msgspec.Struct, frozen=True, kw_only=True):
+    """What an entry knows at first hand, and whom it knows."""
+
+    sender: Instance
+    targets: list[Target]
+    known: list[str]
+
+
+class SpreadReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Acknowledges a :class:`Spread`."""
--- /dev/null
+++ b/galenashed/routing/__init__.py
@@ -0,0 +1,34 @@
+"""Choice of target: eligibility, load, prefix affinity, limits, fairness.
+
+Everything here is sans-IO and embeddable.  :class:`Router` keeps what an
+entry knows of its targets and asks a :class:`Balancer` to choose among the
+eligible ones; :class:`FairQueue` orders the requests that wait.
+"""
+
+from galenashed.routing._balancers import AffinityBalancer
+from galenashed.routing._balancers import Balancer
+from galenashed.routing._balancers import BALANCERS
+from galenashed.routing._balancers import LeastLoadedBalancer
+from galenashed.routing._balancers import RandomBalancer
+from galenashed.routing._balancers import RoundRobinBalancer
+from galenashed.routing._queue import FairQueue
+from galenashed.routing._queue import QueueFullError
+from galenashed.routing._retries import RetryBudget
+from galenashed.routing._router import make_router
+from galenashed.routing._router import Router
+from galenashed.routing._router import TargetStats
+
+__all__ = [
+    "BALANCERS",
+    "AffinityBalancer",
+    "Balancer",
+    "FairQueue",
+    "LeastLoadedBalancer",
+    "QueueFullError",
+    "RandomBalancer",
+    "RetryBudget",
+    "RoundRobinBalancer",
+    "Router",
+    "TargetStats",
+    "make_router",
+]
--- /dev/null
+++ b/galenashed/web/__init__.py
@@ -0,0 +1,19 @@
+"""HTTP servers with bounds, and errors in the form of the model API."""
+
+from galenashed.web._app import add_route
+from galenashed.web._app import Handler
+from galenashed.web._app import make_app
+from galenashed.web._errors import ApiError
+from galenashed.web._errors import error_response
+from galenashed.web._errors import Run
+from galenashed.web._server import HttpServer
+
+__all__ = [
+    "ApiError",
+    "Handler",
+    "HttpServer",
+    "Run",
+    "add_route",
+    "error_response",
+    "make_app",
+]
