Prove the whole path in separate processes

Cause: the path had only been run in one process.

Found by the new tests and mended: header names of an upstream answer are a subclass of str that the codec refuses, and one command that can't be encoded kept every command that travelled in its batch from being sent, so the entry lost control for good. Commands are now encoded where they are made, so that a faulty one fails alone. Ruled out first: leader changes (there was one leader in term 1 throughout).

Also: rendezvous hashing was given text where it takes bytes, so that a request with a choice of targets failed.

--- a/galenashed/cli/_quickstart.py
+++ b/galenashed/cli/_quickstart.py
@@ -133,6 +133,7 @@
             peer_key=self.peer_key,
             replicas=self.replicas,
             target_key_hash=rpc.hash_key(self.target_key),
+            operator_key_hash=rpc.hash_key(self.operator_key),
             target_lease=3.0,
             preset="refusals-first",
             max_stale=10.0,
--- a/galenashed/config/_settings.py
+++ b/galenashed/config/_settings.py
@@ -36,6 +36,7 @@
     peer_key: str
     replicas: dict[str, str]
     target_key_hash: str
+    operator_key_hash: str
     target_lease: float
     preset: str
     max_stale: float
@@ -102,6 +103,7 @@
     peers = root.section("peers")
     control = root.section("control")
     targets = root.section("targets")
+    operators = root.section("operators")
     policy = root.section("policy", required=False)
     return EntrySettings(
         name=instance.name(),
@@ -125,6 +127,7 @@
         peer_key=_read_key(peers, base),
         replicas=control.address_map("replicas"),
         target_key_hash=targets.key_hash(),
+        operator_key_hash=operators.key_hash(),
         target_lease=targets.number("lease", 3.0, low=0.1, high=600.0),
         preset=policy.choice("preset", PRESETS, PRESETS[0]),
         max_stale=policy.number("max_stale", 10.0, low=0.5, high=86400.0),
--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -5,6 +5,7 @@
 import typing
 
 import loguru
+import msgspec
 
 from galenashed.protocol import control as wire
 from galenashed.protocol import methods
@@ -23,10 +24,12 @@
 
 
 class _Pending:
-    __slots__ = ("command", "deadline", "fut")
+    __slots__ = ("deadline", "encoded", "fut")
 
-    def __init__(self, *, command, deadline: float, fut: asyncio.Future):
-        self.command = command
+    def __init__(
+        self, *, encoded: msgspec.Raw, deadline: float, fut: asyncio.Future
+    ):
+        self.encoded = encoded
         self.deadline = deadline
         self.fut = fut
 
@@ -96,7 +99,10 @@
         """
         fut = asyncio.get_running_loop().create_future()
         deadline = time.monotonic() + timeout
-        pending = _Pending(command=command, deadline=deadline, fut=fut)
+        # Encoded here, so that a faulty command fails its sender alone and
+        # not all that would travel with it.
+        encoded = msgspec.Raw(msgspec.msgpack.encode(command))
+        pending = _Pending(encoded=encoded, deadline=deadline, fut=fut)
         self._pending.append(pending)
         self._wake.set()
         return await self._bounded(fut, timeout)
@@ -212,7 +218,7 @@
     async def _attempt(self, batch: list[_Pending]) -> list[_Pending]:
         """Sends a batch once and returns what has no answer yet."""
         name = self._leader
-        commands = [pending.command for pending in batch]
+        commands = [pending.encoded for pending in batch]
         try:
             outcomes = await self.channel(name).call(
                 methods.PROPOSE, commands, timeout=CALL_TIMEOUT_SECONDS
--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -18,6 +18,7 @@
 from galenashed.protocol import control as wire
 from galenashed.protocol import rpc
 from galenashed.protocol import spread as spread_wire
+from galenashed import membership
 from galenashed import web
 
 LOG = loguru.logger
@@ -46,8 +47,10 @@
         Waits until bills are acknowledged.
     announce : callable
         Takes a target's announcement.
-    target_key_hash : str
-        SHA-256 of the key that targets present.
+    targets : Directory
+        Which targets are known.
+    target_key_hash, operator_key_hash : str
+        SHA-256 of the keys that targets and operators present.
     max_body_bytes : int
         Larger bodies are refused.
     receive_timeout : float
@@ -64,7 +67,9 @@
         proposer: control.ControlClient,
         flush_bills,
         announce,
+        targets: membership.Directory,
         target_key_hash: str,
+        operator_key_hash: str,
         max_body_bytes: int,
         receive_timeout: float,
     ):
@@ -75,7 +80,9 @@
         self.proposer = proposer
         self.flush_bills = flush_bills
         self.announce = announce
+        self.targets = targets
         self.target_key_hash = target_key_hash
+        self.operator_key_hash = operator_key_hash
         self.max_body_bytes = max_body_bytes
         self.receive_timeout = receive_timeout
         self.in_flight = 0
@@ -92,6 +99,7 @@
         add("GET", "/v1/budgets", self._list_budgets)
         add("GET", "/v1/bills/:id", self._show_bill)
         add("POST", "/targets/announce", self._announce)
+        add("GET", "/v1/targets", self._list_targets)
         add("GET", "/health", self._health)
         for method in METHODS:
             add(method, "/services/*", self._call_service)
@@ -322,6 +330,12 @@
         except control.ControlUnavailableError:
             raise _control_unavailable() from None
 
+    async def _list_targets(self, request) -> blacksheep.Response:
+        if not rpc.key_matches(_bearer_key(request), self.operator_key_hash):
+            raise _unauthorized()
+        alive = self.targets.alive(time.monotonic())
+        return _json({"targets": alive})
+
     async def _announce(self, request) -> blacksheep.Response:
         if not rpc.key_matches(_bearer_key(request), self.target_key_hash):
             raise _unauthorized()
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -389,7 +389,7 @@
         return wire.Answer(
             status=resp.status,
             headers=[
-                (name, value)
+                (str(name), value)
                 for name, value in resp.headers.items()
                 if name.lower() not in HOP_BY_HOP
                 and name.lower() != "x-request-id"
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -135,7 +135,9 @@
             proposer=self.proposer,
             flush_bills=self.desk.flush,
             announce=self._spreader.announce,
+            targets=self.targets,
             target_key_hash=cfg.target_key_hash,
+            operator_key_hash=cfg.operator_key_hash,
             max_body_bytes=cfg.max_body_bytes,
             receive_timeout=cfg.receive_timeout,
         )
--- a/galenashed/routing/_balancers.py
+++ b/galenashed/routing/_balancers.py
@@ -79,7 +79,8 @@
             return fallback
         seed = xxhash.xxh64_intdigest(prefix)
         home = max(
-            eligible, key=lambda s: xxhash.xxh64_intdigest(s.name, seed)
+            eligible,
+            key=lambda s: xxhash.xxh64_intdigest(s.name.encode(), seed),
         )
         if home.load_share <= fallback.load_share + AFFINITY_SHARE:
             return home
--- a/galenashed/telemetry/_logs.py
+++ b/galenashed/telemetry/_logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import traceback
 
 import loguru
 import msgspec
@@ -22,7 +23,10 @@
         **record["extra"],
     }
     if record["exception"] is not None:
-        line["exception"] = str(record["exception"].value)
+        # Without the values of variables, which may hold keys.
+        line["exception"] = traceback.format_exception(
+            record["exception"].value
+        )
     encoded = msgspec.json.encode(line, enc_hook=str)
     sys.stderr.buffer.write(encoded + b"\n")
     sys.stderr.buffer.flush()
@@ -41,9 +45,11 @@
     loguru.logger.remove()
     loguru.logger.configure(extra={"instance": instance})
     if format == "json":
-        loguru.logger.add(_write_json, level=level)
+        loguru.logger.add(_write_json, level=level, diagnose=False)
     else:
-        loguru.logger.add(sys.stderr, level=level, format=HUMAN_FORMAT)
+        loguru.logger.add(
+            sys.stderr, level=level, format=HUMAN_FORMAT, diagnose=False
+        )
     logging.basicConfig(
         handlers=[_Forward()], level=logging.WARNING, force=True
     )
--- /dev/null
+++ b/galenashed/tests/_fleet.py
@@ -0,0 +1,430 @@
+"""Starts a whole fleet of real processes for a test."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.error
+import urllib.request
+
+from galenashed import config
+from galenashed.tests import _proxy
+
+WAIT_SECONDS = 60.0
+PEER_KEY = "peer-key-for-tests-0123456789"
+OPERATOR_KEY = "operator-key-for-tests-0123456789"
+TARGET_KEY = "target-key-for-tests-0123456789"
+TEAM_KEY = "team-key-for-tests-0123456789"
+DOMAINS = ["keflavik", "njardvik", "grindavik"]
+MODEL = "galena-7b"
+
+NOTE = f"""
+[note]
+number = 1
+author = "ops"
+
+[[model]]
+name = "{MODEL}"
+version = "1"
+max_output = 512
+
+[[service]]
+name = "galena-fleet"
+kind = "engine"
+models = ["{MODEL}"]
+concurrency = 64
+
+[[service]]
+name = "rounds-app"
+kind = "plain"
+cost = 1
+concurrency = 64
+
+[[team]]
+name = "rounds"
+key_hash = "{config.hash_of(TEAM_KEY)}"
+
+[[budget]]
+name = "rounds-2026"
+team = "rounds"
+
+[[budget.top_up]]
+id = "first"
+tokens = 1000000
+"""
+
+
+def free_port() -> int:
+    """Returns a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(condition, what: str, timeout: float = WAIT_SECONDS):
+    """Returns the condition's first true value; fails after a long time."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"waited {timeout} s for {what}")
+
+
+class Answer:
+    """An HTTP answer."""
+
+    def __init__(self, status: int, headers, body: bytes):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        """Returns the body decoded."""
+        return json.loads(self.body)
+
+
+def fetch(
+    address: str,
+    path: str,
+    *,
+    method: str = "GET",
+    body=None,
+    key: str = TEAM_KEY,
+    headers=None,
+    timeout: float = 30.0,
+) -> Answer:
+    """Sends one request; any status is an answer.
+
+    Raises OSError if the connection fails.
+    """
+    data = body
+    if body is not None and not isinstance(body, bytes):
+        data = json.dumps(body).encode()
+    req = urllib.request.Request(
+        f"http://{address}{path}", data=data, method=method
+    )
+    if key:
+        req.add_header("Authorization", f"Bearer {key}")
+    for name, value in (headers or {}).items():
+        req.add_header(name, value)
+    try:
+        with urllib.request.urlopen(req, timeout=timeout) as resp:
+            return Answer(resp.status, resp.headers, resp.read())
+    except urllib.error.HTTPError as exc:
+        return Answer(exc.code, exc.headers, exc.read())
+
+
+class Process:
+    """One process of the fleet, its log in a file."""
+
+    def __init__(self, name: str, args: list[str], folder: pathlib.Path):
+        self.name = name
+        self.args = args
+        self.log = folder / f"{name}.log"
+        self.popen: subprocess.Popen | None = None
+
+    def start(self, *extra: str) -> None:
+        """Starts it."""
+        with open(self.log, "ab") as out:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "galenashed", *self.args, *extra],
+                stdout=out,
+                stderr=out,
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends a signal."""
+        assert self.popen is not None
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills it at once and waits for its end."""
+        self.signal(signal.SIGKILL)
+        self.wait()
+
+    def wait(self, timeout: float = WAIT_SECONDS) -> int:
+        """Returns the exit code."""
+        assert self.popen is not None
+        return self.popen.wait(timeout)
+
+
+class Fleet:
+    """Control replicas, entries and targets on 127.0.0.1.
+
+    Every path between processes leads through the proxy:
+    ``control_links[(source, replica)]`` and ``target_links[target]``.
+    """
+
+    def __init__(
+        self,
+        *,
+        controls: int = 3,
+        entries: int = 3,
+        engines: int = 2,
+        services: int = 1,
+        note: str = NOTE,
+        engine_args: tuple[str, ...] = (),
+        policy: str = "",
+        snapshot_every: int = 10_000,
+    ):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
+        self.proxy = _proxy.Proxy()
+        self.note = note
+        self.policy = policy
+        self.snapshot_every = snapshot_every
+        self.control_names = [f"c{n + 1}" for n in range(controls)]
+        self.entry_names = [f"e{n + 1}" for n in range(entries)]
+        self.engine_names = [f"engine-{n + 1}" for n in range(engines)]
+        self.service_names = [f"app-{n + 1}" for n in range(services)]
+        self.engine_args = engine_args
+        self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, str] = {}
+        self.control_links: dict[tuple[str, str], _proxy.Link] = {}
+        self.target_links: dict[str, _proxy.Link] = {}
+
+    # Life
+
+    def start(self) -> None:
+        """Starts everything and publishes the note."""
+        self.proxy.start()
+        self._write_keys()
+        for name in self.control_names:
+            self.addresses[name] = f"127.0.0.1:{free_port()}"
+        for name in self.entry_names:
+            self.addresses[name] = f"127.0.0.1:{free_port()}"
+            self.addresses[f"{name}.peers"] = f"127.0.0.1:{free_port()}"
+        self._write_operator()
+        for name in self.control_names:
+            self._prepare_control(name)
+            self.processes[name].start("--create")
+        self.publish(self.note)
+        for name in self.entry_names:
+            self._prepare_entry(name)
+            self.processes[name].start()
+        for name in self.engine_names:
+            self._prepare_target(name, "engine")
+            self.processes[name].start()
+        for name in self.service_names:
+            self._prepare_target(name, "service")
+            self.processes[name].start()
+        self.wait_ready()
+
+    def close(self) -> None:
+        """Kills everything."""
+        for process in self.processes.values():
+            if process.popen is not None and process.popen.poll() is None:
+                process.signal(signal.SIGCONT)
+                process.kill()
+        self.proxy.close()
+
+    def wait_ready(self) -> None:
+        """Waits until every entry can reach every target."""
+        for name in self.entry_names:
+            wait_for(lambda name=name: self._is_ready(name), f"{name} ready")
+
+    def _is_ready(self, entry: str) -> bool:
+        address = self.addresses[entry]
+        with contextlib.suppress(OSError):
+            if fetch(address, "/health", timeout=1.0).status != 200:
+                return False
+            listed = fetch(address, "/v1/targets", key=OPERATOR_KEY)
+            names = {item["name"] for item in listed.json()["targets"]}
+            return {*self.engine_names, *self.service_names} <= names
+        return False
+
+    # Settings
+
+    def _write(self, name: str, text: str) -> pathlib.Path:
+        path = self.folder / name
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    def _write_keys(self) -> None:
+        self._write("peer.key", PEER_KEY)
+        self._write("operator.key", OPERATOR_KEY)
+        self._write("target.key", TARGET_KEY)
+
+    def _replicas(self, source: str) -> str:
+        rows = []
+        for name in self.control_names:
+            if name == source:
+                rows.append(f'{name} = "{self.addresses[name]}"')
+                continue
+            link = self.proxy.add(self.addresses[name])
+            self.control_links[(source, name)] = link
+            rows.append(f'{name} = "{link.address}"')
+        return "[control.replicas]\n" + "\n".join(rows) + "\n"
+
+    def _write_operator(self) -> None:
+        self.operator_path = self._write(
+            "operator.toml",
+            '[operators]\nkey_file = "operator.key"\n'
+            + self._replicas("operator"),
+        )
+
+    def _prepare_control(self, name: str) -> None:
+        domain = DOMAINS[self.control_names.index(name) % len(DOMAINS)]
+        path = self._write(
+            f"{name}.toml",
+            f'[instance]\nname = "{name}"\nfailure_domain = "{domain}"\n'
+            f'[storage]\nfolder = "{name}.data"\n'
+            f"snapshot_every = {self.snapshot_every}\n"
+            f'[peers]\nlisten = "{self.addresses[name]}"\n'
+            'key_file = "peer.key"\n'
+            f'[operators]\nkey_hash = "{config.hash_of(OPERATOR_KEY)}"\n'
+            '[log]\nformat = "json"\n'
+            '[control]\ncluster = "tests"\n' + self._replicas(name),
+        )
+        args = ["control", "--config", str(path)]
+        self.processes[name] = Process(name, args, self.folder)
+
+    def _prepare_entry(self, name: str) -> None:
+        domain = DOMAINS[self.entry_names.index(name) % len(DOMAINS)]
+        seeds = [
+            self.addresses[f"{other}.peers"] for other in self.entry_names
+        ]
+        path = self._write(
+            f"{name}.toml",
+            f'[instance]\nname = "{name}"\nfailure_domain = "{domain}"\n'
+            f'[callers]\nlisten = "{self.addresses[name]}"\n'
+            "instances_max_age = 1.0\nreceive_timeout = 2.0\n"
+            "max_connections = 500\n"
+            f'[peers]\nlisten = "{self.addresses[name + ".peers"]}"\n'
+            f'key_file = "peer.key"\nseeds = {json.dumps(seeds)}\n'
+            f'[targets]\nkey_hash = "{config.hash_of(TARGET_KEY)}"\n'
+            f'[operators]\nkey_hash = "{config.hash_of(OPERATOR_KEY)}"\n'
+            '[log]\nformat = "json"\nlevel = "DEBUG"\n'
+            + self.policy
+            + "[control]\n"
+            + self._replicas(name),
+        )
+        args = ["entry", "--config", str(path)]
+        self.processes[name] = Process(name, args, self.folder)
+
+    def _prepare_target(self, name: str, kind: str) -> None:
+        address = f"127.0.0.1:{free_port()}"
+        self.addresses[name] = address
+        link = self.proxy.add(address)
+        self.target_links[name] = link
+        args = ["standin", kind, "--name", name, "--listen", address]
+        args += ["--key-file", str(self.folder / "target.key")]
+        args += ["--announced-address", link.address]
+        for entry in self.entry_names:
+            args += ["--entry", self.addresses[entry]]
+        if kind == "engine":
+            args += ["--service", "galena-fleet", "--model", MODEL]
+            args += self.engine_args
+        else:
+            args += ["--service", "rounds-app"]
+        self.processes[name] = Process(name, args, self.folder)
+
+    # Operator's commands
+
+    def run(self, *args: str, check: bool = True):
+        """Runs a command of the operator to its end."""
+        done = subprocess.run(
+            [sys.executable, "-m", "galenashed", *args],
+            capture_output=True,
+            text=True,
+            timeout=WAIT_SECONDS,
+            env={**os.environ, "COLUMNS": "200"},
+        )
+        if check and done.returncode:
+            raise AssertionError(f"{args}: {done.stdout} {done.stderr}")
+        return done
+
+    def operate(self, *args: str, check: bool = True):
+        """Runs a command that takes the operator's settings."""
+        return self.run(
+            *args, "--config", str(self.operator_path), check=check
+        )
+
+    def publish(self, text: str, *args: str, check: bool = True):
+        """Publishes a release note."""
+        path = self._write(f"note-{time.monotonic_ns()}.toml", text)
+        return self.operate("note", "publish", str(path), *args, check=check)
+
+    def balance(self, budget: str = "rounds-2026") -> dict:
+        """Returns what a budget stands at, as control sees it."""
+        done = self.operate("budget", "show", "--budget", budget, "--json")
+        return json.loads(done.stdout)[0]
+
+    def leader(self) -> str:
+        """Returns the leading control replica's name."""
+
+        def find():
+            done = self.operate("status", "--json", check=False)
+            if not done.stdout.startswith("{"):
+                return ""
+            for name, status in json.loads(done.stdout).items():
+                if status and status["role"] == "leader":
+                    return name
+            return ""
+
+        return wait_for(find, "a leader")
+
+    # Callers
+
+    def ask(self, entry: str, text: str = "hello", **options) -> Answer:
+        """Sends a model request that is not streamed."""
+        headers = options.pop("headers", None)
+        timeout = options.pop("timeout", 30.0)
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 32,
+            **options,
+        }
+        return fetch(
+            self.addresses[entry],
+            "/v1/chat/completions",
+            method="POST",
+            body=body,
+            headers=headers,
+            timeout=timeout,
+        )
+
+    def call(
+        self, entry: str, path: str = "/bookings", *, key: str = "", **options
+    ) -> Answer:
+        """Calls the plain service by POST."""
+        headers = {"Idempotency-Key": key} if key else {}
+        return fetch(
+            self.addresses[entry],
+            f"/services/rounds-app{path}",
+            method=options.pop("method", "POST"),
+            body=options.pop("body", b"{}"),
+            headers={**headers, **options.pop("headers", {})},
+            **options,
+        )
+
+    def stats(self, target: str) -> dict:
+        """Returns a stand-in's own counts."""
+        return fetch(self.addresses[target], "/standin/stats", key="").json()
+
+
+def in_threads(count: int, work) -> list:
+    """Runs ``work(n)`` in threads and returns results in order."""
+    results: list = [None] * count
+
+    def run(position: int) -> None:
+        try:
+            results[position] = work(position)
+        except Exception as exc:
+            results[position] = exc
+
+    threads = [threading.Thread(target=run, args=(n,)) for n in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
--- /dev/null
+++ b/galenashed/tests/_proxy.py
@@ -0,0 +1,116 @@
+"""A TCP relay that injects faults, for tests."""
+
+import asyncio
+import socket
+import threading
+
+
+class Link:
+    """One relayed address; its faults apply to open connections too.
+
+    ``forward`` and ``backward`` are ``pass`` or ``drop``, which swallows
+    bytes silently, as a partition does.  ``delay`` is in seconds each way.
+    """
+
+    def __init__(self, upstream: str):
+        self.upstream = upstream
+        self.address = ""
+        self.forward = "pass"
+        self.backward = "pass"
+        self.delay = 0.0
+        self.refuse = False
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def heal(self) -> None:
+        """Ends every fault."""
+        self.forward = "pass"
+        self.backward = "pass"
+        self.delay = 0.0
+        self.refuse = False
+
+
+class Proxy:
+    """All links of a test, served by one thread."""
+
+    def __init__(self) -> None:
+        self.links: list[Link] = []
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops the thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def _call(self, coro):
+        return asyncio.run_coroutine_threadsafe(coro, self._loop).result(10)
+
+    def add(self, upstream: str) -> Link:
+        """Returns a new link to ``ip:port``."""
+        link = Link(upstream)
+        self._call(self._listen(link))
+        self.links.append(link)
+        return link
+
+    async def _listen(self, link: Link) -> None:
+        async def accept(reader, writer):
+            await self._relay(link, reader, writer)
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        link.address = f"127.0.0.1:{port}"
+
+    async def _relay(self, link: Link, reader, writer) -> None:
+        link.writers.add(writer)
+        try:
+            if link.refuse:
+                return
+            host, _, port = link.upstream.rpartition(":")
+            up_reader, up_writer = await asyncio.open_connection(host, port)
+            link.writers.add(up_writer)
+            try:
+                await asyncio.gather(
+                    self._pump(link, "forward", reader, up_writer),
+                    self._pump(link, "backward", up_reader, writer),
+                )
+            finally:
+                link.writers.discard(up_writer)
+                up_writer.close()
+        except OSError:
+            pass
+        finally:
+            link.writers.discard(writer)
+            writer.close()
+
+    async def _pump(self, link: Link, way: str, reader, writer) -> None:
+        while data := await reader.read(65536):
+            if link.delay:
+                await asyncio.sleep(link.delay)
+            if getattr(link, way) == "pass":
+                writer.write(data)
+                await writer.drain()
+        # While the other side is cut off it must not learn of the end.
+        while getattr(link, way) == "drop":
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    def reset(self, link: Link) -> None:
+        """Resets every open connection of a link."""
+        self._call(self._reset(link))
+
+    async def _reset(self, link: Link) -> None:
+        for writer in list(link.writers):
+            sock = writer.get_extra_info("socket")
+            if sock is not None:
+                # With no linger time, closing sends RST.
+                option = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            writer.transport.abort()
