Hold requests together while targets die, hang and leave

Cause: nothing had been run while a target failed.

Found by the new tests and mended: - A frozen engine held its stream for a fixed stall of 10 s, and the same limit would have cut off whole answers that take longer. A request is now given up when its target's lease has run out and it stalls, or when the service's own timeout (a new key of notes) is over; TCP keepalive finds a cut network. Ruled out: a stand-in fault (executions were 1 throughout).

A fault of the scaffold: a relay accepts connections for a dead target, so refusals are tested on direct connections.

Conclusion: at most one run, at most two engines lost to one request, exact resumption and no crossed answers hold for these faults.

--- a/galenashed/config/_notes.py
+++ b/galenashed/config/_notes.py
@@ -76,6 +76,7 @@
         models=models,
         cost=table.integer("cost", 0, low=0, high=10**9),
         concurrency=table.integer("concurrency", 16, low=1, high=100_000),
+        timeout=table.number("timeout", 300.0, low=0.1, high=86400.0),
         fencing=table.flag("fencing", False),
         idempotent_methods=methods,
     )
--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import socket
 
 import aiohttp
 import yarl
@@ -16,6 +17,12 @@
 MAX_IDLE_PER_TARGET = 64
 
 
+# A cut network is noticed after idle + interval * count seconds.
+KEEPALIVE_IDLE_SECONDS = 3
+KEEPALIVE_INTERVAL_SECONDS = 2
+KEEPALIVE_COUNT = 3
+
+
 class NotSentError(Exception):
     """No byte of the request was sent."""
 
@@ -24,17 +31,25 @@
     """The connection failed; the request may have been run."""
 
 
+def _make_socket(address_info) -> socket.socket:
+    """Returns a socket that probes an idle connection."""
+    family, kind, proto, _, _ = address_info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    return sock
+
+
 class TargetClient:
     """Calls targets by their address.
 
-    Parameters
-    ----------
-    stall_timeout : float
-        Seconds without a byte after which a target counts as lost.
+    How long an answer may take is the caller's to bound.
     """
 
-    def __init__(self, *, stall_timeout: float):
-        self.stall_timeout = stall_timeout
+    def __init__(self) -> None:
         self._pooled: aiohttp.ClientSession
         self._fresh: aiohttp.ClientSession
 
@@ -44,20 +59,23 @@
             total=None,
             connect=CONNECT_TIMEOUT_SECONDS,
             sock_connect=CONNECT_TIMEOUT_SECONDS,
-            sock_read=self.stall_timeout,
         )
         self._pooled = self._session(timeout, force_close=False)
         self._fresh = self._session(timeout, force_close=True)
 
     def _session(self, timeout, *, force_close: bool):
         connector = aiohttp.TCPConnector(
-            limit=0, force_close=force_close, use_dns_cache=False
+            limit=0,
+            force_close=force_close,
+            use_dns_cache=False,
+            socket_factory=_make_socket,
         )
         return aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
 
     async def close(self) -> None:
--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -15,10 +15,10 @@
 from galenashed.entry import _instances
 from galenashed.entry import _models
 from galenashed.entry import _requests
+from galenashed import membership
 from galenashed.protocol import control as wire
 from galenashed.protocol import rpc
 from galenashed.protocol import spread as spread_wire
-from galenashed import membership
 from galenashed import web
 
 LOG = loguru.logger
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -369,23 +369,16 @@
             and name.lower() != "authorization"
         ]
         headers.append(("X-Request-Id", call.attempt))
-        resp = await self.client.send(
-            address=slot.target.address,
-            method=call.method,
-            path=call.path,
-            headers=headers,
-            body=call.body,
-            repeatable=call.idempotent,
-        )
-        try:
-            echoed = resp.headers.get("X-Request-Id", call.attempt)
-            if echoed != call.attempt:
-                raise engines.TargetLostError("answer to another request")
+        async with self.dispatcher.watch(slot, call.service.timeout):
+            resp = await self.client.send(
+                address=slot.target.address,
+                method=call.method,
+                path=call.path,
+                headers=headers,
+                body=call.body,
+                repeatable=call.idempotent,
+            )
             body = await self._read_answer(call, resp)
-        except (aiohttp.ClientError, TimeoutError) as exc:
-            raise engines.TargetLostError(repr(exc)) from exc
-        finally:
-            resp.release()
         return wire.Answer(
             status=resp.status,
             headers=[
@@ -399,12 +392,26 @@
         )
 
     async def _read_answer(self, call: Call, resp) -> bytes:
+        try:
+            echoed = resp.headers.get("X-Request-Id", call.attempt)
+            if echoed != call.attempt:
+                raise engines.TargetLostError("answer to another request")
+            return await self._read_bounded(resp)
+        except aiohttp.ClientError as exc:
+            raise engines.TargetLostError(repr(exc)) from exc
+        finally:
+            # A connection with an answer half read is not used again.
+            if resp.content.at_eof():
+                resp.release()
+            else:
+                resp.close()
+
+    async def _read_bounded(self, resp) -> bytes:
         parts = []
         size = 0
         async for chunk in resp.content.iter_any():
             size += len(chunk)
             if size > MAX_ANSWER_BYTES:
-                resp.close()
                 raise web.ApiError(
                     status=502,
                     code="answer_too_large",
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -1,8 +1,11 @@
 """Hands requests to targets as these have room."""
 
 import asyncio
+import contextlib
 import time
+import typing
 
+from galenashed import engines
 from galenashed.entry import _configuration
 from galenashed import membership
 from galenashed.protocol import control as control_wire
@@ -12,18 +15,21 @@
 
 RETRY_SECONDS = 1.0
 EXPIRE_SECONDS = 0.5
+PAUSE_SECONDS = 0.5
 
 
 class Slot:
     """The right to run one request at one target; ends exactly once."""
 
-    __slots__ = ("_dispatcher", "_done", "stats", "suspect")
+    __slots__ = ("_dispatcher", "_done", "on_silent", "stats", "suspect")
 
     def __init__(self, *, dispatcher, stats, suspect: bool):
         self._dispatcher = dispatcher
         self._done = False
         self.stats = stats
         self.suspect = suspect
+        # Called now and then while the target's lease has run out.
+        self.on_silent: typing.Callable[[], None] | None = None
 
     @property
     def target(self) -> wire.Target:
@@ -110,6 +116,8 @@
         self.retries = routing.RetryBudget()
         self.in_flight = 0
         self._queues: dict[tuple[str, str], routing.FairQueue] = {}
+        self._slots: set[Slot] = set()
+        self._silence_counts_from = 0.0
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -123,12 +131,47 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
+        due = time.monotonic() + EXPIRE_SECONDS
         while True:
             await asyncio.sleep(EXPIRE_SECONDS)
-            self.router.retain(self._alive(time.monotonic()))
+            now = time.monotonic()
+            if now - due > PAUSE_SECONDS:
+                # This process did not run: it was not the targets that were
+                # silent.  They get a lease to be heard of again before
+                # their requests are given up; new ones wait until then.
+                self._silence_counts_from = now + self.targets.lease
+            due = now + EXPIRE_SECONDS
+            alive = self._alive(now)
+            self.router.retain(alive)
+            if now >= self._silence_counts_from:
+                self._tell_silent(alive)
             for key in list(self._queues):
                 self._pump(key)
 
+    def _tell_silent(self, alive: set[str]) -> None:
+        for slot in list(self._slots):
+            if slot.stats.name not in alive and slot.on_silent is not None:
+                slot.on_silent()
+
+    @contextlib.asynccontextmanager
+    async def watch(self, slot: Slot, seconds: float):
+        """Bounds what is awaited inside.
+
+        Raises TargetLostError when the time is up or the target's lease
+        runs out.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(seconds) as scope:
+                slot.on_silent = lambda: scope.reschedule(loop.time())
+                yield
+        except TimeoutError:
+            raise engines.TargetLostError(
+                f"{slot.stats.name} fell silent or took over {seconds} s"
+            ) from None
+        finally:
+            slot.on_silent = None
+
     def on_target(self, target: wire.Target) -> None:
         """Takes a newer announcement of a target."""
         now = time.monotonic()
@@ -171,7 +214,9 @@
             return None
         self.router.begin(stats, suspect=demand.suspect)
         self.in_flight += 1
-        return Slot(dispatcher=self, stats=stats, suspect=demand.suspect)
+        slot = Slot(dispatcher=self, stats=stats, suspect=demand.suspect)
+        self._slots.add(slot)
+        return slot
 
     def _check_served(self, demand: Demand) -> None:
         alive = self._alive(time.monotonic()) - demand.avoid
@@ -237,6 +282,7 @@
     def on_end(self, slot: Slot, failed: bool) -> None:
         """Takes a place back; called by the slot."""
         self.in_flight -= 1
+        self._slots.discard(slot)
         self.router.end(
             slot.stats,
             failed=failed,
--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -30,6 +30,8 @@
 # Events beyond the output bound that carry no token, such as the role.
 EXTRA_EVENTS = 4
 
+STALL_SECONDS = 1.0
+
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -39,6 +41,7 @@
     __slots__ = (
         "caller_gone",
         "demand",
+        "heard",
         "request",
         "reservation",
         "sent",
@@ -60,6 +63,22 @@
         self.sent = False
         self.caller_gone = False
         self.started = time.monotonic()
+        self.heard = self.started
+
+    def watch_stream(self, resp) -> None:
+        """Breaks a stream off that stalls after its target's lease ends.
+
+        A lease alone proves nothing, for this entry may be the one that is
+        cut off: a stream that goes on is left alone.
+        """
+        assert self.slot is not None
+        self.heard = time.monotonic()
+
+        def on_silent() -> None:
+            if time.monotonic() - self.heard > STALL_SECONDS:
+                resp.close()
+
+        self.slot.on_silent = on_silent
 
     def end_slot(self, *, failed: bool = False) -> None:
         """Gives the target's place back."""
@@ -169,7 +188,10 @@
         while True:
             resp = await self._open(run, first_event=0)
             try:
-                body = await resp.read()
+                assert run.slot is not None
+                limit = run.service.timeout
+                async with self.dispatcher.watch(run.slot, limit):
+                    body = await resp.read()
                 usage = _requests.usage_of(msgspec.json.decode(body))
                 if usage is None:
                     raise engines.TargetLostError("answer without usage")
@@ -235,7 +257,9 @@
     async def _read_events(self, run: ModelRun, resp, scanner):
         first = scanner.events == 0
         allowed = run.request.max_output + EXTRA_EVENTS
+        run.watch_stream(resp)
         async for chunk in resp.content.iter_any():
+            run.heard = time.monotonic()
             if run.caller_gone:
                 raise engines.TargetLostError("the caller left")
             data = scanner.feed(chunk)
@@ -326,17 +350,18 @@
         fields = dict(request.body, priority=request.priority)
         if first_event:
             fields["resume_from_event"] = first_event
-        resp = await self.client.send(
-            address=run.slot.target.address,
-            method="POST",
-            path=request.path,
-            headers={
-                "Content-Type": "application/json",
-                "X-Request-Id": request.attempt,
-            },
-            body=msgspec.json.encode(fields),
-            repeatable=True,
-        )
+        async with self.dispatcher.watch(run.slot, run.service.timeout):
+            resp = await self.client.send(
+                address=run.slot.target.address,
+                method="POST",
+                path=request.path,
+                headers={
+                    "Content-Type": "application/json",
+                    "X-Request-Id": request.attempt,
+                },
+                body=msgspec.json.encode(fields),
+                repeatable=True,
+            )
         echoed = resp.headers.get("X-Request-Id", request.attempt)
         if echoed != request.attempt:
             resp.close()
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -30,7 +30,6 @@
 LOG = loguru.logger
 
 MAX_QUEUE_SECONDS = 10.0
-STALL_SECONDS = 10.0
 INSTANCE_LEASE_SECONDS = 3.0
 CATCH_UP_POLL_SECONDS = 0.02
 # What it takes until the other entries know that this one drains.
@@ -100,7 +99,7 @@
             key=cfg.peer_key,
             on_change=self.dispatcher.on_target,
         )
-        self._client = engines.TargetClient(stall_timeout=STALL_SECONDS)
+        self._client = engines.TargetClient()
         reservations = _reservations.Reservations(
             desk=self.desk, metrics=metrics
         )
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -21,8 +21,9 @@
 
     ``kind`` is ``engine`` or ``plain``.  ``cost`` is what one call of a
     plain service takes from the budget, in tokens.  ``concurrency`` bounds
-    the requests in flight at one target.  ``fencing`` says whether the
-    targets check fencing tokens.
+    the requests in flight at one target.  ``timeout`` is how long a whole
+    answer, or the head of a streamed one, may take, in seconds.
+    ``fencing`` says whether the targets check fencing tokens.
     """
 
     name: str
@@ -30,6 +31,7 @@
     models: list[str] = []
     cost: int = 0
     concurrency: int = 16
+    timeout: float = 300.0
     fencing: bool = False
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
 
--- a/galenashed/standins/_service.py
+++ b/galenashed/standins/_service.py
@@ -52,7 +52,7 @@
         finally:
             self.running -= 1
         if "lose" in query:
-            raise ConnectionAbortedError("asked to lose the answer")
+            return _lost_answer()
         return self._echo(request, body, int(query.get("status", "200")))
 
     def _echo(self, request, body: bytes, status: int):
@@ -71,3 +71,14 @@
         )
         headers = [(b"X-Standin", b"service")]
         return blacksheep.Response(status, headers, content)
+
+
+def _lost_answer() -> blacksheep.Response:
+    """Returns an answer that breaks off before its body."""
+
+    async def broken():
+        raise ConnectionAbortedError("asked to lose the answer")
+        yield b""
+
+    content = blacksheep.StreamedContent(b"application/json", broken)
+    return blacksheep.Response(200, None, content)
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -1,6 +1,7 @@
 """Starts a whole fleet of real processes for a test."""
 
 import contextlib
+import http.client
 import json
 import os
 import pathlib
@@ -160,8 +161,11 @@
 class Fleet:
     """Control replicas, entries and targets on 127.0.0.1.
 
-    Every path between processes leads through the proxy:
-    ``control_links[(source, replica)]`` and ``target_links[target]``.
+    The paths to control lead through the proxy, each its own link in
+    ``control_links[(source, replica)]``.  With ``proxied_targets`` so do
+    those to targets, in ``target_links[target]``; a proxy accepts
+    connections even if the target is down, so a test of refused
+    connections goes without.
     """
 
     def __init__(
@@ -175,6 +179,7 @@
         engine_args: tuple[str, ...] = (),
         policy: str = "",
         snapshot_every: int = 10_000,
+        proxied_targets: bool = False,
     ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
         self.proxy = _proxy.Proxy()
@@ -186,6 +191,7 @@
         self.engine_names = [f"engine-{n + 1}" for n in range(engines)]
         self.service_names = [f"app-{n + 1}" for n in range(services)]
         self.engine_args = engine_args
+        self.proxied_targets = proxied_targets
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.control_links: dict[tuple[str, str], _proxy.Link] = {}
@@ -313,11 +319,12 @@
     def _prepare_target(self, name: str, kind: str) -> None:
         address = f"127.0.0.1:{free_port()}"
         self.addresses[name] = address
-        link = self.proxy.add(address)
-        self.target_links[name] = link
         args = ["standin", kind, "--name", name, "--listen", address]
         args += ["--key-file", str(self.folder / "target.key")]
-        args += ["--announced-address", link.address]
+        if self.proxied_targets:
+            link = self.proxy.add(address)
+            self.target_links[name] = link
+            args += ["--announced-address", link.address]
         for entry in self.entry_names:
             args += ["--entry", self.addresses[entry]]
         if kind == "engine":
@@ -428,3 +435,59 @@
     for thread in threads:
         thread.join()
     return results
+
+
+class Stream:
+    """A streamed model request, read event by event."""
+
+    def __init__(
+        self, address: str, text: str, *, key: str = "", max_tokens: int = 32
+    ):
+        host, _, port = address.rpartition(":")
+        self._conn = http.client.HTTPConnection(host, int(port), timeout=30)
+        body = {
+            "model": MODEL,
+            "stream": True,
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": text}],
+        }
+        headers = {"Authorization": f"Bearer {TEAM_KEY}"}
+        if key:
+            headers["Idempotency-Key"] = key
+        self._conn.request(
+            "POST", "/v1/chat/completions", json.dumps(body), headers
+        )
+        self._resp = self._conn.getresponse()
+        self.status = self._resp.status
+        self.request_id = self._resp.headers.get("X-Request-Id", "")
+        self.words: list[str] = []
+        self.error: dict | None = None
+        self.finished = False
+
+    def read(self, events: int = 10**9) -> "Stream":
+        """Reads some events, or to the end.
+
+        Raises OSError or ``http.client.HTTPException`` if the answer is cut
+        off.
+        """
+        while events > 0:
+            line = self._resp.readline()
+            if not line:
+                break
+            data = line.strip().removeprefix(b"data: ")
+            if data == b"[DONE]":
+                self.finished = True
+            elif data:
+                self._take(json.loads(data))
+                events -= 1
+        return self
+
+    def _take(self, fields: dict) -> None:
+        if "error" in fields:
+            self.error = fields["error"]
+        for choice in fields.get("choices", []):
+            self.words.append(choice["delta"]["content"])
+
+    def close(self) -> None:
+        """Leaves, as a caller may at any time."""
+        self._conn.close()
