--- /dev/null
+++ b/benchmarks/_common.py
@@ -0,0 +1,44 @@
+"""What the benchmarks share: process figures, percentiles, tables."""
+
+import os
+import pathlib
+import sys
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def cpu_seconds(pid: int) -> float:
+    """Returns the user and system time that a process has taken."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_mib(pid: int) -> float:
+    """Returns the resident memory of a process in MiB."""
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+    return int(pages) * PAGE_BYTES / 2**20
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns the value below which ``share`` of the values lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def print_head(module: str) -> None:
+    """Prints how to get the table that follows."""
+    arguments = " ".join(sys.argv[1:])
+    print(f"command: python -m benchmarks.{module} {arguments}".rstrip())
+    version = sys.version.split()[0]
+    print(f"machine: {os.cpu_count()} cores, Python {version}\n")
+
+
+def print_table(headings: list[str], rows: list[list[str]]) -> None:
+    """Prints a table in Markdown."""
+    print("| " + " | ".join(headings) + " |")
+    print("|" + "---|" * len(headings))
+    for row in rows:
+        print("| " + " | ".join(row) + " |")
+    print()
--- /dev/null
+++ b/benchmarks/entry_requests.py
@@ -0,0 +1,111 @@
+"""Requests a second of one entry, and memory before and after them."""
+
+import argparse
+import asyncio
+import time
+
+import aiohttp
+
+from benchmarks import _common
+from galenashed.tests import _fleet
+
+ENGINES = 3
+CONCURRENCY = 64
+
+
+async def send_all(address: str, count: int, latencies: list[float]) -> None:
+    """Sends ``count`` requests, some at a time."""
+    left = iter(range(count))
+    headers = {"Authorization": f"Bearer {_fleet.TEAM_KEY}"}
+    url = f"http://{address}/v1/chat/completions"
+
+    async def work(session) -> None:
+        for number in left:
+            body = {
+                "model": _fleet.MODEL,
+                "max_tokens": 1,
+                "messages": [{"role": "user", "content": f"ask {number}"}],
+            }
+            start = time.perf_counter()
+            async with session.post(url, json=body) as resp:
+                text = await resp.read()
+                assert resp.status == 200, text
+            latencies.append(time.perf_counter() - start)
+
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(
+        connector=connector, headers=headers
+    ) as session:
+        await asyncio.gather(*[work(session) for _ in range(CONCURRENCY)])
+
+
+def main() -> None:
+    """Prints the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=10_000)
+    args = parser.parse_args()
+    _common.print_head("entry_requests")
+    note = _fleet.NOTE.replace("concurrency = 64", "concurrency = 1000")
+    note = note.replace("tokens = 1000000", "tokens = 1000000000")
+    fleet = _fleet.Fleet(
+        entries=1,
+        engines=ENGINES,
+        services=0,
+        note=note,
+        engine_args=("--token-seconds", "0", "--max-running", "1000"),
+    )
+    try:
+        fleet.start()
+        measure(fleet, args.requests)
+    finally:
+        fleet.close()
+
+
+def measure(fleet: _fleet.Fleet, count: int) -> None:
+    """Runs the requests and prints what they took."""
+    names = ["e1", *fleet.control_names]
+    pids = {name: fleet.processes[name].popen.pid for name in names}
+    address = fleet.addresses["e1"]
+    idle = {name: _common.resident_mib(pid) for name, pid in pids.items()}
+    asyncio.run(send_all(address, 1000, []))
+    time.sleep(5.0)
+    warm = {name: _common.resident_mib(pid) for name, pid in pids.items()}
+    cpu = {name: _common.cpu_seconds(pid) for name, pid in pids.items()}
+    latencies: list[float] = []
+    start = time.perf_counter()
+    asyncio.run(send_all(address, count, latencies))
+    elapsed = time.perf_counter() - start
+    time.sleep(1.0)
+    after = {name: _common.resident_mib(pid) for name, pid in pids.items()}
+    rows = []
+    for name, pid in pids.items():
+        used = _common.cpu_seconds(pid) - cpu[name]
+        rows.append(
+            [
+                name,
+                f"{used / elapsed:.0%}",
+                f"{used / count * 1e6:.0f}",
+                f"{idle[name]:.1f}",
+                f"{warm[name]:.1f}",
+                f"{after[name]:.1f}",
+            ]
+        )
+    print(f"{count} requests, {CONCURRENCY} at a time, in {elapsed:.1f} s:")
+    print(f"{count / elapsed:.0f} requests a second,")
+    p50, p95 = (_common.percentile(latencies, s) for s in (0.5, 0.95))
+    print(f"p50 {p50 * 1e3:.1f} ms, p95 {p95 * 1e3:.1f} ms\n")
+    _common.print_table(
+        [
+            "process",
+            "of a core",
+            "CPU a request, us",
+            "idle, MiB",
+            "after 1,000",
+            f"after {count:,} more",
+        ],
+        rows,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -15,6 +15,7 @@
 OPEN_TIMEOUT_SECONDS = 2.0
 SETTLE_TIMEOUT_SECONDS = 5.0
 SHORT_RETRY_SECONDS = 0.1
+FRUITLESS_SECONDS = 5.0
 
 
 class BudgetExhaustedError(Exception):
@@ -69,6 +70,7 @@
         self.control = control
         self.unavailable = unavailable
         self._waiters: list[_Waiter] = []
+        self._fruitless: dict[str, tuple[float, int]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._ticker: asyncio.Task | None = None
         self._settled = asyncio.Event()
@@ -233,13 +235,16 @@
         """Refuses, or waits a little for what others give back."""
         now = time.monotonic()
         account = self.escrow.accounts[budget]
+        hopeful = self._is_hopeful(budget, reply, now)
         for waiter in list(self._waiters):
             if waiter.budget != budget or waiter.fut.done():
                 continue
             within = reply.available + account.free >= waiter.tokens
-            hopeful = reply.elsewhere > 0 and now < waiter.deadline
-            if within or hopeful:
+            if within or (hopeful and now < waiter.deadline):
                 continue
+            if hopeful:
+                until = now + FRUITLESS_SECONDS
+                self._fruitless[budget] = (until, reply.elsewhere)
             self._waiters.remove(waiter)
             error = BudgetExhaustedError(
                 needed=waiter.tokens,
@@ -250,6 +255,17 @@
         await asyncio.sleep(SHORT_RETRY_SECONDS)
         self.escrow.clear_short(budget)
 
+    def _is_hopeful(self, budget: str, reply: wire.Short, now: float) -> bool:
+        """Whether waiting for what others hold may help.
+
+        Not if it did not a moment ago and they hold no less since, as when
+        an entry is dead or cut off.
+        """
+        until, elsewhere = self._fruitless.get(budget, (0.0, 0))
+        if now < until and reply.elsewhere >= elsewhere:
+            return False
+        return reply.elsewhere > 0
+
     def _fail(self, budget: str, exc: Exception) -> None:
         for waiter in list(self._waiters):
             if waiter.budget == budget:
--- a/galenashed/budget/tests/test_escrow_property.py
+++ b/galenashed/budget/tests/test_escrow_property.py
@@ -26,7 +26,10 @@
     database=None,
 )
 FAULTY_SETTINGS = hypothesis.settings(
-    SETTINGS, phases=[hypothesis.Phase.generate], report_multiple_bugs=False
+    SETTINGS,
+    max_examples=2000,
+    phases=[hypothesis.Phase.generate],
+    report_multiple_bugs=False,
 )
 ENTRIES = 3
 BUDGETS = ["rounds", "depot"]
--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -26,6 +26,7 @@
 QUERY_TIMEOUT_SECONDS = 3.0
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 RECEIVE_KEY = "galenashed.receive"
+MAX_DISCARDED_BYTES = 4 * 2**20
 
 
 class EntryApp:
@@ -173,17 +174,9 @@
         return names[0]
 
     async def _read_body(self, request: blacksheep.Request) -> bytes:
-        declared = request.get_first_header(b"Content-Length")
-        if declared is not None and int(declared) > self.max_body_bytes:
-            raise self._too_large()
-        body = bytearray()
         try:
             async with asyncio.timeout(self.receive_timeout):
-                stream = typing.cast(typing.AsyncIterable, request.stream())
-                async for chunk in stream:
-                    body += chunk
-                    if len(body) > self.max_body_bytes:
-                        raise self._too_large()
+                return await self._read_bounded(request)
         except TimeoutError:
             raise web.ApiError(
                 status=408,
@@ -191,6 +184,21 @@
                 message="the body did not come within"
                 f" {self.receive_timeout} s",
             ) from None
+
+    async def _read_bounded(self, request: blacksheep.Request) -> bytes:
+        body = bytearray()
+        size = 0
+        stream = typing.cast(typing.AsyncIterable, request.stream())
+        async for chunk in stream:
+            size += len(chunk)
+            if size <= self.max_body_bytes:
+                body += chunk
+            elif size > self.max_body_bytes + MAX_DISCARDED_BYTES:
+                break
+        # A body that is a little too large is read to its end and thrown
+        # away: a caller that is still sending would not see the refusal.
+        if size > self.max_body_bytes:
+            raise self._too_large()
         return bytes(body)
 
     def _too_large(self) -> web.ApiError:
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -15,6 +15,7 @@
 from galenashed.entry import _dispatcher
 from galenashed.entry import _reservations
 from galenashed.protocol import control as wire
+from galenashed import routing
 from galenashed import telemetry
 from galenashed import web
 
@@ -191,7 +192,7 @@
             except (engines.NotSentError, engines.TargetLostError) as exc:
                 sent = sent or isinstance(exc, engines.TargetLostError)
                 slot.end(failed=True)
-                demand.avoid.add(slot.target.name)
+                demand.ask.avoid.add(slot.target.name)
                 self._check_tries(tries, sent, exc)
                 continue
             except BaseException:
@@ -311,7 +312,7 @@
                 answer = await self._send(call, slot)
             except engines.NotSentError as exc:
                 slot.end(failed=True)
-                demand.avoid.add(slot.target.name)
+                demand.ask.avoid.add(slot.target.name)
                 self._check_tries(tries, False, exc)
                 continue
             except engines.TargetLostError as exc:
@@ -424,12 +425,9 @@
 
 def _demand(call: Call) -> _dispatcher.Demand:
     return _dispatcher.Demand(
-        service=call.service,
-        model="",
-        prefix=b"",
+        ask=routing.Ask(service=call.service),
         team=call.team,
         priority=0,
-        suspect=False,
     )
 
 
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -43,35 +43,19 @@
 
 
 class Demand:
-    """What a request asks of a target."""
-
-    __slots__ = (
-        "avoid",
-        "model",
-        "prefix",
-        "priority",
-        "service",
-        "suspect",
-        "team",
-    )
+    """A request that wants a place, and for whom.
+
+    Lower ``priority`` goes first.
+    """
+
+    __slots__ = ("ask", "priority", "team")
 
     def __init__(
-        self,
-        *,
-        service: control_wire.Service,
-        model: str,
-        prefix: bytes,
-        team: control_wire.Team,
-        priority: int,
-        suspect: bool,
+        self, *, ask: routing.Ask, team: control_wire.Team, priority: int
     ):
-        self.service = service
-        self.model = model
-        self.prefix = prefix
+        self.ask = ask
         self.team = team
         self.priority = priority
-        self.suspect = suspect
-        self.avoid: set[str] = set()
 
 
 class _Waiting:
@@ -141,16 +125,19 @@
                 # their requests are given up; new ones wait until then.
                 self._silence_counts_from = now + self.targets.lease
             due = now + EXPIRE_SECONDS
-            alive = self._alive(now)
-            self.router.retain(alive)
+            self.router.set_alive(t.name for t in self.targets.alive(now))
+            self.router.set_withdrawn(
+                self.configuration.release.withdrawn_targets
+            )
             if now >= self._silence_counts_from:
-                self._tell_silent(alive)
+                self._tell_silent()
             for key in list(self._queues):
                 self._pump(key)
 
-    def _tell_silent(self, alive: set[str]) -> None:
+    def _tell_silent(self) -> None:
         for slot in list(self._slots):
-            if slot.stats.name not in alive and slot.on_silent is not None:
+            silent = not self.router.is_alive(slot.stats.name)
+            if silent and slot.on_silent is not None:
                 slot.on_silent()
 
     @contextlib.asynccontextmanager
@@ -174,9 +161,8 @@
 
     def on_target(self, target: wire.Target) -> None:
         """Takes a newer announcement of a target."""
-        now = time.monotonic()
         joined = self.targets.joined(target.name)
-        self.router.update(target, now=now, joined=joined)
+        self.router.update(target, joined=joined)
         for key in list(self._queues):
             if key[0] == target.service:
                 self._pump(key)
@@ -186,7 +172,7 @@
 
         Raises ApiError, at once if no target could serve the request.
         """
-        key = (demand.service.name, demand.model)
+        key = (demand.ask.service.name, demand.ask.model)
         queue = self._queues.get(key)
         if queue is None or not len(queue):
             slot = self._try(demand)
@@ -195,39 +181,24 @@
         self._check_served(demand)
         return await self._wait(key, demand)
 
-    def _alive(self, now: float) -> set[str]:
-        return {target.name for target in self.targets.alive(now)}
-
     def _try(self, demand: Demand) -> Slot | None:
-        now = time.monotonic()
-        stats = self.router.choose(
-            service=demand.service,
-            model=demand.model,
-            prefix=demand.prefix,
-            now=now,
-            alive=self._alive(now),
-            avoid=demand.avoid,
-            alone=demand.suspect,
-            withdrawn=frozenset(self.configuration.release.withdrawn_targets),
-        )
+        stats = self.router.choose(demand.ask, now=time.monotonic())
         if stats is None:
             return None
-        self.router.begin(stats, suspect=demand.suspect)
+        suspect = demand.ask.alone
+        self.router.begin(stats, suspect=suspect)
         self.in_flight += 1
-        slot = Slot(dispatcher=self, stats=stats, suspect=demand.suspect)
+        slot = Slot(dispatcher=self, stats=stats, suspect=suspect)
         self._slots.add(slot)
         return slot
 
     def _check_served(self, demand: Demand) -> None:
-        alive = self._alive(time.monotonic()) - demand.avoid
-        alive -= set(self.configuration.release.withdrawn_targets)
-        if not self.router.serves(
-            service=demand.service, model=demand.model, alive=alive
-        ):
+        if not self.router.serves(demand.ask):
+            service = demand.ask.service.name
             raise web.ApiError(
                 status=503,
                 code="no_target",
-                message=f"no target of {demand.service.name!r} is ready",
+                message=f"no target of {service!r} is ready",
                 retry_after=RETRY_SECONDS,
             )
 
--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -18,6 +18,7 @@
 from galenashed.entry import _requests
 from galenashed.entry import _reservations
 from galenashed.protocol import control as wire
+from galenashed import routing
 from galenashed import telemetry
 from galenashed import web
 
@@ -148,12 +149,14 @@
             service=service,
             reservation=reservation,
             demand=_dispatcher.Demand(
-                service=service,
-                model=request.model.name,
-                prefix=request.prefix,
+                ask=routing.Ask(
+                    service=service,
+                    model=request.model.name,
+                    prefix=request.prefix,
+                    alone=crashes > 0,
+                ),
                 team=team,
                 priority=request.priority,
-                suspect=crashes > 0,
             ),
         )
         try:
@@ -388,7 +391,7 @@
 
     def _avoid(self, run: ModelRun, *, failed: bool) -> None:
         assert run.slot is not None
-        run.demand.avoid.add(run.slot.target.name)
+        run.demand.ask.avoid.add(run.slot.target.name)
         run.end_slot(failed=failed)
 
     def _check_tries(self, run: ModelRun, exc: Exception) -> None:
@@ -414,7 +417,7 @@
             crashes = await self._report_crash(run, target)
             if crashes >= QUARANTINE_CRASHES:
                 raise _quarantined(web.Run.RUN)
-            run.demand.suspect = True
+            run.demand.ask.alone = True
         self._check_tries(run, exc)
 
     async def _report_crash(self, run: ModelRun, target) -> int:
--- a/galenashed/routing/_balancers.py
+++ b/galenashed/routing/_balancers.py
@@ -3,10 +3,7 @@
 import random
 import typing
 
-import xxhash
-
-if typing.TYPE_CHECKING:
-    from galenashed.routing import _router
+from galenashed.routing import _group
 
 # Load, as a share of a target's concurrency, that a cached prefix is worth.
 AFFINITY_SHARE = 0.25
@@ -16,12 +13,14 @@
     """Chooses one of some eligible targets."""
 
     def choose(
-        self, eligible: list["_router.TargetStats"], prefix: bytes
-    ) -> "_router.TargetStats":
+        self,
+        eligible: list[_group.TargetStats],
+        homes: list[_group.TargetStats],
+    ) -> _group.TargetStats:
         """Returns one of ``eligible``, which is not empty.
 
-        ``prefix`` is the leading part of the prompt, empty if there is
-        none.
+        ``homes`` are the targets that may hold the prompt's prefix, the
+        likeliest first; they need not be eligible.
         """
 
 
@@ -31,7 +30,7 @@
     def __init__(self, *, rng: random.Random):
         self.rng = rng
 
-    def choose(self, eligible, prefix):
+    def choose(self, eligible, homes):
         """See :class:`Balancer`."""
         return self.rng.choice(eligible)
 
@@ -42,7 +41,7 @@
     def __init__(self, *, rng: random.Random):
         self._turn = rng.randrange(1 << 16)
 
-    def choose(self, eligible, prefix):
+    def choose(self, eligible, homes):
         """See :class:`Balancer`."""
         self._turn += 1
         return eligible[self._turn % len(eligible)]
@@ -54,7 +53,7 @@
     def __init__(self, *, rng: random.Random):
         self.rng = rng
 
-    def choose(self, eligible, prefix):
+    def choose(self, eligible, homes):
         """See :class:`Balancer`."""
         lowest = min(stats.load_share for stats in eligible)
         best = [s for s in eligible if s.load_share <= lowest]
@@ -62,33 +61,38 @@
 
 
 class AffinityBalancer:
-    """Weighs estimated load against the chance of a cached prefix.
-
-    A prefix has a first and a second home by rendezvous hashing, which
-    moves few prefixes when targets come and go.
-    """
+    """Weighs estimated load against the chance of a cached prefix."""
 
     def __init__(self, *, rng: random.Random):
-        self.rng = rng
         self._least_loaded = LeastLoadedBalancer(rng=rng)
 
-    def choose(self, eligible, prefix):
+    def choose(self, eligible, homes):
         """See :class:`Balancer`."""
-        fallback = self._least_loaded.choose(eligible, prefix)
-        if not prefix or len(eligible) == 1:
-            return fallback
-        seed = xxhash.xxh64_intdigest(prefix)
-        home = max(
-            eligible,
-            key=lambda s: xxhash.xxh64_intdigest(s.name.encode(), seed),
-        )
-        if home.load_share <= fallback.load_share + AFFINITY_SHARE:
-            return home
+        fallback = self._least_loaded.choose(eligible, homes)
+        allowed = fallback.load_share + AFFINITY_SHARE
+        for home in homes:
+            if home in eligible and home.load_share <= allowed:
+                return home
         return fallback
 
 
+class HomeBalancer:
+    """Chooses the prefix's home whatever its load, while it has room."""
+
+    def __init__(self, *, rng: random.Random):
+        self._least_loaded = LeastLoadedBalancer(rng=rng)
+
+    def choose(self, eligible, homes):
+        """See :class:`Balancer`."""
+        for home in homes:
+            if home in eligible:
+                return home
+        return self._least_loaded.choose(eligible, homes)
+
+
 BALANCERS: dict[str, type] = {
     "affinity": AffinityBalancer,
+    "home": HomeBalancer,
     "least-loaded": LeastLoadedBalancer,
     "random": RandomBalancer,
     "round-robin": RoundRobinBalancer,
--- a/galenashed/routing/_router.py
+++ b/galenashed/routing/_router.py
@@ -1,9 +1,12 @@
 """What an entry knows of the targets, and which it chooses."""
 
 import random
+import typing
 
+from galenashed.protocol import control as control_wire
 from galenashed.protocol import spread as wire
 from galenashed.routing import _balancers
+from galenashed.routing import _group
 
 EJECT_AFTER_FAILURES = 3
 EJECT_SECONDS = 5.0
@@ -12,49 +15,29 @@
 SLOW_START_SHARE = 0.25
 
 
-class TargetStats:
-    """One target as seen from this entry.
+class Ask:
+    """What a request asks of a target.
 
-    ``in_flight`` counts this entry's own requests, ``since_report`` those
-    sent since the last load report, which lags.
+    ``avoid`` holds targets that the request has failed on; they are left
+    out even if no other is there.  With ``alone`` the target must run no
+    other suspected request.
     """
 
-    __slots__ = (
-        "announced",
-        "concurrency",
-        "ejected_until",
-        "failures",
-        "in_flight",
-        "joined",
-        "limit",
-        "name",
-        "since_report",
-        "suspects",
-    )
+    __slots__ = ("alone", "avoid", "model", "prefix", "service")
 
-    def __init__(self, *, announced: wire.Target, joined: float):
-        self.name = announced.name
-        self.announced = announced
-        self.joined = joined
-        self.concurrency = 1
-        self.limit = 1.0
-        self.in_flight = 0
-        self.since_report = 0
-        self.failures = 0
-        self.ejected_until = 0.0
-        self.suspects = 0
-
-    @property
-    def load(self) -> int:
-        """Requests at the target: reported, or known from here."""
-        report = self.announced.load
-        reported = report.running + report.waiting + self.since_report
-        return max(self.in_flight, reported)
-
-    @property
-    def load_share(self) -> float:
-        """Load as a share of what the target may take now."""
-        return self.load / self.limit
+    def __init__(
+        self,
+        *,
+        service: control_wire.Service,
+        model: str = "",
+        prefix: bytes = b"",
+        alone: bool = False,
+    ):
+        self.service = service
+        self.model = model
+        self.prefix = prefix
+        self.alone = alone
+        self.avoid: set[str] = set()
 
 
 class Router:
@@ -65,116 +48,145 @@
     balancer : Balancer
         Chooses among the eligible targets.
     rng : random.Random
-        For the balancer's ties.
+        Draws the targets that are looked at when there are many.
 
     Example::
 
-        router = Router(balancer=AffinityBalancer(rng=rng))
-        router.update(target, now=0.0, joined=0.0)
-        stats = router.choose(
-            service=service, model="galena", prefix=b"", now=1.0, avoid=()
-        )
+        router = Router(balancer=AffinityBalancer(rng=rng), rng=rng)
+        router.update(target, joined=0.0)
+        router.set_alive({target.name})
+        stats = router.choose(Ask(service=service, model="m"), now=1.0)
         router.begin(stats)
         router.end(stats, failed=False, now=2.0)
     """
 
-    def __init__(self, *, balancer: _balancers.Balancer):
+    def __init__(self, *, balancer: _balancers.Balancer, rng: random.Random):
         self.balancer = balancer
-        self._stats: dict[str, TargetStats] = {}
-
-    def update(
-        self, announced: wire.Target, *, now: float, joined: float
-    ) -> None:
-        """Takes a newer announcement of a target."""
-        stats = self._stats.get(announced.name)
-        restarted = (
-            stats is not None
-            and stats.announced.incarnation != announced.incarnation
-        )
-        if stats is None or restarted:
-            stats = TargetStats(announced=announced, joined=joined)
-            self._stats[announced.name] = stats
-        stats.announced = announced
-        stats.since_report = 0
-
-    def retain(self, alive: set[str]) -> None:
-        """Forgets the targets that are not alive and run nothing."""
+        self.rng = rng
+        self._stats: dict[str, _group.TargetStats] = {}
+        self._alive: frozenset[str] = frozenset()
+        self._withdrawn: frozenset[str] = frozenset()
+        self._groups: dict[tuple[str, str], _group.Group] = {}
+        self._ejected: set[str] = set()
+
+    # Who is there
+
+    def update(self, announced: wire.Target, *, joined: float) -> None:
+        """Takes a newer announcement of a target that is alive."""
+        held = self._stats.get(announced.name)
+        if held is None or _is_other(held.announced, announced):
+            self._groups.clear()
+        if held is None or (
+            held.announced.incarnation != announced.incarnation
+        ):
+            held = _group.TargetStats(announced=announced, joined=joined)
+            self._stats[announced.name] = held
+        held.announced = announced
+        held.since_report = 0
+        if announced.name not in self._alive:
+            self._alive |= {announced.name}
+            self._groups.clear()
+
+    def set_alive(self, names: typing.Iterable[str]) -> None:
+        """Takes the names of the targets whose lease runs."""
+        alive = frozenset(names)
+        if alive != self._alive:
+            self._alive = alive
+            self._groups.clear()
         for name, stats in list(self._stats.items()):
             if name not in alive and not stats.in_flight:
                 del self._stats[name]
 
-    def get(self, name: str) -> TargetStats | None:
+    def set_withdrawn(self, names: typing.Iterable[str]) -> None:
+        """Takes the names of the targets that a note has withdrawn."""
+        withdrawn = frozenset(names)
+        if withdrawn != self._withdrawn:
+            self._withdrawn = withdrawn
+            self._groups.clear()
+
+    def is_alive(self, name: str) -> bool:
+        """Whether a target's lease runs."""
+        return name in self._alive
+
+    def get(self, name: str) -> _group.TargetStats | None:
         """Returns a target's record."""
         return self._stats.get(name)
 
-    def choose(
-        self,
-        *,
-        service,
-        model: str,
-        prefix: bytes,
-        now: float,
-        alive: set[str],
-        avoid: set[str],
-        alone: bool = False,
-        withdrawn: frozenset[str] = frozenset(),
-    ) -> TargetStats | None:
+    def _group_of(self, ask: Ask) -> _group.Group:
+        key = (ask.service.name, ask.model)
+        group = self._groups.get(key)
+        if group is None:
+            members = [
+                stats
+                for stats in self._stats.values()
+                if self._belongs(stats, ask)
+            ]
+            group = _group.Group(members=members)
+            self._groups[key] = group
+        return group
+
+    def _belongs(self, stats: _group.TargetStats, ask: Ask) -> bool:
+        announced = stats.announced
+        return (
+            announced.service == ask.service.name
+            and announced.state == "ready"
+            and stats.name in self._alive
+            and stats.name not in self._withdrawn
+            and (not ask.model or ask.model in announced.models)
+        )
+
+    # Choice
+
+    def serves(self, ask: Ask) -> bool:
+        """Whether any target could run the request, with room or not."""
+        members = self._group_of(ask).members
+        return any(stats.name not in ask.avoid for stats in members)
+
+    def choose(self, ask: Ask, *, now: float) -> _group.TargetStats | None:
         """Returns a target with room, or None.
 
-        ``avoid`` holds targets that this request has failed on; they are
-        left out even if no other is there.  With ``alone`` the target must
-        run no other suspected request.
+        Of many targets only the homes of the prefix and a random sample are
+        looked at, and all of them only if none of those has room.
         """
-        serving = [
-            stats
-            for stats in self._stats.values()
-            if stats.name in alive
-            and stats.name not in withdrawn
-            and stats.announced.service == service.name
-            and stats.announced.state == "ready"
-            and (not model or model in stats.announced.models)
-        ]
-        usable = self._without_ejected(serving, now)
+        group = self._group_of(ask)
+        if not group.members:
+            return None
+        homes = group.homes(ask.prefix) if ask.prefix else []
+        floor = self._too_many_ejected(group, now)
+        looked_at = {*homes, *group.sample(self.rng)}
+        eligible = self._eligible(looked_at, ask, now, floor)
+        if not eligible and len(looked_at) < len(group.members):
+            eligible = self._eligible(group.members, ask, now, floor)
+        if not eligible:
+            return None
+        return self.balancer.choose(eligible, homes)
+
+    def _eligible(
+        self, looked_at, ask: Ask, now: float, floor: bool
+    ) -> list[_group.TargetStats]:
         eligible = []
-        for stats in usable:
-            if stats.name in avoid or (alone and stats.suspects):
+        for stats in looked_at:
+            if stats.name in ask.avoid or (ask.alone and stats.suspects):
                 continue
-            stats.limit = self._limit(stats, service.concurrency, now)
+            if stats.ejected_until > now and not floor:
+                continue
+            stats.limit = _limit(stats, ask.service.concurrency, now)
             if stats.load < stats.limit:
                 eligible.append(stats)
-        if not eligible:
-            return None
-        return self.balancer.choose(eligible, prefix)
-
-    def serves(self, *, service, model: str, alive: set[str]) -> bool:
-        """Whether any ready target could run the request, full or not."""
-        return any(
-            stats.name in alive
-            and stats.announced.service == service.name
-            and stats.announced.state == "ready"
-            and (not model or model in stats.announced.models)
-            for stats in self._stats.values()
-        )
+        return eligible
 
-    def _without_ejected(self, serving, now: float) -> list[TargetStats]:
-        ejected = [s for s in serving if s.ejected_until > now]
-        if len(ejected) > MAX_EJECTED_SHARE * len(serving):
-            # So many failures at once speak against the path to them, not
-            # against each of them.
-            return serving
-        return [s for s in serving if s.ejected_until <= now]
-
-    def _limit(
-        self, stats: TargetStats, concurrency: int, now: float
-    ) -> float:
-        age = now - stats.joined
-        if age >= SLOW_START_SECONDS:
-            return float(concurrency)
-        share = SLOW_START_SHARE
-        share += (1.0 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
-        return max(1.0, share * concurrency)
-
-    def begin(self, stats: TargetStats, *, suspect: bool = False) -> None:
+    def _too_many_ejected(self, group: _group.Group, now: float) -> bool:
+        """Whether so many failed that the path to them is at fault."""
+        if not self._ejected:
+            return False
+        ejected = group.count_ejected(now)
+        return ejected > MAX_EJECTED_SHARE * len(group.members)
+
+    # Requests
+
+    def begin(
+        self, stats: _group.TargetStats, *, suspect: bool = False
+    ) -> None:
         """Counts a request that is about to be sent."""
         stats.in_flight += 1
         stats.since_report += 1
@@ -182,7 +194,7 @@
 
     def end(
         self,
-        stats: TargetStats,
+        stats: _group.TargetStats,
         *,
         failed: bool,
         now: float,
@@ -194,13 +206,35 @@
         stats.suspects -= suspect
         if not failed:
             stats.failures = 0
+            self._ejected.discard(stats.name)
             return
         stats.failures += 1
         if stats.failures >= EJECT_AFTER_FAILURES:
             stats.failures = 0
             stats.ejected_until = now + EJECT_SECONDS
+            self._ejected.add(stats.name)
+
+
+def _is_other(held: wire.Target, fresh: wire.Target) -> bool:
+    """Whether more has changed than the load."""
+    return (
+        held.incarnation != fresh.incarnation
+        or held.state != fresh.state
+        or held.models != fresh.models
+        or held.service != fresh.service
+    )
+
+
+def _limit(stats: _group.TargetStats, concurrency: int, now: float) -> float:
+    """Returns what a target may take now; little when it just joined."""
+    age = now - stats.joined
+    if age >= SLOW_START_SECONDS:
+        return float(concurrency)
+    share = SLOW_START_SHARE
+    share += (1.0 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
+    return max(1.0, share * concurrency)
 
 
 def make_router(name: str, rng: random.Random) -> Router:
     """Returns a router with the balancer of that name."""
-    return Router(balancer=_balancers.BALANCERS[name](rng=rng))
+    return Router(balancer=_balancers.BALANCERS[name](rng=rng), rng=rng)
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -1,5 +1,6 @@
 """Starts a whole fleet of real processes for a test."""
 
+import asyncio
 import contextlib
 import http.client
 import json
@@ -16,9 +17,13 @@
 import urllib.request
 
 from galenashed import config
+from galenashed import control
+from galenashed.protocol import control as wire
 from galenashed.tests import _proxy
 
 WAIT_SECONDS = 60.0
+FIRST_PORT = 12_000
+PORTS_PER_WORKER = 2_000
 PEER_KEY = "peer-key-for-tests-0123456789"
 OPERATOR_KEY = "operator-key-for-tests-0123456789"
 TARGET_KEY = "target-key-for-tests-0123456789"
@@ -62,11 +67,28 @@
 """
 
 
+def _port_numbers():
+    """Yields ports of a range that only this test worker uses.
+
+    The range lies below those that the system hands out by itself.
+    """
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
+    first = FIRST_PORT + int(worker.removeprefix("gw")) * PORTS_PER_WORKER
+    while True:
+        yield from range(first, first + PORTS_PER_WORKER)
+
+
+_PORTS = _port_numbers()
+
+
 def free_port() -> int:
     """Returns a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    for port in _PORTS:
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError("no port is free")
 
 
 def wait_for(condition, what: str, timeout: float = WAIT_SECONDS):
@@ -244,7 +266,10 @@
                 return False
             listed = fetch(address, "/v1/targets", key=OPERATOR_KEY)
             names = {item["name"] for item in listed.json()["targets"]}
-            return {*self.engine_names, *self.service_names} <= names
+            wanted = {*self.engine_names, *self.service_names}
+            for target in wanted:
+                self.stats(target)
+            return wanted <= names
         return False
 
     # Settings
@@ -360,6 +385,27 @@
         path = self._write(f"note-{time.monotonic_ns()}.toml", text)
         return self.operate("note", "publish", str(path), *args, check=check)
 
+    def publish_all(self, texts: list[str]) -> None:
+        """Publishes many notes one after the other, in this process."""
+
+        async def publish() -> None:
+            addresses = {n: self.addresses[n] for n in self.control_names}
+            client = control.ControlClient(
+                replicas=addresses, key=OPERATOR_KEY
+            )
+            path = self.folder / "many.toml"
+            for text in texts:
+                path.write_text(text, encoding="utf-8")
+                note = config.load_note(path).ok
+                command = wire.PublishNote(
+                    note=note, digest=control.digest_of(note)
+                )
+                reply = await client.publish(command, timeout=WAIT_SECONDS)
+                assert isinstance(reply, wire.Done), reply
+            await client.close()
+
+        asyncio.run(publish())
+
     def balance(self, budget: str = "rounds-2026") -> dict:
         """Returns what a budget stands at, as control sees it."""
         done = self.operate("budget", "show", "--budget", budget, "--json")
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -197,6 +197,7 @@
             return answer.status == 200
 
         _fleet.wait_for(is_answered, "an answer")
+        self.fleet.wait_ready()
         self.assertEqual(1, self.executions("none-1"))
 
     def test_late_answer_never_reaches_another_caller(self):
--- a/galenashed/web/_errors.py
+++ b/galenashed/web/_errors.py
@@ -11,6 +11,8 @@
 import msgspec
 
 JSON = b"application/json"
+# Refusals of requests whose body was not read to its end.
+UNREAD_STATUSES = (408, 413)
 
 
 class Run(enum.Enum):
@@ -79,6 +81,9 @@
     if error.retry_after is not None:
         seconds = max(1, math.ceil(error.retry_after))
         headers.append((b"Retry-After", str(seconds).encode()))
+    if error.status in UNREAD_STATUSES:
+        # The rest of the body is not waited for.
+        headers.append((b"Connection", b"close"))
     if request_id:
         headers.append((b"X-Request-Id", request_id.encode()))
     content = blacksheep.Content(JSON, error.body())
