--- /dev/null
+++ b/examples/embed_escrow.py
@@ -0,0 +1,75 @@
+"""Embeds the escrow in a program of one's own, without any network.
+
+Run it with ``python examples/embed_escrow.py``.
+"""
+
+import msgspec
+
+from galenashed import budget
+from galenashed import control
+from galenashed.protocol import control as wire
+
+
+class Ledger:
+    """Applies commands at once, where a fleet would replicate them."""
+
+    def __init__(self) -> None:
+        self.machine = control.ControlMachine()
+        self.index = 0
+
+    def commit(self, command: wire.Command) -> wire.Reply:
+        """Applies a command and returns its reply."""
+        self.index += 1
+        stamped = wire.Stamped(0.0, command)
+        data = msgspec.msgpack.encode(stamped)
+        return self.machine.apply(self.index, data)
+
+
+def make_note() -> wire.Note:
+    """Returns a note with one team and 1,000 prepaid tokens."""
+    return wire.Note(
+        number=1,
+        author="example",
+        teams=[wire.Team(name="rounds", key_hash="0" * 64)],
+        budgets=[
+            wire.Budget(
+                name="rounds",
+                team="rounds",
+                top_ups=[wire.TopUp(id="first", tokens=1000)],
+            )
+        ],
+    )
+
+
+def main() -> None:
+    """Reserves, bills, and shows what is left."""
+    ledger = Ledger()
+    note = make_note()
+    digest = control.digest_of(note)
+    ledger.commit(wire.PublishNote(note=note, digest=digest))
+    policy = budget.POLICIES["overspend-first"]
+    escrow = budget.Escrow(holder="program/1", policy=policy)
+    command = escrow.open_grant("rounds", need=200, missing=200, now=0.0)
+    escrow.on_opened(command, ledger.commit(command), 0.0)
+    held = escrow.reserve("rounds", 200, now=0.0)
+    print(f"reserved {held.tokens} tokens")
+    draft = wire.Bill(
+        id="request-1",
+        team="rounds",
+        budget="rounds",
+        subject="galena-7b",
+        attempt="attempt-1",
+        keyed=False,
+        prompt_tokens=40,
+        output_tokens=85,
+        parts=[],
+    )
+    print(f"billed {escrow.bill(held, draft, now=1.0).tokens} tokens")
+    escrow.on_settled(ledger.commit(escrow.settle()))
+    query = wire.Query(kind="balance")
+    balance = ledger.machine.query(query).balances[0]
+    print(f"{balance.prepaid - balance.settled} tokens are left")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/galenashed/control/tests/test_machine.py
@@ -0,0 +1,256 @@
+"""The replicated state, command by command."""
+
+import msgspec
+import testtools
+
+from galenashed import control
+from galenashed.protocol import control as wire
+
+DAY = 24 * 3600.0
+
+
+class TestMachine(testtools.TestCase):
+    """Notes, grants, bills and claims."""
+
+    def setUp(self):
+        super().setUp()
+        self.machine = control.ControlMachine()
+        self.index = 0
+        self.now = 0.0
+        self.publish(1, self.top_up("a", 1000))
+
+    def apply(self, command):
+        self.index += 1
+        stamped = wire.Stamped(self.now, command)
+        reply = self.machine.apply(self.index, msgspec.msgpack.encode(stamped))
+        self.machine.check_invariant()
+        return reply
+
+    def top_up(self, id, tokens):
+        return wire.Budget(
+            name="b", team="t", top_ups=[wire.TopUp(id=id, tokens=tokens)]
+        )
+
+    def publish(self, number, *budgets, **fields):
+        fields.setdefault("teams", [wire.Team(name="t", key_hash="0" * 64)])
+        note = wire.Note(
+            number=number, author="ops", budgets=list(budgets), **fields
+        )
+        digest = control.digest_of(note)
+        return self.apply(wire.PublishNote(note=note, digest=digest))
+
+    def open(self, number, need, want=0, holder="e/1"):
+        return self.apply(
+            wire.OpenGrant(
+                grant=f"{holder}/{number}",
+                budget="b",
+                holder=holder,
+                number=number,
+                sequence=0,
+                need=need,
+                want=want,
+            )
+        )
+
+    def close(self, number, holder="e/1"):
+        return self.apply(
+            wire.CloseGrant(grant=f"{holder}/{number}", holder=holder)
+        )
+
+    def settle(self, sequence, *bills, holder="e/1"):
+        return self.apply(
+            wire.SettleBills(
+                holder=holder, sequence=sequence, bills=list(bills)
+            )
+        )
+
+    def bill(self, id, tokens, *, attempt="", keyed=True, grant="e/1/1"):
+        return wire.Bill(
+            id=id,
+            team="t",
+            budget="b",
+            subject="m",
+            attempt=attempt or id,
+            keyed=keyed,
+            prompt_tokens=tokens,
+            output_tokens=0,
+            parts=[wire.Part(grant, tokens)],
+        )
+
+    def balance(self):
+        query = wire.Query(kind="balance", subject="b")
+        return self.machine.query(query).balances[0]
+
+    def test_top_up_sent_twice_counts_once(self):
+        self.publish(2, self.top_up("a", 1000), self.top_up("c", 5))
+        self.assertEqual(1005, self.balance().prepaid)
+
+    def test_cut_below_what_is_granted_waits_for_returns(self):
+        self.open(1, need=800)
+        self.publish(2, self.top_up("cut", -500))
+        self.assertEqual(800, self.balance().prepaid)
+        self.assertEqual(300, self.balance().pending_cut)
+        self.assertIsInstance(self.open(2, need=1), wire.Short)
+        self.settle(1, self.bill("r", 100))
+        self.close(1)
+        self.assertEqual(500, self.balance().prepaid)
+        self.assertEqual(0, self.balance().pending_cut)
+        self.assertEqual(400, self.balance().free)
+
+    def test_top_up_fills_a_pending_cut_first(self):
+        self.open(1, need=1000)
+        self.publish(2, self.top_up("cut", -500))
+        self.publish(3, self.top_up("more", 700))
+        self.assertEqual(1200, self.balance().prepaid)
+        self.assertEqual(0, self.balance().pending_cut)
+
+    def test_grant_asked_for_twice_is_one_grant(self):
+        first = self.open(1, need=100)
+        again = self.open(1, need=100)
+        self.assertEqual(first, again)
+        self.assertEqual(100, self.balance().outstanding)
+
+    def test_late_copy_of_a_closed_grants_opening_grants_nothing(self):
+        self.open(1, need=100)
+        self.close(1)
+        self.assertIsInstance(self.open(1, need=100), wire.Closed)
+        self.assertEqual(0, self.balance().outstanding)
+
+    def test_other_holders_grant_is_not_closed_or_billed(self):
+        self.open(1, need=100)
+        reply = self.apply(wire.CloseGrant(grant="e/1/1", holder="e/2"))
+        self.assertIsInstance(reply, wire.Refused)
+        self.settle(1, self.bill("r", 50), holder="e/2")
+        self.assertEqual(0, self.balance().settled)
+
+    def test_bill_beyond_the_grant_is_bounded(self):
+        self.open(1, need=100)
+        self.settle(1, self.bill("r", 5000))
+        self.assertEqual(100, self.balance().settled)
+
+    def test_batch_sent_twice_counts_once(self):
+        self.open(1, need=500)
+        first = self.settle(1, self.bill("r", 50, keyed=False))
+        again = self.settle(1, self.bill("r", 50, keyed=False))
+        self.assertEqual(first, again)
+        self.assertEqual(50, self.balance().settled)
+        self.assertIsInstance(self.settle(3), wire.Refused)
+
+    def test_two_runs_of_one_request_are_billed_once(self):
+        self.open(1, need=500)
+        self.open(1, need=400, holder="e/2")
+        self.settle(1, self.bill("r", 50, attempt="x"))
+        reply = self.settle(
+            1,
+            self.bill("r", 60, attempt="y", grant="e/2/1"),
+            holder="e/2",
+        )
+        self.assertEqual(["y"], reply.duplicates)
+        self.assertEqual(50, self.balance().settled)
+
+    def test_late_bill_on_a_closed_grant_changes_nothing(self):
+        self.open(1, need=500)
+        self.close(1)
+        self.settle(1, self.bill("r", 50))
+        self.assertEqual(0, self.balance().settled)
+
+    def claim(self, owner, key="k", digest="d"):
+        return self.apply(
+            wire.ClaimCall(team="t", key=key, digest=digest, owner=owner)
+        )
+
+    def finish(self, owner, outcome, key="k"):
+        return self.apply(
+            wire.FinishCall(team="t", key=key, owner=owner, outcome=outcome)
+        )
+
+    def test_claim_is_never_transferred(self):
+        self.assertTrue(self.claim("o1").fresh)
+        self.assertFalse(self.claim("o2").fresh)
+        self.now = DAY - 1
+        self.assertEqual("o1", self.claim("o2").owner)
+
+    def test_claim_sent_twice_by_its_owner_is_fresh_twice(self):
+        self.assertTrue(self.claim("o1").fresh)
+        self.assertTrue(self.claim("o1").fresh)
+
+    def test_only_not_run_frees_the_key(self):
+        for outcome, free in (
+            ("run", False),
+            ("unknown", False),
+            ("not_run", True),
+        ):
+            self.claim("o1", key=outcome)
+            self.finish("o1", outcome, key=outcome)
+            self.assertEqual(free, self.claim("o2", key=outcome).fresh)
+
+    def test_late_copy_of_a_claim_given_up_claims_nothing(self):
+        self.claim("o1")
+        self.finish("o1", "not_run")
+        self.assertFalse(self.claim("o1").fresh)
+        self.assertTrue(self.claim("o2").fresh)
+
+    def test_stranger_finishes_nothing(self):
+        self.claim("o1")
+        self.assertIsInstance(self.finish("o2", "not_run"), wire.Refused)
+        self.assertFalse(self.claim("o2").fresh)
+
+    def test_records_end_after_their_retention(self):
+        self.claim("o1")
+        self.now = DAY + 60
+        self.assertTrue(self.claim("o2").fresh)
+
+    def test_note_findings_come_together_and_change_nothing(self):
+        before = self.machine.snapshot()
+        reply = self.publish(
+            2,
+            wire.Budget(name="x", team="ghost"),
+            services=[wire.Service(name="s", kind="engine", models=["m"])],
+            withdrawn=wire.Withdrawn(teams=["nobody"], models=["none"]),
+        )
+        self.assertEqual(4, len(reply.findings), reply.findings)
+        state = msgspec.msgpack.decode(before)
+        after = msgspec.msgpack.decode(self.machine.snapshot())
+        for name in state:
+            if name != "audit":
+                self.assertEqual(state[name], after[name], name)
+
+    def test_lower_number_is_refused(self):
+        self.publish(5)
+        reply = self.publish(4)
+        self.assertIn("below the note in force", reply.findings[0])
+
+    def test_withdrawn_team_takes_its_budgets_along(self):
+        self.open(1, need=100)
+        self.publish(2, teams=[], withdrawn=wire.Withdrawn(teams=["t"]))
+        self.assertIsInstance(self.open(2, need=1), wire.Refused)
+        # What was granted is still settled and returned.
+        self.settle(1, self.bill("r", 40))
+        self.close(1)
+        self.assertEqual(40, self.balance().settled)
+        self.publish(3, self.top_up("a", 1000))
+        self.assertEqual(960, self.balance().free)
+
+    def test_snapshot_restores_the_same_state(self):
+        self.open(1, need=100)
+        self.claim("o1")
+        self.settle(1, self.bill("r", 40))
+        other = control.ControlMachine()
+        other.restore(self.index, self.machine.snapshot())
+        self.assertEqual(self.machine.snapshot(), other.snapshot())
+        self.machine = other
+        self.close(1)
+        self.assertEqual(0, self.balance().outstanding)
+
+    def test_replicas_that_restarted_expire_alike(self):
+        self.claim("o1")
+        self.now = DAY - 5
+        self.claim("o1", key="other")
+        other = control.ControlMachine()
+        other.restore(self.index, self.machine.snapshot())
+        self.now = DAY + 1
+        stamped = wire.Stamped(self.now, wire.Barrier())
+        data = msgspec.msgpack.encode(stamped)
+        for machine in (self.machine, other):
+            machine.apply(self.index + 1, data)
+        self.assertEqual(self.machine.snapshot(), other.snapshot())
--- /dev/null
+++ b/galenashed/entry/tests/test_relay.py
@@ -0,0 +1,67 @@
+"""Cutting streams into events."""
+
+import random
+
+import testtools
+
+from galenashed.entry import _relay
+
+EVENTS = (
+    b'data: {"choices":[{"delta":{"content":"a [DONE] b"}}]}\n\n',
+    b'data: {"choices":[{"delta":{"content":"\\n\\ndata: x"}}]}\n\n',
+    b'data: {"choices":[{"delta":{"content":"\\"usage\\":{"}}]}\n\n',
+)
+USAGE = (
+    b'data: {"choices":[],"usage":{"prompt_tokens":5,'
+    b'"completion_tokens":3}}\n\n'
+)
+DONE = b"data: [DONE]\n\n"
+
+
+class TestStreamScanner(testtools.TestCase):
+    """Whatever the chunks, the events are the same."""
+
+    def feed(self, stream: bytes, sizes, wants_usage=False):
+        scanner = _relay.StreamScanner(wants_usage=wants_usage)
+        out = b""
+        position = 0
+        for size in sizes:
+            out += scanner.feed(stream[position : position + size])
+            position += size
+        out += scanner.feed(stream[position:])
+        return scanner, out
+
+    def test_any_cut_gives_the_same_events(self):
+        stream = b"".join(EVENTS) + USAGE + DONE
+        expected = b"".join(EVENTS) + DONE
+        rng = random.Random(1)
+        for _ in range(200):
+            sizes = [rng.randrange(1, 60) for _ in range(20)]
+            scanner, out = self.feed(stream, sizes)
+            self.assertEqual(expected, out)
+            self.assertTrue(scanner.finished)
+            self.assertEqual((5, 3), scanner.usage)
+            self.assertEqual(3, scanner.events)
+
+    def test_usage_event_is_kept_if_wanted(self):
+        stream = b"".join(EVENTS) + USAGE + DONE
+        _, out = self.feed(stream, [], wants_usage=True)
+        self.assertEqual(stream, out)
+
+    def test_truncated_stream_is_not_finished(self):
+        for stream in (b"".join(EVENTS), b"".join(EVENTS) + DONE[:-1]):
+            scanner, _ = self.feed(stream, [7, 30])
+            self.assertFalse(scanner.finished)
+
+    def test_end_marker_within_content_is_no_end(self):
+        scanner, out = self.feed(EVENTS[0], [])
+        self.assertFalse(scanner.finished)
+        self.assertEqual(EVENTS[0], out)
+
+    def test_partial_event_is_dropped_at_a_restart(self):
+        scanner = _relay.StreamScanner(wants_usage=False)
+        first = scanner.feed(EVENTS[0] + EVENTS[1][:10])
+        scanner.restart()
+        second = scanner.feed(EVENTS[1] + DONE)
+        self.assertEqual(EVENTS[0] + EVENTS[1] + DONE, first + second)
+        self.assertEqual(2, scanner.events)
--- /dev/null
+++ b/galenashed/routing/tests/test_routing.py
@@ -0,0 +1,199 @@
+"""Choice of target, queueing and retries."""
+
+import collections
+import random
+
+import testtools
+
+from galenashed import routing
+from galenashed.protocol import control
+from galenashed.protocol import spread as wire
+
+SERVICE = control.Service(name="s", kind="engine", models=["m"], concurrency=4)
+OLD = -100.0
+
+
+def target(name, *, state="ready", running=0, incarnation="a"):
+    return wire.Target(
+        name=name,
+        incarnation=incarnation,
+        started=1.0,
+        sequence=1,
+        service="s",
+        address="127.0.0.1:1",
+        failure_domain="k",
+        state=state,
+        models=["m"],
+        load=wire.Load(running=running),
+    )
+
+
+class TestRouter(testtools.TestCase):
+    """Which targets are chosen."""
+
+    def router(self, *targets, balancer="affinity"):
+        router = routing.make_router(balancer, random.Random(1))
+        for item in targets:
+            router.update(item, joined=OLD)
+        return router
+
+    def ask(self, prefix=b"", alone=False):
+        return routing.Ask(
+            service=SERVICE, model="m", prefix=prefix, alone=alone
+        )
+
+    def test_leaving_target_is_never_chosen(self):
+        router = self.router(target("a"), target("b"))
+        self.assertIsNotNone(router.choose(self.ask(), now=0.0))
+        router.update(target("a", state="leaving"), joined=OLD)
+        for _ in range(50):
+            self.assertEqual("b", router.choose(self.ask(), now=0.0).name)
+
+    def test_withdrawn_silent_and_avoided_targets_are_left_out(self):
+        router = self.router(target("a"), target("b"), target("c"))
+        router.set_withdrawn(["a"])
+        router.set_alive(["a", "b", "c"])
+        ask = self.ask()
+        ask.avoid.add("b")
+        self.assertEqual("c", router.choose(ask, now=0.0).name)
+        router.set_alive(["a", "b"])
+        self.assertIsNone(router.choose(ask, now=0.0))
+        self.assertFalse(router.serves(ask))
+
+    def test_full_targets_are_left_out(self):
+        router = self.router(target("a", running=4), target("b", running=3))
+        stats = router.choose(self.ask(), now=0.0)
+        self.assertEqual("b", stats.name)
+        router.begin(stats)
+        self.assertIsNone(router.choose(self.ask(), now=0.0))
+        self.assertTrue(router.serves(self.ask()))
+
+    def test_what_was_sent_since_the_report_counts(self):
+        router = self.router(target("a", running=2))
+        stats = router.get("a")
+        router.begin(stats)
+        router.begin(stats)
+        self.assertEqual(4, stats.load)
+        router.update(target("a", running=3), joined=OLD)
+        self.assertEqual(3, stats.load)
+
+    def test_prefix_stays_at_home_until_the_home_is_loaded(self):
+        names = [f"t{n}" for n in range(6)]
+        router = self.router(*[target(name) for name in names])
+        ask = self.ask(prefix=b"history of building 12")
+        home = router.choose(ask, now=0.0)
+        for _ in range(20):
+            self.assertIs(home, router.choose(ask, now=0.0))
+        for _ in range(2):
+            router.begin(home)
+        self.assertIsNot(home, router.choose(ask, now=0.0))
+
+    def test_few_prefixes_move_when_a_target_leaves(self):
+        names = [f"t{n}" for n in range(10)]
+        router = self.router(*[target(name) for name in names])
+        asks = [self.ask(prefix=b"%d" % n) for n in range(300)]
+        before = [router.choose(ask, now=0.0).name for ask in asks]
+        router.update(target("t3", state="leaving"), joined=OLD)
+        after = [router.choose(ask, now=0.0).name for ask in asks]
+        moved = sum(
+            b != a for b, a in zip(before, after, strict=True) if b != "t3"
+        )
+        self.assertEqual(0, moved)
+
+    def test_failing_target_is_ejected_but_never_all(self):
+        router = self.router(target("a"), target("b"), target("c"))
+
+        def fail(name):
+            for _ in range(3):
+                stats = router.get(name)
+                router.begin(stats)
+                router.end(stats, failed=True, now=0.0)
+
+        fail("a")
+        chosen = {router.choose(self.ask(), now=1.0).name for _ in range(99)}
+        self.assertEqual({"b", "c"}, chosen)
+        fail("b")
+        fail("c")
+        chosen = {router.choose(self.ask(), now=1.0).name for _ in range(99)}
+        self.assertEqual({"a", "b", "c"}, chosen)
+
+    def test_target_that_joined_starts_slowly(self):
+        router = routing.make_router("least-loaded", random.Random(1))
+        router.update(target("a"), joined=0.0)
+        stats = router.choose(self.ask(), now=0.0)
+        router.begin(stats)
+        self.assertIsNone(router.choose(self.ask(), now=0.0))
+        self.assertIsNotNone(router.choose(self.ask(), now=5.0))
+
+    def test_suspected_request_runs_beside_no_other(self):
+        router = self.router(target("a"))
+        stats = router.choose(self.ask(alone=True), now=0.0)
+        router.begin(stats, suspect=True)
+        self.assertIsNone(router.choose(self.ask(alone=True), now=0.0))
+        self.assertIsNotNone(router.choose(self.ask(), now=0.0))
+        router.end(stats, failed=False, now=0.0, suspect=True)
+        self.assertIsNotNone(router.choose(self.ask(alone=True), now=0.0))
+
+    def test_room_is_found_beyond_the_sample(self):
+        targets = [target(f"t{n}", running=4) for n in range(100)]
+        router = self.router(*targets, target("free"))
+        for _ in range(20):
+            self.assertEqual("free", router.choose(self.ask(), now=0.0).name)
+
+
+class TestFairQueue(testtools.TestCase):
+    """Who goes first."""
+
+    def test_burst_of_one_team_does_not_starve_another(self):
+        queue = routing.FairQueue(capacity=200)
+        for number in range(100):
+            queue.push(("large", number), team="large", weight=1, priority=0)
+        for number in range(3):
+            queue.push(("small", number), team="small", weight=1, priority=0)
+        first = [queue.pop()[0] for _ in range(6)]
+        self.assertEqual(3, first.count("small"))
+
+    def test_weights_share_the_queue(self):
+        queue = routing.FairQueue(capacity=200)
+        for number in range(60):
+            queue.push(("a", number), team="a", weight=2, priority=0)
+            queue.push(("b", number), team="b", weight=1, priority=0)
+        counts = collections.Counter(queue.pop()[0] for _ in range(30))
+        self.assertEqual(20, counts["a"])
+
+    def test_interactive_goes_before_batch(self):
+        queue = routing.FairQueue(capacity=10)
+        queue.push(("batch",), team="a", weight=1, priority=1)
+        queue.push(("question",), team="b", weight=1, priority=0)
+        self.assertEqual(("question",), queue.pop())
+
+    def test_full_queue_refuses_and_removal_makes_room(self):
+        queue = routing.FairQueue(capacity=1)
+        item = ("first",)
+        queue.push(item, team="a", weight=1, priority=0)
+        self.assertRaises(
+            routing.QueueFullError,
+            queue.push,
+            ("second",),
+            team="a",
+            weight=1,
+            priority=0,
+        )
+        queue.remove(item)
+        queue.remove(item)
+        self.assertIsNone(queue.peek())
+        queue.push(("third",), team="a", weight=1, priority=0)
+        self.assertEqual(("third",), queue.pop())
+
+
+class TestRetryBudget(testtools.TestCase):
+    """Retries are a share of first tries."""
+
+    def test_retries_run_out_and_come_back_slowly(self):
+        retries = routing.RetryBudget()
+        taken = sum(retries.take() for _ in range(100))
+        self.assertEqual(20, taken)
+        for _ in range(50):
+            retries.on_request()
+        taken = sum(retries.take() for _ in range(100))
+        self.assertIn(taken, (4, 5))
