Run a fault matrix, and say 'not run' only of calls never sent

Cause: single faults were proved at single moments.

Found while writing it: an entry that could not claim a booking answered 'not run', and so did a cut-off entry and one whose budget was spent, though an earlier sending through another entry might have been run. A booking is now claimed before anything may refuse it, and where it can't be claimed the answer is 'unknown', with the advice to send it again under the same key. A replayed answer is billed again under the same name, in case its first owner died before the bill.

--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,9 @@
 
 test: lint check
 
+matrix: .venv/ready
+	GALENASHED_MATRIX=all GALENASHED_MATRIX_PAGE=docs/FAULT-MATRIX.md \
+		$(BIN)/python -m pytest -n 0 galenashed/tests/test_matrix.py
+
 clean:
 	rm -rf .venv build *.egg-info
--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -228,7 +228,6 @@
         return await self.models.handle(parsed, team, budget, receive)
 
     async def _call_service(self, request) -> blacksheep.Response:
-        self.configuration.check_serving()
         team = self._authenticate(request)
         raw = request.scope["raw_path"].decode("latin-1")
         name, _, path = raw.removeprefix("/services/").partition("/")
@@ -243,7 +242,7 @@
         call = _calls.Call(
             service=service,
             team=team,
-            budget=self._budget(request, team) if service.cost else "",
+            budget_name=self._budget(request, team) if service.cost else "",
             method=request.method,
             path=f"/{path}?{query}" if query else f"/{path}",
             headers=[
@@ -255,6 +254,13 @@
                 request.get_first_header(b"Idempotency-Key")
             ),
         )
+        try:
+            self.configuration.check_serving()
+        except web.ApiError as exc:
+            if not call.idempotent:
+                # An earlier sending through another entry may have been.
+                exc.run = web.Run.UNKNOWN
+            raise
         return await self.calls.handle(call)
 
     async def _list_models(self, request) -> blacksheep.Response:
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -9,6 +9,7 @@
 import blacksheep
 import loguru
 
+from galenashed import budget
 from galenashed import control
 from galenashed import engines
 from galenashed.entry import _configuration
@@ -66,11 +67,11 @@
     )
 
     def __init__(
-        self, *, service, team, budget, method, path, headers, body, key
+        self, *, service, team, budget_name, method, path, headers, body, key
     ):
         self.service: wire.Service = service
         self.team: wire.Team = team
-        self.budget: str = budget
+        self.budget: str = budget_name
         self.method: str = method
         self.path: str = path
         self.headers: list[tuple[str, str]] = headers
@@ -138,23 +139,59 @@
                 message=f"{call.method} may not be repeated: name the"
                 " request by an Idempotency-Key header",
             )
-        reservation = None
-        if call.service.cost:
-            reservation = await self.reservations.reserve(
-                call.budget, call.service.cost
-            )
         self.dispatcher.retries.on_request()
+        if call.idempotent:
+            return await self._handle_idempotent(call)
+        return await self._handle_once(call)
+
+    async def _handle_idempotent(self, call: Call) -> blacksheep.Response:
+        reservation = await self._reserve(call)
         try:
-            if call.idempotent:
-                answer = await self._run_idempotent(call)
-            else:
-                answer = await self._run_once(call)
+            answer = await self._run_idempotent(call)
+        except BaseException as exc:
+            self._settle_failure(call, reservation, exc)
+            raise
+        self._bill(call, reservation)
+        return _respond(call, answer)
+
+    async def _handle_once(self, call: Call) -> blacksheep.Response:
+        # Claimed before anything may refuse it: only then is "not run" true
+        # of the call, and not of this sending alone.
+        state = await self._claim(call)
+        if not state.fresh:
+            state = await self._wait_for_owner(call, state)
+        if not state.fresh:
+            answer = _replay(state)
+            await self._bill_again(call)
+            return _respond(call, answer)
+        try:
+            reservation = await self._reserve(call)
+        except BaseException:
+            await self._finish(call, "not_run", None)
+            raise
+        try:
+            answer = await self._run_once(call)
         except BaseException as exc:
             self._settle_failure(call, reservation, exc)
             raise
         self._bill(call, reservation)
         return _respond(call, answer)
 
+    async def _reserve(self, call: Call) -> budget.Reservation | None:
+        if not call.service.cost:
+            return None
+        return await self.reservations.reserve(call.budget, call.service.cost)
+
+    async def _bill_again(self, call: Call) -> None:
+        """Bills a call whose owner may have died before it did.
+
+        Bills of one call count once, so this never bills it twice.
+        """
+        try:
+            self._bill(call, await self._reserve(call))
+        except web.ApiError as exc:
+            LOG.warning("call {} is not billed: {}", call.id, exc.message)
+
     def _settle_failure(self, call: Call, reservation, exc) -> None:
         if reservation is None:
             return
@@ -216,12 +253,7 @@
     # Non-idempotent calls
 
     async def _run_once(self, call: Call) -> wire.Answer:
-        """Runs a call unless it was run before, whoever was asked."""
-        state = await self._claim(call)
-        if not state.fresh:
-            state = await self._wait_for_owner(call, state)
-        if not state.fresh:
-            return _replay(state)
+        """Runs a claimed call and records its outcome."""
         try:
             answer = await self._run_claimed(call)
         except web.ApiError as exc:
@@ -256,12 +288,15 @@
                 command, timeout=CLAIM_TIMEOUT_SECONDS
             )
         except control.ControlUnavailableError:
-            # Nothing was sent and nothing will be under this claim.
+            # Nothing was sent and nothing will be under this claim; but an
+            # earlier sending may have been run.
             self._spawn(self._disclaim(call))
             raise web.ApiError(
                 status=503,
                 code="claim_unavailable",
-                message="the call can't be claimed for a single run now",
+                message="the call can't be claimed for a single run now;"
+                " send it again under the same key",
+                run=web.Run.UNKNOWN,
                 retry_after=RETRY_SECONDS,
             ) from None
         except asyncio.CancelledError:
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -16,6 +16,8 @@
 import urllib.error
 import urllib.request
 
+import msgspec
+
 from galenashed import config
 from galenashed import control
 from galenashed.protocol import control as wire
@@ -388,11 +390,7 @@
     def publish_all(self, texts: list[str]) -> None:
         """Publishes many notes one after the other, in this process."""
 
-        async def publish() -> None:
-            addresses = {n: self.addresses[n] for n in self.control_names}
-            client = control.ControlClient(
-                replicas=addresses, key=OPERATOR_KEY
-            )
+        async def publish(client) -> None:
             path = self.folder / "many.toml"
             for text in texts:
                 path.write_text(text, encoding="utf-8")
@@ -402,29 +400,52 @@
                 )
                 reply = await client.publish(command, timeout=WAIT_SECONDS)
                 assert isinstance(reply, wire.Done), reply
-            await client.close()
 
-        asyncio.run(publish())
+        self.ask_control(publish)
 
     def balance(self, budget: str = "rounds-2026") -> dict:
         """Returns what a budget stands at, as control sees it."""
-        done = self.operate("budget", "show", "--budget", budget, "--json")
-        return json.loads(done.stdout)[0]
+        query = wire.Query(kind="balance", subject=budget)
+        reply = self.ask_control(
+            lambda c: c.query(query, timeout=WAIT_SECONDS)
+        )
+        return msgspec.to_builtins(reply.balances[0])
+
+    def ask_control(self, work):
+        """Returns ``work(client)`` run against control in this process."""
+
+        async def connected():
+            addresses = {n: self.addresses[n] for n in self.control_names}
+            client = control.ControlClient(
+                replicas=addresses, key=OPERATOR_KEY
+            )
+            try:
+                return await work(client)
+            finally:
+                await client.close()
+
+        return asyncio.run(connected())
 
     def leader(self) -> str:
         """Returns the leading control replica's name."""
 
         def find():
-            done = self.operate("status", "--json", check=False)
-            if not done.stdout.startswith("{"):
-                return ""
-            for name, status in json.loads(done.stdout).items():
-                if status and status["role"] == "leader":
-                    return name
-            return ""
+            statuses = self.ask_control(lambda c: c.statuses(timeout=1.0))
+            leaders = [
+                (status.term, name)
+                for name, status in statuses.items()
+                if status is not None and status.role == "leader"
+            ]
+            return max(leaders)[1] if leaders else ""
 
         return wait_for(find, "a leader")
 
+    def bills(self, request_id: str) -> list[dict]:
+        """Returns the bills of a request, as control has them."""
+        query = wire.Query(kind="bill", subject=request_id)
+        reply = self.ask_control(lambda c: c.query(query, timeout=30.0))
+        return msgspec.to_builtins(reply.bills)
+
     # Callers
 
     def ask(self, entry: str, text: str = "hello", **options) -> Answer:
--- a/galenashed/tests/_proxy.py
+++ b/galenashed/tests/_proxy.py
@@ -8,8 +8,10 @@
 class Link:
     """One relayed address; its faults apply to open connections too.
 
-    ``forward`` and ``backward`` are ``pass`` or ``drop``, which swallows
-    bytes silently, as a partition does.  ``delay`` is in seconds each way.
+    ``forward`` and ``backward`` are ``pass``, ``drop``, which swallows bytes
+    silently, as a partition does, or ``hold``, which keeps them until
+    healed.  ``delay`` is in seconds each way.  ``held`` counts the chunks
+    that were kept.
     """
 
     def __init__(self, upstream: str):
@@ -19,6 +21,7 @@
         self.backward = "pass"
         self.delay = 0.0
         self.refuse = False
+        self.held = 0
         self.writers: set[asyncio.StreamWriter] = set()
 
     def heal(self) -> None:
@@ -94,6 +97,10 @@
         while data := await reader.read(65536):
             if link.delay:
                 await asyncio.sleep(link.delay)
+            if getattr(link, way) == "hold":
+                link.held += 1
+            while getattr(link, way) == "hold":
+                await asyncio.sleep(0.01)
             if getattr(link, way) == "pass":
                 writer.write(data)
                 await writer.drain()
