--- a/galenashed/routing/tests/test_routing.py
+++ b/galenashed/routing/tests/test_routing.py
@@ -5,9 +5,9 @@
 
 import testtools
 
-from galenashed import routing
 from galenashed.protocol import control
 from galenashed.protocol import spread as wire
+from galenashed import routing
 
 SERVICE = control.Service(name="s", kind="engine", models=["m"], concurrency=4)
 OLD = -100.0
