Never let the client library repeat a call

Cause: a PUT or DELETE that may not be repeated was sent twice when its connection broke while it ran. The client library repeats these methods by itself, on fresh connections too; a comment of ours claimed that a fresh connection kept it from that, and nothing had tested it.

Ruled out: our own retries, which end at the first ambiguous failure.

Change: a middleware turns a broken connection into an error of ours, which the library does not retry.

Conclusion: at most one run holds for every method.

--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -1,10 +1,10 @@
 """HTTP calls to targets, with failures told apart by what they prove.
 
 A connection that can't be opened proves that nothing was sent.  Any later
-failure proves nothing: the target may have run the request.  The library's
-own retries never apply: engine calls are POST requests, which it does not
-repeat, and non-idempotent calls use a fresh connection each, on which it
-does not retry either.
+failure proves nothing: the target may have run the request.  The library
+repeats some methods by itself when a connection breaks, PUT and DELETE
+among them; a middleware keeps it from that, so that every repetition is
+this project's own decision.
 """
 
 import asyncio
@@ -31,6 +31,18 @@
     """The connection failed; the request may have been run."""
 
 
+async def _never_repeat(
+    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turns a broken connection into an error that is not retried."""
+    try:
+        return await handler(req)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise TargetLostError(f"{req.url.authority}: {exc!r}") from exc
+
+
 def _make_socket(address_info) -> socket.socket:
     """Returns a socket that probes an idle connection."""
     family, kind, proto, _, _ = address_info
@@ -72,6 +84,7 @@
         )
         return aiohttp.ClientSession(
             connector=connector,
+            middlewares=(_never_repeat,),
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -265,3 +265,30 @@
             self.fleet.call("e1", "/lookup", method="GET") for _ in range(4)
         ]
         self.assertEqual([200] * 4, [a.status for a in answers])
+
+    def test_no_method_is_repeated_when_the_connection_breaks(self):
+        """Libraries repeat some methods by themselves; bookings are not."""
+        for method in ("PUT", "DELETE", "POST", "PATCH"):
+            key = f"broken-{method}"
+
+            def send(position, method=method, key=key):
+                if position == 0:
+                    return self.fleet.call(
+                        "e1", "/b?delay=0.5", key=key, method=method
+                    )
+                _fleet.wait_for(lambda: self.executions(key), "a run")
+                for link in self.fleet.target_links.values():
+                    self.fleet.proxy.reset(link)
+                return None
+
+            answer, _ = _fleet.in_threads(2, send)
+            self.assertEqual(409, answer.status)
+            self.assertEqual("unknown", answer.json()["error"]["run"])
+            time.sleep(1.0)
+            self.assertEqual(1, self.executions(key), method)
+
+    def executions(self, key: str) -> int:
+        return sum(
+            self.fleet.stats(name)["executions"].get(key, 0)
+            for name in self.fleet.service_names
+        )
