Split calls of plain services into call, claims and handler

Cause: one module of 515 lines held the call, its claim, the record of its outcome, the sending and the answers.

Change: moved only; the 49 tests of entry, path, targets and instances pass as before (98 s).

--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from galenashed import control
+from galenashed.entry import _call
 from galenashed.entry import _calls
 from galenashed.entry import _configuration
 from galenashed.entry import _instances
@@ -239,7 +240,7 @@
                 message=f"no plain service {name!r} is in force",
             )
         query = request.scope["query_string"].decode("latin-1")
-        call = _calls.Call(
+        call = _call.Call(
             service=service,
             team=team,
             budget_name=self._budget(request, team) if service.cost else "",
--- /dev/null
+++ b/galenashed/entry/_claims.py
@@ -0,0 +1,155 @@
+"""Claims of non-idempotent calls, as an entry makes and ends them."""
+
+import asyncio
+import time
+
+import loguru
+
+from galenashed import control
+from galenashed.entry import _call
+from galenashed.protocol import control as wire
+from galenashed import web
+
+LOG = loguru.logger
+
+MAX_KEPT_ANSWER_BYTES = 16 * 1024
+CLAIM_TIMEOUT_SECONDS = 3.0
+FINISH_TIMEOUT_SECONDS = 5.0
+OWNER_WAIT_SECONDS = 10.0
+OWNER_POLL_SECONDS = 0.1
+RETRY_SECONDS = 1.0
+
+
+class Claims:
+    """Claims calls for a single run and records their outcomes.
+
+    Parameters
+    ----------
+    proposer : ControlClient
+        Commits claims and outcomes.
+    holder : str
+        The unique name of this incarnation.
+    is_alive : callable
+        Whether the incarnation of a name is known to be alive.
+    """
+
+    def __init__(self, *, proposer: control.ControlClient, holder, is_alive):
+        self.proposer = proposer
+        self.holder = holder
+        self.is_alive = is_alive
+        self._recording: set[asyncio.Task] = set()
+
+    async def close(self) -> None:
+        """Waits until every outcome is recorded."""
+        await asyncio.gather(*self._recording)
+
+    def _owner(self, call: _call.Call) -> str:
+        return f"{self.holder}/{call.attempt}"
+
+    def _claim_command(self, call: _call.Call) -> wire.ClaimCall:
+        return wire.ClaimCall(
+            team=call.team.name,
+            key=call.key,
+            digest=call.digest,
+            owner=self._owner(call),
+        )
+
+    async def claim(self, call: _call.Call) -> wire.CallState:
+        """Returns the call's record, ``fresh`` if it is claimed here now."""
+        command = self._claim_command(call)
+        try:
+            reply = await self.proposer.propose(
+                command, timeout=CLAIM_TIMEOUT_SECONDS
+            )
+        except control.ControlUnavailableError:
+            # Nothing was sent and nothing will be under this claim; but an
+            # earlier sending may have been run.
+            self._spawn(self._disclaim(call))
+            raise web.ApiError(
+                status=503,
+                code="claim_unavailable",
+                message="the call can't be claimed for a single run now;"
+                " send it again under the same key",
+                run=web.Run.UNKNOWN,
+                retry_after=RETRY_SECONDS,
+            ) from None
+        except asyncio.CancelledError:
+            self._spawn(self._disclaim(call))
+            raise
+        if isinstance(reply, wire.CallState):
+            return reply
+        raise web.ApiError(
+            status=422,
+            code="idempotency_key_reused",
+            message=_findings_of(reply),
+        )
+
+    async def _disclaim(self, call: _call.Call) -> None:
+        """Frees a key whose claim got no answer; the call was not run."""
+        command = self._claim_command(call)
+        while True:
+            try:
+                reply = await self.proposer.propose(
+                    command, timeout=FINISH_TIMEOUT_SECONDS
+                )
+            except control.ControlUnavailableError:
+                continue
+            break
+        if isinstance(reply, wire.CallState) and reply.fresh:
+            await self._record(call, "not_run", None)
+
+    async def wait_for_owner(
+        self, call: _call.Call, state: wire.CallState
+    ) -> wire.CallState:
+        """Waits for the outcome of a run under way, while it can come."""
+        deadline = time.monotonic() + OWNER_WAIT_SECONDS
+        while state.state == "claimed" and not state.fresh:
+            holder = state.owner.rpartition("/")[0]
+            if not self.is_alive(holder) or time.monotonic() > deadline:
+                break
+            await asyncio.sleep(OWNER_POLL_SECONDS)
+            state = await self.claim(call)
+        return state
+
+    async def finish(self, call, outcome: str, answer) -> None:
+        """Records an outcome, before the caller learns it if possible."""
+        task = self.finish_later(call, outcome, answer)
+        await asyncio.wait([task], timeout=FINISH_TIMEOUT_SECONDS)
+
+    def finish_later(self, call, outcome: str, answer) -> asyncio.Task:
+        """Records an outcome in a task of its own."""
+        if answer is not None and len(answer.body) > MAX_KEPT_ANSWER_BYTES:
+            answer = wire.Answer(
+                status=answer.status, headers=[], body=b"", whole=False
+            )
+        return self._spawn(self._record(call, outcome, answer))
+
+    async def _record(self, call, outcome: str, answer) -> None:
+        command = wire.FinishCall(
+            team=call.team.name,
+            key=call.key,
+            owner=self._owner(call),
+            outcome=outcome,
+            answer=answer,
+        )
+        while True:
+            try:
+                await self.proposer.propose(
+                    command, timeout=FINISH_TIMEOUT_SECONDS
+                )
+            except control.ControlUnavailableError:
+                LOG.warning("outcome of call {} waits for control", call.id)
+                continue
+            return
+
+    def _spawn(self, coro) -> asyncio.Task:
+        task = asyncio.create_task(coro)
+        self._recording.add(task)
+        task.add_done_callback(self._recording.discard)
+        return task
+
+
+def _findings_of(reply: wire.Reply) -> str:
+    if isinstance(reply, wire.Refused):
+        return "; ".join(reply.findings)
+    return f"unexpected reply {type(reply).__name__}"
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -13,6 +13,7 @@
 from galenashed import engines
 from galenashed.entry import _app
 from galenashed.entry import _calls
+from galenashed.entry import _claims
 from galenashed.entry import _configuration
 from galenashed.entry import _dispatcher
 from galenashed.entry import _instances
@@ -104,15 +105,17 @@
         reservations = _reservations.Reservations(
             desk=self.desk, metrics=metrics
         )
-        self._calls = _calls.CallHandler(
-            configuration=self.configuration,
+        self._claims = _claims.Claims(
+            proposer=self.proposer,
+            holder=self.holder,
+            is_alive=self._is_alive,
+        )
+        calls = _calls.CallHandler(
             dispatcher=self.dispatcher,
             reservations=reservations,
             client=self._client,
-            proposer=self.proposer,
+            claims=self._claims,
             metrics=metrics,
-            holder=self.holder,
-            is_alive=self._is_alive,
         )
         self.app = _app.EntryApp(
             configuration=self.configuration,
@@ -128,7 +131,7 @@
                 ),
                 metrics=metrics,
             ),
-            calls=self._calls,
+            calls=calls,
             instances=_instances.Instances(
                 directory=self.directory,
                 describe=self.describe,
@@ -183,7 +186,7 @@
         self._spreader.notify()
         await asyncio.sleep(self.cfg.instances_max_age + SPREAD_SLACK_SECONDS)
         await self._http.close()
-        await self._calls.close()
+        await self._claims.close()
         await self.desk.close()
         await self._close_tasks()
         LOG.info("entry {} has stopped", self.holder)
