--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -9,6 +9,7 @@
 import loguru
 import msgspec
 
+from galenashed import config
 from galenashed import control
 from galenashed.entry import _call
 from galenashed.entry import _calls
@@ -35,6 +36,8 @@
 
     Parameters
     ----------
+    cfg : galenashed.config.EntrySettings
+        Keys and bounds.
     configuration : Configuration
         The release in force.
     models : ModelHandler
@@ -51,17 +54,12 @@
         Takes a target's announcement.
     targets : Directory
         Which targets are known.
-    target_key_hash, operator_key_hash : str
-        SHA-256 of the keys that targets and operators present.
-    max_body_bytes : int
-        Larger bodies are refused.
-    receive_timeout : float
-        Seconds within which a body must come.
     """
 
     def __init__(
         self,
         *,
+        cfg: config.EntrySettings,
         configuration: _configuration.Configuration,
         models: _models.ModelHandler,
         calls: _calls.CallHandler,
@@ -70,11 +68,8 @@
         flush_bills,
         announce,
         targets: membership.Directory,
-        target_key_hash: str,
-        operator_key_hash: str,
-        max_body_bytes: int,
-        receive_timeout: float,
     ):
+        self.cfg = cfg
         self.configuration = configuration
         self.models = models
         self.calls = calls
@@ -83,10 +78,6 @@
         self.flush_bills = flush_bills
         self.announce = announce
         self.targets = targets
-        self.target_key_hash = target_key_hash
-        self.operator_key_hash = operator_key_hash
-        self.max_body_bytes = max_body_bytes
-        self.receive_timeout = receive_timeout
         self.in_flight = 0
         self._app = web.make_app()
         self._app.exceptions_handlers[404] = _on_not_found
@@ -176,14 +167,14 @@
 
     async def _read_body(self, request: blacksheep.Request) -> bytes:
         try:
-            async with asyncio.timeout(self.receive_timeout):
+            async with asyncio.timeout(self.cfg.receive_timeout):
                 return await self._read_bounded(request)
         except TimeoutError:
             raise web.ApiError(
                 status=408,
                 code="request_timeout",
                 message="the body did not come within"
-                f" {self.receive_timeout} s",
+                f" {self.cfg.receive_timeout} s",
             ) from None
 
     async def _read_bounded(self, request: blacksheep.Request) -> bytes:
@@ -192,13 +183,13 @@
         stream = typing.cast(typing.AsyncIterable, request.stream())
         async for chunk in stream:
             size += len(chunk)
-            if size <= self.max_body_bytes:
+            if size <= self.cfg.max_body_bytes:
                 body += chunk
-            elif size > self.max_body_bytes + MAX_DISCARDED_BYTES:
+            elif size > self.cfg.max_body_bytes + MAX_DISCARDED_BYTES:
                 break
         # A body that is a little too large is read to its end and thrown
         # away: a caller that is still sending would not see the refusal.
-        if size > self.max_body_bytes:
+        if size > self.cfg.max_body_bytes:
             raise self._too_large()
         return bytes(body)
 
@@ -206,7 +197,7 @@
         return web.ApiError(
             status=413,
             code="body_too_large",
-            message=f"the body passes {self.max_body_bytes} bytes",
+            message=f"the body passes {self.cfg.max_body_bytes} bytes",
         )
 
     # Handlers
@@ -346,13 +337,15 @@
             raise _control_unavailable() from None
 
     async def _list_targets(self, request) -> blacksheep.Response:
-        if not rpc.key_matches(_bearer_key(request), self.operator_key_hash):
+        if not rpc.key_matches(
+            _bearer_key(request), self.cfg.operator_key_hash
+        ):
             raise _unauthorized()
         alive = self.targets.alive(time.monotonic())
         return _json({"targets": alive})
 
     async def _announce(self, request) -> blacksheep.Response:
-        if not rpc.key_matches(_bearer_key(request), self.target_key_hash):
+        if not rpc.key_matches(_bearer_key(request), self.cfg.target_key_hash):
             raise _unauthorized()
         body = await self._read_body(request)
         try:
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -64,8 +64,28 @@
         self.started = time.time()
         self._sequence = 0
         self._state = "serving"
+        self._metrics = telemetry.open_metrics(
+            cfg.statsd, f"galenashed.{cfg.name}"
+        )
+        self._make_control(rng)
+        self._make_routing(rng)
+        self.app = self._make_app()
+        self._http = web.HttpServer(
+            app=self.app,
+            address=cfg.callers_address,
+            max_connections=cfg.max_connections,
+            head_timeout=cfg.receive_timeout,
+        )
+        self._peers = rpc.Server(
+            address=cfg.peers_address,
+            keys={"peer": rpc.hash_key(cfg.peer_key)},
+            handlers=[(methods.SPREAD, self._receive_spread)],
+        )
+
+    def _make_control(self, rng: random.Random) -> None:
+        """Makes what talks to the control replicas."""
+        cfg = self.cfg
         policy = budget.POLICIES[cfg.preset]
-        metrics = telemetry.open_metrics(cfg.statsd, f"galenashed.{cfg.name}")
         self.configuration = _configuration.Configuration(
             max_stale=cfg.max_stale, serve_when_stale=policy.serve_when_stale
         )
@@ -84,6 +104,10 @@
             control=self.proposer,
             unavailable=control.ControlUnavailableError,
         )
+
+    def _make_routing(self, rng: random.Random) -> None:
+        """Makes what knows and chooses targets and other entries."""
+        cfg = self.cfg
         self.targets = membership.Directory(lease=cfg.target_lease)
         self.directory = membership.Directory(lease=INSTANCE_LEASE_SECONDS)
         self.dispatcher = _dispatcher.Dispatcher(
@@ -101,63 +125,53 @@
             key=cfg.peer_key,
             on_change=self.dispatcher.on_target,
         )
-        self._client = engines.TargetClient()
-        reservations = _reservations.Reservations(
-            desk=self.desk, metrics=metrics
+        self._instances = _instances.Instances(
+            directory=self.directory,
+            describe=self.describe,
+            max_age=cfg.instances_max_age,
+            target_lease=cfg.target_lease,
+            rng=rng,
         )
+
+    def _make_app(self) -> _app.EntryApp:
+        """Makes the handlers of requests and their routes."""
+        self._client = engines.TargetClient()
         self._claims = _claims.Claims(
             proposer=self.proposer,
             holder=self.holder,
             is_alive=self._is_alive,
         )
-        calls = _calls.CallHandler(
+        reservations = _reservations.Reservations(
+            desk=self.desk, metrics=self._metrics
+        )
+        runner = _runs.EngineRunner(
             dispatcher=self.dispatcher,
-            reservations=reservations,
             client=self._client,
-            claims=self._claims,
-            metrics=metrics,
+            proposer=self.proposer,
+            metrics=self._metrics,
         )
-        self.app = _app.EntryApp(
+        return _app.EntryApp(
+            cfg=self.cfg,
             configuration=self.configuration,
             models=_models.ModelHandler(
                 configuration=self.configuration,
                 dispatcher=self.dispatcher,
                 reservations=reservations,
-                runner=_runs.EngineRunner(
-                    dispatcher=self.dispatcher,
-                    client=self._client,
-                    proposer=self.proposer,
-                    metrics=metrics,
-                ),
-                metrics=metrics,
+                runner=runner,
+                metrics=self._metrics,
             ),
-            calls=calls,
-            instances=_instances.Instances(
-                directory=self.directory,
-                describe=self.describe,
-                max_age=cfg.instances_max_age,
-                target_lease=cfg.target_lease,
-                rng=rng,
+            calls=_calls.CallHandler(
+                dispatcher=self.dispatcher,
+                reservations=reservations,
+                client=self._client,
+                claims=self._claims,
+                metrics=self._metrics,
             ),
+            instances=self._instances,
             proposer=self.proposer,
             flush_bills=self.desk.flush,
             announce=self._spreader.announce,
             targets=self.targets,
-            target_key_hash=cfg.target_key_hash,
-            operator_key_hash=cfg.operator_key_hash,
-            max_body_bytes=cfg.max_body_bytes,
-            receive_timeout=cfg.receive_timeout,
-        )
-        self._http = web.HttpServer(
-            app=self.app,
-            address=cfg.callers_address,
-            max_connections=cfg.max_connections,
-            head_timeout=cfg.receive_timeout,
-        )
-        self._peers = rpc.Server(
-            address=cfg.peers_address,
-            keys={"peer": rpc.hash_key(cfg.peer_key)},
-            handlers=[(methods.SPREAD, self._receive_spread)],
         )
 
     async def start(self) -> None:
--- a/galenashed/tests/test_path.py
+++ b/galenashed/tests/test_path.py
@@ -85,14 +85,22 @@
         self.assertEqual([_fleet.MODEL], models)
 
     def test_callers_are_told_of_every_instance(self):
-        answer = _fleet.fetch(
-            self.fleet.addresses["e1"],
-            "/v1/instances?failure_domain=njardvik",
-        )
+        def ask():
+            return _fleet.fetch(
+                self.fleet.addresses["e1"],
+                "/v1/instances?failure_domain=njardvik",
+            )
+
+        def knows_all():
+            listed = ask().json()["instances"]
+            names = sorted(item["name"] for item in listed)
+            return self.fleet.entry_names == names
+
+        # Entries hear of each other some moments after they serve.
+        _fleet.wait_for(knows_all, "every entry in the list")
+        answer = ask()
         listed = answer.json()["instances"]
         self.assertEqual("njardvik", listed[0]["failure_domain"])
-        names = sorted(item["name"] for item in listed)
-        self.assertEqual(self.fleet.entry_names, names)
         self.assertEqual("max-age=1", answer.headers["Cache-Control"])
 
     def test_service_call_passes_through_whole(self):
