Give the log's plain data a module of their own

Cause: the state machine of the log was the longest module, and began with four classes that hold no behaviour.

--- a/galenashed/consensus/__init__.py
+++ b/galenashed/consensus/__init__.py
@@ -7,12 +7,12 @@
 """
 
 from galenashed.consensus._core import Core
-from galenashed.consensus._core import Ready
-from galenashed.consensus._core import Restored
 from galenashed.consensus._node import Machine
 from galenashed.consensus._node import Node
 from galenashed.consensus._node import NotLeaderError
 from galenashed.consensus._node import Transport
+from galenashed.consensus._state import Ready
+from galenashed.consensus._state import Restored
 from galenashed.consensus._storage import Storage
 from galenashed.consensus._storage import StorageError
 
--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -10,10 +10,10 @@
 :meth:`Core.persisted`, and only then sends its messages.
 """
 
-import enum
 import random
 
 from galenashed.consensus import _log
+from galenashed.consensus import _state
 from galenashed.protocol import consensus as wire
 
 MAX_APPEND_BYTES = 256 * 1024
@@ -21,79 +21,6 @@
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 
 
-class Role(enum.Enum):
-    """What a replica is at the moment."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre-candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-class Restored:
-    """What a replica read from its disk at start."""
-
-    __slots__ = ("entries", "hard_state", "snapshot", "snapshot_data")
-
-    def __init__(
-        self,
-        *,
-        hard_state: wire.HardState,
-        snapshot: wire.SnapshotMeta,
-        snapshot_data: bytes,
-        entries: list[wire.Entry],
-    ):
-        self.hard_state = hard_state
-        self.snapshot = snapshot
-        self.snapshot_data = snapshot_data
-        self.entries = entries
-
-
-class Ready:
-    """What must be made durable, then sent, then applied, in that order.
-
-    ``hard_state`` is None if it has not changed.  ``snapshot`` is set if a
-    leader's snapshot replaces the state; its bytes are in
-    ``snapshot_data``.
-    """
-
-    __slots__ = (
-        "committed",
-        "entries",
-        "hard_state",
-        "messages",
-        "snapshot",
-        "snapshot_data",
-    )
-
-    def __init__(self):
-        self.hard_state: wire.HardState | None = None
-        self.entries: list[wire.Entry] = []
-        self.snapshot: wire.SnapshotMeta | None = None
-        self.snapshot_data = b""
-        self.messages: list[tuple[str, wire.Message]] = []
-        self.committed: list[wire.Entry] = []
-
-    @property
-    def durable(self) -> bool:
-        """Whether there is anything to write to disk."""
-        return bool(self.hard_state or self.entries or self.snapshot)
-
-
-class Progress:
-    """What a leader knows of one follower; ``contact`` in seconds."""
-
-    __slots__ = ("contact", "match", "next", "offset")
-
-    def __init__(self, *, next_index: int, contact: float):
-        self.match = 0
-        self.next = next_index
-        self.contact = contact
-        # Bytes of the current snapshot that the follower holds, or None
-        # while it is served from the log.
-        self.offset: int | None = None
-
-
 class Core:
     """One replica's state machine.
 
@@ -122,7 +49,7 @@
         election_timeout: float,
         heartbeat: float,
         rng: random.Random,
-        restored: Restored,
+        restored: _state.Restored,
         now: float,
     ):
         self.name = name
@@ -139,15 +66,15 @@
         self.commit = max(restored.snapshot.index, 0)
         self.applied = restored.snapshot.index
         self.durable_index = self.log.last_index
-        self.role = Role.FOLLOWER
+        self.role = _state.Role.FOLLOWER
         self.leader = ""
         self.leader_contact = now - election_timeout
         self.term_start_index = 0
         self._votes: set[str] = set()
-        self._progress: dict[str, Progress] = {}
+        self._progress: dict[str, _state.Progress] = {}
         self._incoming = bytearray()
         self._incoming_meta = wire.SnapshotMeta()
-        self._ready = Ready()
+        self._ready = _state.Ready()
         self._saved = wire.HardState(
             term=self.term, voted_for=self.voted_for, commit=0
         )
@@ -159,13 +86,13 @@
 
     def next_tick(self) -> float:
         """Returns the time at which :meth:`tick` has something to do."""
-        if self.role is Role.LEADER:
+        if self.role is _state.Role.LEADER:
             return self._next_heartbeat
         return self._deadline
 
     def tick(self, now: float) -> None:
         """Starts an election, or sends heartbeats, when they are due."""
-        if self.role is Role.LEADER:
+        if self.role is _state.Role.LEADER:
             self._tick_leader(now)
         elif now >= self._deadline:
             self._start_election(now, pre=True)
@@ -194,7 +121,7 @@
         If it leads, an election starts soon.  A wrong hint does no harm:
         replicas that still hear the leader refuse the pre-vote.
         """
-        if self.role is not Role.FOLLOWER or self.leader != peer:
+        if self.role is not _state.Role.FOLLOWER or self.leader != peer:
             return
         self.leader = ""
         self.leader_contact = now - self.election_timeout
@@ -207,10 +134,10 @@
 
     # Output
 
-    def take_ready(self) -> Ready:
+    def take_ready(self) -> _state.Ready:
         """Returns what has come together since the last call."""
         ready = self._ready
-        self._ready = Ready()
+        self._ready = _state.Ready()
         if (self.term, self.voted_for) != (
             self._saved.term,
             self._saved.voted_for,
@@ -224,13 +151,13 @@
             self.applied = self.commit
         return ready
 
-    def persisted(self, ready: Ready, now: float) -> None:
+    def persisted(self, ready: _state.Ready, now: float) -> None:
         """Notes that ``ready`` is on disk."""
         if ready.snapshot is not None:
             self.durable_index = ready.snapshot.index
         if ready.entries:
             self.durable_index = ready.entries[-1].index
-        if self.role is Role.LEADER:
+        if self.role is _state.Role.LEADER:
             self._advance_commit()
 
     def has_ready(self) -> bool:
@@ -251,7 +178,7 @@
 
     def propose(self, data: bytes) -> wire.Entry | None:
         """Appends a command and returns its entry; None if not leader."""
-        if self.role is not Role.LEADER:
+        if self.role is not _state.Role.LEADER:
             return None
         entry = wire.Entry(self.log.last_index + 1, self.term, data)
         self.log.append([entry])
@@ -282,9 +209,9 @@
         self.leader = ""
         self._votes = {self.name}
         if pre:
-            self.role = Role.PRE_CANDIDATE
+            self.role = _state.Role.PRE_CANDIDATE
         else:
-            self.role = Role.CANDIDATE
+            self.role = _state.Role.CANDIDATE
             self.term += 1
             self.voted_for = self.name
         if len(self._votes) >= self.quorum:
@@ -309,11 +236,13 @@
             self._become_leader(now)
 
     def _become_leader(self, now: float) -> None:
-        self.role = Role.LEADER
+        self.role = _state.Role.LEADER
         self.leader = self.name
         self._next_heartbeat = now + self.heartbeat
         self._progress = {
-            peer: Progress(next_index=self.log.last_index + 1, contact=now)
+            peer: _state.Progress(
+                next_index=self.log.last_index + 1, contact=now
+            )
             for peer in self.peers
         }
         # An empty entry of the new term lets entries of older terms commit.
@@ -326,7 +255,7 @@
         if term > self.term:
             self.term = term
             self.voted_for = ""
-        self.role = Role.FOLLOWER
+        self.role = _state.Role.FOLLOWER
         self.leader = leader
         self._progress = {}
         self._reset_deadline(now)
@@ -356,7 +285,7 @@
 
     def _on_vote_request(self, now: float, req: wire.VoteRequest) -> None:
         heard = now - self.leader_contact < self.election_timeout
-        if self.role is Role.LEADER or (self.leader and heard):
+        if self.role is _state.Role.LEADER or (self.leader and heard):
             # The current leader is alive as far as this replica knows.
             if req.term > self.term or req.pre:
                 self._reply_vote(req, granted=False)
@@ -396,12 +325,15 @@
                 self._become_follower(now, reply.term, leader="")
             return
         if reply.pre:
-            if self.role is not Role.PRE_CANDIDATE:
+            if self.role is not _state.Role.PRE_CANDIDATE:
                 return
             if reply.term != self.term + 1:
                 return
         else:
-            if self.role is not Role.CANDIDATE or reply.term != self.term:
+            if (
+                self.role is not _state.Role.CANDIDATE
+                or reply.term != self.term
+            ):
                 return
         self._votes.add(reply.sender)
         if len(self._votes) >= self.quorum:
@@ -410,8 +342,8 @@
     def _follow(self, now: float, leader: str) -> None:
         self.leader = leader
         self.leader_contact = now
-        if self.role is not Role.FOLLOWER:
-            self.role = Role.FOLLOWER
+        if self.role is not _state.Role.FOLLOWER:
+            self.role = _state.Role.FOLLOWER
             self._progress = {}
         self._reset_deadline(now)
 
@@ -470,7 +402,7 @@
         )
 
     def _on_append_reply(self, now: float, reply: wire.AppendReply) -> None:
-        if self.role is not Role.LEADER or reply.term != self.term:
+        if self.role is not _state.Role.LEADER or reply.term != self.term:
             return
         progress = self._progress[reply.sender]
         progress.contact = now
@@ -533,7 +465,7 @@
 
     # Snapshots
 
-    def _send_chunk(self, peer: str, progress: Progress) -> None:
+    def _send_chunk(self, peer: str, progress: _state.Progress) -> None:
         offset = progress.offset or 0
         end = offset + SNAPSHOT_CHUNK_BYTES
         self._send(
@@ -593,7 +525,7 @@
         )
 
     def _on_snapshot_reply(self, now, reply: wire.SnapshotReply) -> None:
-        if self.role is not Role.LEADER or reply.term != self.term:
+        if self.role is not _state.Role.LEADER or reply.term != self.term:
             return
         progress = self._progress[reply.sender]
         progress.contact = now
--- a/galenashed/consensus/_node.py
+++ b/galenashed/consensus/_node.py
@@ -8,6 +8,7 @@
 import loguru
 
 from galenashed.consensus import _core
+from galenashed.consensus import _state
 from galenashed.consensus import _storage
 from galenashed.protocol import consensus as wire
 from galenashed import telemetry
@@ -137,7 +138,7 @@
 
     @property
     def is_leader(self) -> bool:
-        return self.core.role is _core.Role.LEADER
+        return self.core.role is _state.Role.LEADER
 
     @property
     def leader(self) -> str:
--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from galenashed.consensus import _core
+from galenashed.consensus import _state
 from galenashed.protocol import consensus as wire
 
 RECORD_HEADER = struct.Struct("<II")
@@ -123,7 +123,7 @@
         """Whether the folder was made by :meth:`create`."""
         return (self.folder / "identity").exists()
 
-    def open(self) -> _core.Restored:
+    def open(self) -> _state.Restored:
         """Reads the folder and opens a new log file for appending."""
         self._check_identity()
         snapshot = self._read_snapshot()
@@ -145,14 +145,14 @@
         self._open_wal(hard_state, kept)
         for path in paths:
             path.unlink()
-        return _core.Restored(
+        return _state.Restored(
             hard_state=hard_state,
             snapshot=snapshot.meta,
             snapshot_data=snapshot.data,
             entries=kept,
         )
 
-    def save(self, ready: _core.Ready) -> None:
+    def save(self, ready: _state.Ready) -> None:
         """Makes ``ready`` durable; raises StorageError if it can't."""
         try:
             if ready.snapshot is not None:
