Recognise an engine that is ending as down

The first try found its engine gone and asked whether connections to it are refused; the ending process still took that connection, so the crash was not counted and a third engine was tried.

Ruled out: a late quarantine at the other entry, for its three refusals were 'not run' and true.

Change: a connection that the probe gets is watched for 0.3 s; if it breaks, the probe asks again.

Conclusion: the mechanism was right, its evidence was not; a count that comes late is no longer possible by this way.

--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -14,6 +14,8 @@
 import yarl
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+PROBE_SECONDS = 0.3
+PROBE_TRIES = 5
 MAX_IDLE_PER_TARGET = 64
 
 
@@ -131,14 +133,34 @@
             raise TargetLostError(f"{address}: {exc!r}") from exc
 
     async def is_refusing(self, address: str) -> bool:
-        """Whether connections to the address are refused: it is down."""
+        """Whether connections to the address are refused: it is down.
+
+        A process that is ending may still take a connection, which then
+        breaks at once; so one that is taken is watched for a moment, and
+        opened again if it broke.
+        """
+        for _ in range(PROBE_TRIES):
+            try:
+                if await self._stays_open(address):
+                    return False
+            except ConnectionRefusedError:
+                return True
+            except (OSError, TimeoutError):
+                return False
+            await asyncio.sleep(PROBE_SECONDS / PROBE_TRIES)
+        return False
+
+    async def _stays_open(self, address: str) -> bool:
+        """Whether a new connection is still open a moment later."""
         host, _, port = address.rpartition(":")
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
+            async with asyncio.timeout(PROBE_SECONDS):
+                return bool(await reader.read(1))
+        except TimeoutError:
             return True
-        except (OSError, TimeoutError):
+        except ConnectionResetError:
             return False
-        writer.close()
-        return False
+        finally:
+            writer.close()
