--- a/galenashed/tests/test_matrix.py
+++ b/galenashed/tests/test_matrix.py
@@ -82,6 +82,13 @@
         for link in self.links("target"):
             link.held = 0
 
+    def at_dispatched(self) -> None:
+        """Its bytes have left e1 and reached no target."""
+        self.reset_held()
+        self.set_links("target", "forward", "hold")
+        self.spawn(lambda: self.send_quietly("e1"))
+        self.wait_held()
+
 
 class ModelCell(Cell):
     """An idempotent model request."""
@@ -135,13 +142,6 @@
 
         _fleet.wait_for(running, f"{count} running")
 
-    def at_dispatched(self) -> None:
-        """Its bytes have left e1 and reached no target."""
-        self.reset_held()
-        self.set_links("target", "forward", "hold")
-        self.spawn(lambda: self.send_quietly("e1"))
-        self.wait_held()
-
     def at_first_byte(self) -> None:
         """One event has reached the caller."""
         stream = self.send("e1", 1)
@@ -269,13 +269,6 @@
         self.spawn(lambda: self.send_quietly("e1"))
         time.sleep(0.1)
 
-    def at_dispatched(self) -> None:
-        """Its bytes have left e1 and reached no target."""
-        self.reset_held()
-        self.set_links("target", "forward", "hold")
-        self.spawn(lambda: self.send_quietly("e1"))
-        self.wait_held()
-
     def at_first_byte(self) -> None:
         """It runs at the target."""
         self.spawn(lambda: self.send_quietly("e1"))
