Wait for an owner that this entry has not heard of yet

It had just started, knew no other entry yet, and took the owner of the claim for dead.

Ruled out: a second run (the other eight got one and the same answer).

Change: an owner whose entry was never heard of may be alive until a lease has passed; one that is known to be gone still counts as dead at once.

The race has not been forced by a test of its own.

Conclusion: a true answer became a useful one.

--- a/galenashed/entry/_claims.py
+++ b/galenashed/entry/_claims.py
@@ -30,7 +30,8 @@
     holder : str
         The unique name of this incarnation.
     is_alive : callable
-        Whether the incarnation of a name is known to be alive.
+        Whether the incarnation of a name may be alive, given how many
+        seconds its outcome has been waited for.
     """
 
     def __init__(self, *, proposer: control.ControlClient, holder, is_alive):
@@ -102,10 +103,13 @@
         self, call: _call.Call, state: wire.CallState
     ) -> wire.CallState:
         """Waits for the outcome of a run under way, while it can come."""
-        deadline = time.monotonic() + OWNER_WAIT_SECONDS
+        start = time.monotonic()
         while state.state == "claimed" and not state.fresh:
             holder = state.owner.rpartition("/")[0]
-            if not self.is_alive(holder) or time.monotonic() > deadline:
+            waited = time.monotonic() - start
+            if waited > OWNER_WAIT_SECONDS:
+                break
+            if not self.is_alive(holder, waited):
                 break
             await asyncio.sleep(OWNER_POLL_SECONDS)
             state = await self.claim(call)
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -247,10 +247,16 @@
             in_flight=self.app.in_flight,
         )
 
-    def _is_alive(self, holder: str) -> bool:
-        """Whether that incarnation of an entry is known to be alive."""
+    def _is_alive(self, holder: str, waited: float) -> bool:
+        """Whether that incarnation of an entry may be alive.
+
+        One that this entry has never heard of, as just after a start, may
+        be until a lease has passed; ``waited`` is in seconds.
+        """
         if holder == self.holder:
             return True
+        if self.directory.get(holder.rpartition("/")[0]) is None:
+            return waited < INSTANCE_LEASE_SECONDS
         return any(
             f"{peer.name}/{peer.incarnation}" == holder
             for peer in self.directory.alive(time.monotonic())
