Let a suspected request run again only by a trial

Cause: a request that ends engines was counted at control, and an entry learned the count from its feed. A resend that came before the feed's news, through another entry or the same one, was run a third time: the answer said "run" where "not run" was right, and a third engine was lost.

Ruled out: the probe that tells a crash from a broken link (the answer was the quarantine's own), and the count at control, which was right.

A trial that ends with an answer clears the suspect. The entry takes control's own reply ahead of its feed. The test's proxy ends its connections before its loop stops.

Before: with 0.3 s of delay on one entry's links to control, the second entry answers 'run' and a third engine ends.

--- a/galenashed/control/_calls.py
+++ b/galenashed/control/_calls.py
@@ -11,8 +11,6 @@
 CALL_RETENTION_SECONDS = 24 * 3600.0
 MAX_CALLS = 200_000
 MAX_KEPT_ANSWER_BYTES = 16 * 1024
-QUARANTINE_CRASHES = 2
-CRASH_RETENTION_SECONDS = 3600.0
 
 
 def claim(state: _state.ControlState, cmd: wire.ClaimCall) -> wire.Reply:
@@ -65,29 +63,8 @@
     )
 
 
-def report_crash(
-    state: _state.ControlState, cmd: wire.ReportCrash
-) -> wire.Crashes:
-    """Counts the targets that died under a request."""
-    record = state.crashes.get(cmd.digest)
-    if record is None:
-        record = _state.CrashRecord(targets=[], at=state.now)
-        state.crashes[cmd.digest] = record
-    if cmd.target not in record.targets:
-        record.targets.append(cmd.target)
-        record.at = state.now
-    return wire.Crashes(count=len(record.targets))
-
-
-def crash_counts(state: _state.ControlState) -> dict[str, int]:
-    """Returns how many targets died under each suspected request."""
-    return {
-        digest: len(record.targets) for digest, record in state.crashes.items()
-    }
-
-
-def expire(state: _state.ControlState) -> bool:
-    """Forgets old records; returns whether a quarantine ended."""
+def expire(state: _state.ControlState) -> None:
+    """Forgets old records."""
     horizon = state.now - CALL_RETENTION_SECONDS
     for team, records in list(state.calls.items()):
         while records:
@@ -98,8 +75,3 @@
             state.call_count -= 1
         if not records:
             del state.calls[team]
-    horizon = state.now - CRASH_RETENTION_SECONDS
-    old = [d for d, r in state.crashes.items() if r.at < horizon]
-    for digest in old:
-        del state.crashes[digest]
-    return bool(old)
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -16,10 +16,10 @@
     __slots__ = (
         "connected",
         "index",
-        "quarantine_due",
         "recalls",
         "report",
         "seen",
+        "suspects_due",
         "wake",
     )
 
@@ -29,12 +29,12 @@
         self.seen = time.monotonic()
         self.connected = True
         self.recalls: set[str] = set()
-        self.quarantine_due = True
+        self.suspects_due = True
         self.wake = asyncio.Event()
 
 
 class Feed:
-    """Tells connected entries of releases, recalls and quarantines.
+    """Tells connected entries of releases, recalls and suspects.
 
     Parameters
     ----------
@@ -63,10 +63,10 @@
             follower.recalls.add(budget)
             follower.wake.set()
 
-    def on_quarantine(self) -> None:
+    def on_suspects(self) -> None:
         """Has every stream send the suspected requests."""
         for follower in self._followers.values():
-            follower.quarantine_due = True
+            follower.suspects_due = True
             follower.wake.set()
 
     # The streams
@@ -109,17 +109,17 @@
             release = self.machine.state.release
             notes = []
         follower.index = max(follower.index, self.machine.state.release.index)
-        quarantine = None
-        if follower.quarantine_due:
-            follower.quarantine_due = False
-            quarantine = self.machine.quarantined()
+        suspects = None
+        if follower.suspects_due:
+            follower.suspects_due = False
+            suspects = self.machine.suspects()
         recalls, follower.recalls = sorted(follower.recalls), set()
         return wire.FollowEvent(
             age=self.contact_age(),
             release=release,
             notes=notes,
             recalls=recalls,
-            quarantine=quarantine,
+            suspects=suspects,
         )
 
     def statuses(self) -> list[wire.FollowerStatus]:
@@ -134,6 +134,7 @@
                 name=follower.report.name,
                 incarnation=follower.report.incarnation,
                 note=follower.report.number,
+                suspects=follower.report.suspects,
                 seen_ago=now - follower.seen,
                 connected=follower.connected,
             )
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -8,6 +8,7 @@
 from galenashed.control import _calls
 from galenashed.control import _notes
 from galenashed.control import _state
+from galenashed.control import _suspects
 from galenashed.protocol import control as wire
 
 EXPIRE_EVERY_SECONDS = 10.0
@@ -26,8 +27,8 @@
     def on_recall(self, budget: str) -> None:
         """A grant was refused while others hold tokens of the budget."""
 
-    def on_quarantine(self) -> None:
-        """The set of suspected requests changed."""
+    def on_suspects(self) -> None:
+        """The suspected requests changed."""
 
 
 class ControlMachine:
@@ -56,6 +57,8 @@
             wire.ClaimCall: self._claim,
             wire.FinishCall: self._finish,
             wire.ReportCrash: self._report_crash,
+            wire.BeginTrial: self._begin_trial,
+            wire.EndTrial: self._end_trial,
             wire.Barrier: self._barrier,
         }
 
@@ -85,7 +88,7 @@
         }
         if self.listener is not None:
             self.listener.on_release()
-            self.listener.on_quarantine()
+            self.listener.on_suspects()
 
     # Queries
 
@@ -130,9 +133,9 @@
             return None
         return [note for note in held if note.index > index]
 
-    def quarantined(self) -> dict[str, int]:
+    def suspects(self) -> wire.Suspects:
         """Returns suspected requests and how many targets they cost."""
-        return _calls.crash_counts(self.state)
+        return _suspects.listed(self.state)
 
     def check_invariant(self) -> None:
         """Raises AssertionError if a budget's books don't balance."""
@@ -235,7 +238,7 @@
         return _calls.finish(self.state, cmd)
 
     def _report_crash(self, index: int, cmd: wire.ReportCrash) -> wire.Reply:
-        reply = _calls.report_crash(self.state, cmd)
+        reply = _suspects.report(self.state, cmd, index)
         self._audit(
             index,
             actor="system",
@@ -245,9 +248,18 @@
             result=f"{reply.count} targets lost to this request",
         )
         if self.listener is not None:
-            self.listener.on_quarantine()
+            self.listener.on_suspects()
         return reply
 
+    def _begin_trial(self, index: int, cmd: wire.BeginTrial) -> wire.Reply:
+        return _suspects.begin_trial(self.state, cmd)
+
+    def _end_trial(self, index: int, cmd: wire.EndTrial) -> wire.Reply:
+        cleared = _suspects.end_trial(self.state, cmd, index)
+        if cleared and self.listener is not None:
+            self.listener.on_suspects()
+        return wire.Done(index=index)
+
     def _barrier(self, index: int, cmd: wire.Barrier) -> wire.Reply:
         return wire.Done(index=index)
 
@@ -256,5 +268,6 @@
             return
         self.state.next_expiry = self.state.now + EXPIRE_EVERY_SECONDS
         _budgets.expire(self.state)
-        if _calls.expire(self.state) and self.listener is not None:
-            self.listener.on_quarantine()
+        _calls.expire(self.state)
+        if _suspects.expire(self.state) and self.listener is not None:
+            self.listener.on_suspects()
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -65,10 +65,15 @@
 
 
 class CrashRecord(msgspec.Struct, kw_only=True):
-    """The targets that died running a request of one digest."""
+    """The targets that died running a request of one digest.
+
+    ``trial`` names the run by which it is tried again, if one is open.
+    """
 
     targets: list[str]
     at: float
+    trial: str = ""
+    trial_at: float = 0.0
 
 
 class NoteRecord(msgspec.Struct, kw_only=True):
@@ -85,7 +90,8 @@
 
     ``now`` is the latest time stamped on a command, in seconds since the
     epoch; it never steps back.  ``recent_notes`` holds every note accepted
-    after index ``notes_complete_after``.
+    after index ``notes_complete_after``.  ``suspects_index`` is that of the
+    last change of ``crashes``.
     """
 
     now: float = 0.0
@@ -101,4 +107,5 @@
     billed: dict[str, dict[str, BillRecord]] = {}
     recent_bills: list[wire.Bill] = []
     crashes: dict[str, CrashRecord] = {}
+    suspects_index: int = 0
     audit: list[wire.AuditRecord] = []
--- a/galenashed/entry/_configuration.py
+++ b/galenashed/entry/_configuration.py
@@ -12,6 +12,9 @@
 class Configuration:
     """Follows the configuration feed and never steps back.
 
+    ``release`` is what is in force, ``suspects`` which requests have ended
+    targets.
+
     Parameters
     ----------
     max_stale : float
@@ -25,7 +28,7 @@
         self.max_stale = max_stale
         self.serve_when_stale = serve_when_stale
         self.release = wire.Release()
-        self.quarantine: dict[str, int] = {}
+        self.suspects = wire.Suspects(index=0, crashes={})
         self._teams_by_key: dict[str, wire.Team] = {}
         self._budgets_by_team: dict[str, list[str]] = {}
         self._services_by_model: dict[str, list[wire.Service]] = {}
@@ -33,7 +36,7 @@
         self._fresh_at = 0.0
 
     def on_event(self, event: wire.FollowEvent) -> bool:
-        """Takes an event; returns whether a newer release is in force."""
+        """Takes an event; returns whether it brought anything newer."""
         changed = False
         if event.release is not None:
             changed = self._adopt(event.release)
@@ -43,13 +46,26 @@
                     self.release, note.publish, note.index
                 )
                 changed = self._adopt(merged) or changed
-        if event.quarantine is not None:
-            self.quarantine = event.quarantine
+        if event.suspects is not None:
+            changed = self._adopt_suspects(event.suspects) or changed
         if event.age < self.max_stale:
             self._caught_up = True
             self._fresh_at = time.monotonic() - event.age
         return changed
 
+    def _adopt_suspects(self, suspects: wire.Suspects) -> bool:
+        if suspects.index < self.suspects.index:
+            return False
+        changed = suspects.index > self.suspects.index
+        self.suspects = suspects
+        return changed
+
+    def note_crash(self, digest: str, reply: wire.Crashes) -> None:
+        """Takes control's own word on a request, ahead of the feed."""
+        if reply.index > self.suspects.index:
+            crashes = {**self.suspects.crashes, digest: reply.count}
+            self.suspects = wire.Suspects(index=reply.index, crashes=crashes)
+
     def _adopt(self, release: wire.Release) -> bool:
         if release.index <= self.release.index:
             return False
--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -16,6 +16,7 @@
 from galenashed.entry import _reservations
 from galenashed.entry import _runs
 from galenashed.entry import _streams
+from galenashed.entry import _suspects
 from galenashed.protocol import control as wire
 from galenashed import routing
 from galenashed import telemetry
@@ -40,6 +41,8 @@
         Reserves from budgets and bills.
     runner : EngineRunner
         Sends requests to engines.
+    suspects : Suspects
+        Knows the requests that ended engines.
     metrics : Metrics
         Takes counts and durations.
     """
@@ -51,12 +54,14 @@
         dispatcher: _dispatcher.Dispatcher,
         reservations: _reservations.Reservations,
         runner: _runs.EngineRunner,
+        suspects: _suspects.Suspects,
         metrics: telemetry.Metrics,
     ):
         self.configuration = configuration
         self.dispatcher = dispatcher
         self.reservations = reservations
         self.runner = runner
+        self.suspects = suspects
         self.metrics = metrics
         self._relay = _streams.StreamRelay(runner=runner, metrics=metrics)
 
@@ -78,6 +83,7 @@
             resp = await self.runner.open(run, first_event=0)
         except BaseException:
             run.end_slot()
+            self.suspects.end(run, answered=False)
             self._release(run)
             raise
         return blacksheep.Response(
@@ -96,9 +102,7 @@
         service = self.configuration.service_of(request.model.name)
         if service is None:
             raise _no_service(request.model.name)
-        crashes = self.configuration.quarantine.get(request.digest, 0)
-        if crashes >= _runs.QUARANTINE_CRASHES:
-            raise _runs.quarantined(web.Run.NOT_RUN)
+        suspected = self.suspects.check(request.digest)
         reservation = await self.reservations.reserve(
             budget_name, request.bound
         )
@@ -107,7 +111,7 @@
             service=service,
             model=request.model.name,
             prefix=request.prefix,
-            alone=crashes > 0,
+            alone=suspected,
         )
         return _runs.ModelRun(
             request=request,
@@ -142,6 +146,7 @@
                 await self.runner.on_lost(run, exc)
                 continue
             run.end_slot()
+            self.suspects.end(run, answered=True)
             self._bill(run, *usage)
             return blacksheep.Response(
                 200,
@@ -164,6 +169,7 @@
                     yield data
         finally:
             run.end_slot()
+            self.suspects.end(run, answered=scanner.finished)
             self._settle_stream(run, scanner)
 
     def _settle_stream(self, run: _runs.ModelRun, scanner) -> None:
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -1,13 +1,13 @@
 """Running a model request at one engine after another."""
 
 import time
+import typing
 
 import aiohttp
 import loguru
 import msgspec
 
 from galenashed import budget
-from galenashed import control
 from galenashed import engines
 from galenashed.entry import _dispatcher
 from galenashed.entry import _requests
@@ -18,8 +18,6 @@
 LOG = loguru.logger
 
 MAX_TRIES = 4
-QUARANTINE_CRASHES = 2
-CRASH_TIMEOUT_SECONDS = 2.0
 RETRY_SECONDS = 1.0
 STALL_SECONDS = 1.0
 
@@ -31,6 +29,7 @@
         "caller_gone",
         "demand",
         "heard",
+        "on_trial",
         "request",
         "reservation",
         "sent",
@@ -50,10 +49,16 @@
         self.slot: _dispatcher.Slot | None = None
         self.tries = 0
         self.sent = False
+        self.on_trial = False
         self.caller_gone = False
         self.started = time.monotonic()
         self.heard = self.started
 
+    @property
+    def run_so_far(self) -> web.Run:
+        """What is known of the run, for an answer that gives it up."""
+        return web.Run.UNKNOWN if self.sent else web.Run.NOT_RUN
+
     def watch_stream(self, resp) -> None:
         """Breaks a stream off that stalls after its target's lease ends.
 
@@ -76,6 +81,16 @@
             self.slot = None
 
 
+class Trials(typing.Protocol):
+    """Decides whether requests that may end targets run again."""
+
+    async def report(self, run: ModelRun, target) -> None:
+        """Records that a target died under a run; may raise ApiError."""
+
+    async def begin(self, run: ModelRun) -> None:
+        """Waits until a suspected request may run; may raise ApiError."""
+
+
 class EngineRunner:
     """Sends model requests to engines, and tries again where that is safe.
 
@@ -85,8 +100,8 @@
         Chooses engines.
     client : TargetClient
         Calls them.
-    proposer : ControlClient
-        Records crashes.
+    trials : Trials
+        Is told of targets that died, and asked before another try.
     metrics : Metrics
         Counts retries and losses.
     """
@@ -96,17 +111,19 @@
         *,
         dispatcher: _dispatcher.Dispatcher,
         client: engines.TargetClient,
-        proposer: control.ControlClient,
+        trials: Trials,
         metrics: telemetry.Metrics,
     ):
         self.dispatcher = dispatcher
         self.client = client
-        self.proposer = proposer
+        self.trials = trials
         self.metrics = metrics
 
     async def open(self, run: ModelRun, *, first_event: int):
         """Sends the request to targets until one answers with success."""
         while True:
+            if run.demand.ask.alone:
+                await self.trials.begin(run)
             run.slot = await self._acquire(run)
             run.tries += 1
             try:
@@ -188,7 +205,7 @@
             status=503,
             code="targets_failing",
             message=f"given up after {run.tries} tries: {exc}",
-            run=web.Run.UNKNOWN if run.sent else web.Run.NOT_RUN,
+            run=run.run_so_far,
             retry_after=RETRY_SECONDS,
         )
 
@@ -200,39 +217,5 @@
         self.metrics.count("model.target_lost")
         self._avoid(run, failed=True)
         if await self.client.is_refusing(target.address):
-            crashes = await self._report_crash(run, target)
-            if crashes >= QUARANTINE_CRASHES:
-                raise quarantined(web.Run.RUN)
-            run.demand.ask.alone = True
+            await self.trials.report(run, target)
         self._check_tries(run, exc)
-
-    async def _report_crash(self, run: ModelRun, target) -> int:
-        command = wire.ReportCrash(
-            digest=run.request.digest,
-            target=f"{target.name}/{target.incarnation}",
-        )
-        try:
-            reply = await self.proposer.propose(
-                command, timeout=CRASH_TIMEOUT_SECONDS
-            )
-        except control.ControlUnavailableError:
-            # Without the count, another try might cost a third target.
-            raise web.ApiError(
-                status=503,
-                code="targets_failing",
-                message="a target died and control does not answer",
-                run=web.Run.UNKNOWN,
-                retry_after=RETRY_SECONDS,
-            ) from None
-        return reply.count if isinstance(reply, wire.Crashes) else 0
-
-
-def quarantined(run: web.Run) -> web.ApiError:
-    """Returns the final answer to a request that ended two engines."""
-    return web.ApiError(
-        status=422,
-        code="quarantined",
-        message="this request ended the targets that ran it; it is not"
-        " run again",
-        run=run,
-    )
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -21,6 +21,7 @@
 from galenashed.entry import _reservations
 from galenashed.entry import _runs
 from galenashed.entry import _spreader
+from galenashed.entry import _suspects
 from galenashed import membership
 from galenashed.protocol import control as control_wire
 from galenashed.protocol import methods
@@ -145,10 +146,13 @@
         reservations = _reservations.Reservations(
             desk=self.desk, metrics=self._metrics
         )
+        suspects = _suspects.Suspects(
+            proposer=self.proposer, configuration=self.configuration
+        )
         runner = _runs.EngineRunner(
             dispatcher=self.dispatcher,
             client=self._client,
-            proposer=self.proposer,
+            trials=suspects,
             metrics=self._metrics,
         )
         return _app.EntryApp(
@@ -159,6 +163,7 @@
                 dispatcher=self.dispatcher,
                 reservations=reservations,
                 runner=runner,
+                suspects=suspects,
                 metrics=self._metrics,
             ),
             calls=_calls.CallHandler(
@@ -269,13 +274,17 @@
             incarnation=self.incarnation,
             number=release.number,
             index=release.index,
+            suspects=self.configuration.suspects.index,
             draining=self._state == "draining",
         )
 
     def _on_event(self, event: control_wire.FollowEvent) -> None:
+        held = self.configuration.release.number
         if self.configuration.on_event(event):
-            LOG.info("note {} is in force", self.configuration.release.number)
             self._follow.notify()
+        number = self.configuration.release.number
+        if number != held:
+            LOG.info("note {} is in force", number)
         for name in event.recalls:
             self.desk.recall(name)
 
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -204,10 +204,29 @@
 
 
 class ReportCrash(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Says that a target died while it ran the request of ``digest``."""
+    """Says that a target died while it ran the request of ``digest``.
+
+    ``attempt`` names the run; a trial by that name ends.
+    """
 
     digest: str
     target: str
+    attempt: str
+
+
+class BeginTrial(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Asks to run a suspected request once; ``attempt`` names the run."""
+
+    digest: str
+    attempt: str
+
+
+class EndTrial(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Ends a trial; a request that was ``answered`` is suspect no more."""
+
+    digest: str
+    attempt: str
+    answered: bool
 
 
 class Barrier(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -222,6 +241,8 @@
     | ClaimCall
     | FinishCall
     | ReportCrash
+    | BeginTrial
+    | EndTrial
     | Barrier
 )
 
@@ -290,13 +311,33 @@
 
 
 class Crashes(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """How many targets died running the request."""
+    """How many targets died running the request, as of ``index``."""
+
+    count: int
+    index: int
+
+
+class Trial(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Whether a suspected request may be run once.
+
+    If not, it has cost ``count`` targets already, or its trial elsewhere
+    has not ended.
+    """
 
+    allowed: bool
     count: int
 
 
 Reply = (
-    Done | Refused | Granted | Closed | Short | Settled | CallState | Crashes
+    Done
+    | Refused
+    | Granted
+    | Closed
+    | Short
+    | Settled
+    | CallState
+    | Crashes
+    | Trial
 )
 
 
@@ -347,11 +388,15 @@
 
 
 class FollowerStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """Which note an entry has in force; ``seen_ago`` in seconds."""
+    """Which note an entry has in force; ``seen_ago`` in seconds.
+
+    ``suspects`` is the index up to which it knows the suspected requests.
+    """
 
     name: str
     incarnation: str
     note: int
+    suspects: int
     seen_ago: float
     connected: bool
 
@@ -379,15 +424,29 @@
 
 
 class FollowReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Sent by an entry: what it has in force."""
+    """Sent by an entry: what it has in force.
+
+    ``suspects`` is the index up to which it knows the suspected requests.
+    """
 
     name: str
     incarnation: str
     number: int
     index: int
+    suspects: int
     draining: bool = False
 
 
+class Suspects(msgspec.Struct, frozen=True, kw_only=True):
+    """How many targets each suspected request has cost, as of ``index``.
+
+    Requests are named by the digest of their content.
+    """
+
+    index: int
+    crashes: dict[str, int]
+
+
 class FollowEvent(msgspec.Struct, frozen=True, kw_only=True):
     """Sent to an entry: what is new, or only a sign of life.
 
@@ -399,7 +458,7 @@
     release: Release | None = None
     notes: list[AcceptedNote] = []
     recalls: list[str] = []
-    quarantine: dict[str, int] | None = None
+    suspects: Suspects | None = None
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/tests/_proxy.py
+++ b/galenashed/tests/_proxy.py
@@ -45,10 +45,17 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stops the thread."""
+        """Ends the connections and stops the thread."""
+        self._call(self._end_tasks())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    async def _end_tasks(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -81,6 +81,23 @@
         self.assertEqual(200, self.fleet.ask("e1", "innocent").status)
         self.assertEqual(0, self.billed_for(poison))
 
+    def test_poison_costs_two_engines_though_an_entry_learns_late(self):
+        # This entry holds tokens before its links grow slow.
+        self.assertEqual(200, self.fleet.ask("e2", "innocent").status)
+        for name in self.fleet.control_names:
+            self.fleet.control_links[("e2", name)].delay = 0.3
+        poison = f"late {_engine.CRASH_WORD}"
+        self.assertEqual(422, self.fleet.ask("e1", poison).status)
+        again = self.fleet.ask("e2", poison)
+        self.assertEqual(422, again.status)
+        self.assertEqual("not run", again.json()["error"]["run"])
+        ended = [
+            name
+            for name in self.fleet.engine_names
+            if self.fleet.processes[name].popen.poll() is not None
+        ]
+        self.assertEqual(2, len(ended))
+
     def billed_for(self, text):
         """Returns what is settled beyond the innocent requests."""
         settled = self.fleet.balance()["settled"]
