Replace a control replica that lost its disk

Cause: the members of the log were fixed by settings.

Change: an entry of the log may carry a new membership; one member changes at a time, learners vote once they hold what is committed, and a name that took part is never taken again. The first membership is stored when a folder is made. Streams between replicas begin with where answers go, since a log may not name the leader it hears.

Ruled out: joint consensus, the same name after a waiting time, a voter at once (docs/design/02-replicated-log.md). Tried and dropped: a test that a voter promoted too soon loses data. It can't: the entry that makes it a voter follows all that is committed. The check stays, for availability, and says so.

Before: a lost disk left two of three for good.

--- a/galenashed/cli/_quickstart.py
+++ b/galenashed/cli/_quickstart.py
@@ -77,7 +77,7 @@
         storage = consensus.Storage(
             folder=self.folder / "c1", cluster="quickstart", name="c1"
         )
-        storage.create()
+        storage.create(control.members_of(self.replicas))
         self.control = control.ControlServer(
             name="c1",
             address=self.replicas["c1"],
--- a/galenashed/cli/main.py
+++ b/galenashed/cli/main.py
@@ -14,6 +14,7 @@
 from galenashed.cli import _output
 from galenashed.cli import _programs
 from galenashed.cli import _quickstart
+from galenashed.cli import _replicas
 from galenashed.cli import _standins
 from galenashed import config
 from galenashed import consensus
@@ -39,6 +40,7 @@
 APP.command(KEY)
 APP.command(_operator.NOTE)
 APP.command(_operator.BUDGET)
+APP.command(_replicas.REPLICA)
 APP.command(_operator.show_audit, name="audit")
 APP.command(_operator.show_status, name="status")
 APP.command(_standins.STANDIN)
@@ -73,7 +75,9 @@
 
 
 @APP.command(name="control")
-def run_control(config_path: ConfigPath, create: bool = False) -> int:
+def run_control(
+    config_path: ConfigPath, create: bool = False, join: bool = False
+) -> int:
     """Runs one control replica.
 
     Parameters
@@ -81,9 +85,15 @@
     config_path
         Settings of the replica, a TOML file.
     create
-        Makes the data folder first.  Only for a replica that has never
-        taken part: one that lost its disk must not come back this way.
+        Makes the data folder first, for a replica of a new cluster.  Not
+        for one that lost its disk: it must come back by --join.
+    join
+        Makes the data folder first, for a replica that an operator adds to
+        a running cluster.  Its name must be one that never took part.
     """
+    if create and join:
+        print("--create and --join: allowed: one of them")
+        return _output.EXIT_BAD_INPUT
     cfg = _output.take(
         config.load_settings(config_path, "control"), str(config_path)
     )
@@ -95,7 +105,9 @@
     )
     try:
         if create:
-            storage.create()
+            storage.create(control.members_of(cfg.replicas))
+        if join:
+            storage.create(())
         _programs.run_daemon(lambda: _make_control(cfg, storage))
     except consensus.StorageError as exc:
         return _output.fail(str(exc))
--- a/galenashed/consensus/__init__.py
+++ b/galenashed/consensus/__init__.py
@@ -7,6 +7,11 @@
 """
 
 from galenashed.consensus._core import Core
+from galenashed.consensus._membership import Members
+from galenashed.consensus._membership import MembershipError
+from galenashed.consensus._membership import add_learner
+from galenashed.consensus._membership import promote
+from galenashed.consensus._membership import remove
 from galenashed.consensus._node import Machine
 from galenashed.consensus._node import Node
 from galenashed.consensus._node import NotLeaderError
@@ -15,10 +20,14 @@
 from galenashed.consensus._state import Restored
 from galenashed.consensus._storage import Storage
 from galenashed.consensus._storage import StorageError
+from galenashed.protocol.consensus import Member
 
 __all__ = [
     "Core",
     "Machine",
+    "Member",
+    "Members",
+    "MembershipError",
     "Node",
     "NotLeaderError",
     "Ready",
@@ -26,4 +35,7 @@
     "Storage",
     "StorageError",
     "Transport",
+    "add_learner",
+    "promote",
+    "remove",
 ]
--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -11,8 +11,10 @@
 """
 
 import random
+import typing
 
 from galenashed.consensus import _log
+from galenashed.consensus import _membership
 from galenashed.consensus import _state
 from galenashed.protocol import consensus as wire
 
@@ -27,16 +29,14 @@
     Parameters
     ----------
     name : str
-        This replica's name, one of ``members``.
-    members : list of str
-        The voting replicas.
+        This replica's name.
     election_timeout, heartbeat : float
         Seconds.  An election starts after one to two election timeouts
         without a leader.
     rng : random.Random
         Source of the jitter.
     restored : Restored
-        What the disk held.
+        What the disk held, the membership included.
     now : float
         The time in seconds on a monotonic clock.
     """
@@ -45,7 +45,6 @@
         self,
         *,
         name: str,
-        members: list[str],
         election_timeout: float,
         heartbeat: float,
         rng: random.Random,
@@ -53,14 +52,15 @@
         now: float,
     ):
         self.name = name
-        self.peers = [member for member in members if member != name]
-        self.quorum = len(members) // 2 + 1
         self.election_timeout = election_timeout
         self.heartbeat = heartbeat
         self.rng = rng
         self.term = restored.hard_state.term
         self.voted_for = restored.hard_state.voted_for
         self.log = _log.Log(base=restored.snapshot, entries=restored.entries)
+        self.membership = _membership.Membership(
+            base=restored.snapshot, entries=restored.entries
+        )
         self.snapshot = restored.snapshot
         self.snapshot_data = restored.snapshot_data
         self.commit = max(restored.snapshot.index, 0)
@@ -81,6 +81,28 @@
         self._next_heartbeat = now
         self._deadline = now
         self._reset_deadline(now)
+        self.peers: list[str] = []
+        self.quorum = 1
+        self._refresh_members(now)
+
+    def _refresh_members(self, now: float) -> None:
+        """Takes over a membership that was appended or dropped."""
+        names = self.membership.names
+        self.peers = [name for name in names if name != self.name]
+        self.quorum = len(self.membership.voters) // 2 + 1
+        if self.role is not _state.Role.LEADER:
+            return
+        held = self._progress
+        self._progress = {
+            peer: held.get(peer)
+            or _state.Progress(next_index=self.log.last_index + 1, contact=now)
+            for peer in self.peers
+        }
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes and may lead."""
+        return self.name in self.membership.voters
 
     # Time
 
@@ -95,7 +117,10 @@
         if self.role is _state.Role.LEADER:
             self._tick_leader(now)
         elif now >= self._deadline:
-            self._start_election(now, pre=True)
+            if self.is_voter:
+                self._start_election(now, pre=True)
+            else:
+                self._reset_deadline(now)
 
     def _tick_leader(self, now: float) -> None:
         if now < self._next_heartbeat:
@@ -109,11 +134,19 @@
 
     def has_quorum_contact(self, now: float) -> bool:
         """Whether a majority answered within one election timeout."""
-        recent = 1
-        for progress in self._progress.values():
-            if now - progress.contact < self.election_timeout:
+        return self._count_recent(self.membership.voters, now) >= self.quorum
+
+    def _count_recent(self, voters: set[str], now: float) -> int:
+        """Counts those of the voters that answered of late."""
+        recent = 0
+        for name in voters:
+            progress = self._progress.get(name)
+            if name == self.name:
                 recent += 1
-        return recent >= self.quorum
+            elif progress is not None:
+                silent = now - progress.contact
+                recent += silent < self.election_timeout
+        return recent
 
     def suspect(self, peer: str, now: float) -> None:
         """Takes a hint that a replica may be gone, as its stream broke.
@@ -178,13 +211,81 @@
 
     def propose(self, data: bytes) -> wire.Entry | None:
         """Appends a command and returns its entry; None if not leader."""
+        return self._append_own(data, ())
+
+    def _append_own(
+        self, data: bytes, members: _membership.Members
+    ) -> wire.Entry | None:
         if self.role is not _state.Role.LEADER:
             return None
-        entry = wire.Entry(self.log.last_index + 1, self.term, data)
+        entry = wire.Entry(self.log.last_index + 1, self.term, data, members)
         self.log.append([entry])
         self._ready.entries.append(entry)
         return entry
 
+    def propose_members(
+        self,
+        change: typing.Callable[[_membership.Members], _membership.Members],
+        data: bytes,
+        now: float,
+    ) -> wire.Entry | None:
+        """Appends a change of one member; None if not leader.
+
+        ``change`` returns the membership that is to follow the one given.
+        Raises MembershipError if the log can't take it now.
+        """
+        if self.role is not _state.Role.LEADER:
+            return None
+        members = change(self.membership.members)
+        self._check_change(members, now)
+        entry = self._append_own(data, members)
+        assert entry is not None
+        self.membership.append([entry])
+        self._refresh_members(now)
+        return entry
+
+    def _check_change(self, members: _membership.Members, now: float) -> None:
+        if self.commit < self.term_start_index:
+            raise _membership.MembershipError(
+                "the leader has just been elected; ask again"
+            )
+        if self.membership.index > self.applied:
+            raise _membership.MembershipError(
+                "another change has not been committed yet; ask again"
+            )
+        voters = {m.name for m in members if not m.learner}
+        if self.name not in voters:
+            raise _membership.MembershipError(
+                f"{self.name!r} leads and can't be removed; stop it first"
+            )
+        for name in voters - self.membership.voters:
+            self._check_caught_up(name, now)
+        if self._count_recent(voters, now) < len(voters) // 2 + 1:
+            raise _membership.MembershipError(
+                "no majority of the voters that would be left answers"
+            )
+
+    def held_by(self, name: str) -> int | None:
+        """Returns how far a replica surely holds the log, if known here."""
+        if name == self.name:
+            return self.durable_index
+        progress = self._progress.get(name)
+        return progress.match if progress is not None else None
+
+    def _check_caught_up(self, name: str, now: float) -> None:
+        """Raises MembershipError unless a learner holds what is committed.
+
+        A voter that holds less counts towards the majority that commits
+        need, without helping to reach it until it has caught up.
+        """
+        progress = self._progress.get(name)
+        match = progress.match if progress is not None else 0
+        if match < self.commit:
+            raise _membership.MembershipError(
+                f"{name!r} has not caught up: it holds {match} of"
+                f" {self.commit} entries"
+            )
+
     def replicate(self) -> None:
         """Sends what has been proposed to the followers."""
         for peer in self.peers:
@@ -199,6 +300,7 @@
         self.snapshot = meta
         self.snapshot_data = data
         self.log.compact(meta.index - keep)
+        self.membership.compact(self.log.base.index)
         for progress in self._progress.values():
             progress.offset = None
 
@@ -217,7 +319,7 @@
         if len(self._votes) >= self.quorum:
             self._win_election(now, pre=pre)
             return
-        for peer in self.peers:
+        for peer in sorted(self.membership.voters - {self.name}):
             self._send(
                 peer,
                 wire.VoteRequest(
@@ -263,8 +365,12 @@
     # Messages
 
     def step(self, now: float, message: wire.Message) -> None:
-        """Handles a message from another replica."""
-        if message.sender not in self.peers:
+        """Handles a message from another replica.
+
+        A leader or candidate that this replica's own log does not name yet
+        is heard all the same: the log that it has may be older.
+        """
+        if message.sender == self.name:
             return
         if isinstance(message, wire.VoteRequest):
             self._on_vote_request(now, message)
@@ -276,10 +382,13 @@
             self._become_follower(now, message.term, leader="")
         if isinstance(message, wire.Append):
             self._on_append(now, message)
-        elif isinstance(message, wire.AppendReply):
-            self._on_append_reply(now, message)
         elif isinstance(message, wire.SnapshotChunk):
             self._on_snapshot_chunk(now, message)
+        elif message.sender not in self._progress:
+            # Removed since, or this replica no longer leads.
+            return
+        elif isinstance(message, wire.AppendReply):
+            self._on_append_reply(now, message)
         else:
             self._on_snapshot_reply(now, message)
 
@@ -335,7 +444,8 @@
                 or reply.term != self.term
             ):
                 return
-        self._votes.add(reply.sender)
+        if reply.sender in self.membership.voters:
+            self._votes.add(reply.sender)
         if len(self._votes) >= self.quorum:
             self._win_election(now, pre=reply.pre)
 
@@ -360,7 +470,7 @@
         if held != req.prev_term:
             self._reject_append(req)
             return
-        self._append_new(req.entries)
+        self._append_new(req.entries, now)
         match = req.prev_index + len(req.entries)
         self.commit = max(self.commit, min(req.commit, match))
         self._reply_append(req.sender, ok=True, index=match)
@@ -378,12 +488,15 @@
             term = self.log.term_at(hint)
         self._reply_append(req.sender, ok=False, index=hint)
 
-    def _append_new(self, entries: list[wire.Entry]) -> None:
+    def _append_new(self, entries: list[wire.Entry], now: float) -> None:
         for position, entry in enumerate(entries):
             if self.log.term_at(entry.index) != entry.term:
                 fresh = entries[position:]
                 assert entry.index > self.commit
                 self.log.append(fresh)
+                self.membership.drop_from(entry.index)
+                self.membership.append(fresh)
+                self._refresh_members(now)
                 self._drop_pending_from(entry.index)
                 self._ready.entries.extend(fresh)
                 self.durable_index = min(self.durable_index, entry.index - 1)
@@ -453,7 +566,11 @@
     def _advance_commit(self) -> None:
         matches = sorted(
             [self.durable_index]
-            + [progress.match for progress in self._progress.values()],
+            + [
+                progress.match
+                for peer, progress in self._progress.items()
+                if peer in self.membership.voters
+            ],
             reverse=True,
         )
         index = matches[self.quorum - 1]
@@ -495,18 +612,20 @@
         if req.offset == len(self._incoming):
             self._incoming += req.data
             if req.last:
-                self._install_snapshot(req.meta)
+                self._install_snapshot(req.meta, now)
                 self._reply_snapshot(req, offset=-1)
                 return
         self._reply_snapshot(req, offset=len(self._incoming))
 
-    def _install_snapshot(self, meta: wire.SnapshotMeta) -> None:
+    def _install_snapshot(self, meta: wire.SnapshotMeta, now: float) -> None:
         data = bytes(self._incoming)
         self._incoming = bytearray()
         self._incoming_meta = wire.SnapshotMeta()
         self.snapshot = meta
         self.snapshot_data = data
         self.log.reset(meta)
+        self.membership.reset(meta)
+        self._refresh_members(now)
         self.commit = meta.index
         self.applied = meta.index
         self._ready.entries = []
--- a/galenashed/consensus/_node.py
+++ b/galenashed/consensus/_node.py
@@ -8,6 +8,7 @@
 import loguru
 
 from galenashed.consensus import _core
+from galenashed.consensus import _membership
 from galenashed.consensus import _state
 from galenashed.consensus import _storage
 from galenashed.protocol import consensus as wire
@@ -19,6 +20,9 @@
 SNAPSHOT_KEEP_ENTRIES = 1_000
 
 
+Change = typing.Callable[[_membership.Members], _membership.Members]
+
+
 class NotLeaderError(Exception):
     """The replica does not lead; ``leader`` names the one that may."""
 
@@ -43,6 +47,9 @@
 class Transport(typing.Protocol):
     """Carries messages to other replicas; may lose and reorder them."""
 
+    def set_members(self, members: _membership.Members) -> None:
+        """Takes the replicas that messages will be for."""
+
     def send(self, peer: str, message: wire.Message) -> None:
         """Queues a message; never waits."""
 
@@ -50,6 +57,7 @@
 class _Proposal(typing.NamedTuple):
     data: bytes
     fut: asyncio.Future
+    change: Change | None
 
 
 class Node:
@@ -59,8 +67,6 @@
     ----------
     name : str
         The replica's name.
-    members : list of str
-        All voting replicas.
     storage : Storage
         Its open data folder is owned by the node from :meth:`start` on.
     machine : Machine
@@ -81,7 +87,6 @@
         self,
         *,
         name: str,
-        members: list[str],
         storage: _storage.Storage,
         machine: Machine,
         transport: Transport,
@@ -92,7 +97,6 @@
         on_failure: typing.Callable[[Exception], None],
     ):
         self.name = name
-        self.members = members
         self.storage = storage
         self.machine = machine
         self.transport = transport
@@ -108,6 +112,7 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._last_snapshot = 0
+        self._members: _membership.Members = ()
 
     async def start(self) -> None:
         """Reads the disk, restores the machine and starts the task."""
@@ -119,13 +124,14 @@
         self._last_snapshot = restored.snapshot.index
         self.core = _core.Core(
             name=self.name,
-            members=self.members,
             election_timeout=self.election_timeout,
             heartbeat=self.heartbeat,
             rng=self.rng,
             restored=restored,
             now=time.monotonic(),
         )
+        self._members = self.core.membership.members
+        self.transport.set_members(self._members)
         self._task = telemetry.start_task(self._run(), "replica")
 
     async def close(self) -> None:
@@ -172,10 +178,22 @@
         leading before the command was committed.  In the latter case the
         command may still be committed: it must be safe to send again.
         """
+        return await self._propose(data, None)
+
+    async def change_members(self, change: Change, data: bytes) -> object:
+        """Returns the machine's reply to ``data`` once the change counts.
+
+        ``change`` is called with the membership it is to change, which may
+        have changed itself by then.  Raises MembershipError if that can't
+        be done, and NotLeaderError as :meth:`propose` does.
+        """
+        return await self._propose(data, change)
+
+    async def _propose(self, data: bytes, change: Change | None) -> object:
         if not self.is_leader:
             raise NotLeaderError(self.leader)
         fut = asyncio.get_running_loop().create_future()
-        self._proposals.append(_Proposal(data, fut))
+        self._proposals.append(_Proposal(data, fut, change))
         self._wake.set()
         return await fut
 
@@ -214,11 +232,7 @@
             self.core.step(now, message)
         proposals, self._proposals = self._proposals, []
         for proposal in proposals:
-            entry = self.core.propose(proposal.data)
-            if entry is None:
-                _fail(proposal.fut, self.leader)
-            else:
-                self._waiting[entry.index] = (entry.term, proposal.fut)
+            self._append(proposal, now)
         if proposals and self.is_leader:
             self.core.replicate()
         self.core.tick(now)
@@ -228,7 +242,32 @@
         elif not was_leader and self.is_leader:
             LOG.info("replica {} leads in term {}", self.name, self.core.term)
 
+    def _append(self, proposal: _Proposal, now: float) -> None:
+        try:
+            if proposal.change is None:
+                entry = self.core.propose(proposal.data)
+            else:
+                entry = self.core.propose_members(
+                    proposal.change, proposal.data, now
+                )
+        except _membership.MembershipError as exc:
+            if not proposal.fut.done():
+                proposal.fut.set_exception(exc)
+            return
+        if entry is None:
+            _fail(proposal.fut, self.leader)
+        else:
+            self._waiting[entry.index] = (entry.term, proposal.fut)
+
+    def _tell_members(self) -> None:
+        """Has the transport follow the membership."""
+        members = self.core.membership.members
+        if members != self._members:
+            self._members = members
+            self.transport.set_members(members)
+
     async def _handle_ready(self) -> None:
+        self._tell_members()
         ready = self.core.take_ready()
         if ready.durable:
             loop = asyncio.get_running_loop()
@@ -260,7 +299,11 @@
             return
         term = core.log.term_at(core.applied)
         assert term is not None
-        meta = wire.SnapshotMeta(index=core.applied, term=term)
+        meta = wire.SnapshotMeta(
+            index=core.applied,
+            term=term,
+            members=core.membership.at(core.applied),
+        )
         data = self.machine.snapshot()
         hard_state = wire.HardState(
             term=core.term, voted_for=core.voted_for, commit=core.commit
--- a/galenashed/consensus/_state.py
+++ b/galenashed/consensus/_state.py
@@ -15,7 +15,11 @@
 
 
 class Restored:
-    """What a replica read from its disk at start."""
+    """What a replica read from its disk at start.
+
+    The membership is that of the snapshot, the one of index 0 included,
+    and of the entries after it.
+    """
 
     __slots__ = ("entries", "hard_state", "snapshot", "snapshot_data")
 
--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -95,7 +95,7 @@
     Example::
 
         storage = Storage(folder=folder, cluster="reykjanes", name="c1")
-        storage.create()  # once, when the cluster is set up
+        storage.create(members)  # once, when the cluster is set up
         restored = storage.open()
     """
 
@@ -108,14 +108,17 @@
         self._fd = -1
         self._sequence = 0
 
-    def create(self) -> None:
+    def create(self, members: tuple[wire.Member, ...]) -> None:
         """Makes the folder of a replica that has never taken part.
 
-        Raises StorageError if it holds anything already.
+        ``members`` are those of a new cluster, the same at each of them;
+        none for a replica that joins a cluster, which tells it.  Raises
+        StorageError if the folder holds anything already.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
         if any(self.folder.iterdir()):
             raise StorageError(f"{self.folder}: folder is not empty")
+        self._write_snapshot(wire.SnapshotMeta(members=members), b"")
         identity = Identity(cluster=self.cluster, name=self.name)
         _write_file(self.folder / "identity", msgspec.msgpack.encode(identity))
 
--- a/galenashed/control/__init__.py
+++ b/galenashed/control/__init__.py
@@ -12,6 +12,7 @@
 from galenashed.control._machine import ControlMachine
 from galenashed.control._notes import digest_of
 from galenashed.control._notes import merge as merge_release
+from galenashed.control._replicas import members_of
 from galenashed.control._server import ControlServer
 
 __all__ = [
@@ -21,5 +22,6 @@
     "ControlUnavailableError",
     "Follow",
     "digest_of",
+    "members_of",
     "merge_release",
 ]
--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -44,7 +44,8 @@
     Parameters
     ----------
     replicas : dict
-        Name to ``ip:port`` of each control replica.
+        Name to ``ip:port`` of each control replica; these addresses go
+        before those that :meth:`set_replicas` brings.
     key : str
         The peers' or an operator's key.
 
@@ -59,6 +60,7 @@
     def __init__(self, *, replicas: dict[str, str], key: str):
         self.replicas = replicas
         self.key = key
+        self._given = dict(replicas)
         self._names = list(replicas)
         self._leader = self._names[0]
         self._channels: dict[str, rpc.Channel] = {}
@@ -83,6 +85,23 @@
         for channel in self._channels.values():
             await channel.close()
 
+    @property
+    def names(self) -> list[str]:
+        """The replicas that are asked."""
+        return self._names
+
+    def set_replicas(self, replicas: dict[str, str]) -> None:
+        """Takes the names and addresses of those that take part now."""
+        if not replicas:
+            return
+        self.replicas = {
+            name: self._given.get(name, address)
+            for name, address in replicas.items()
+        }
+        self._names = list(self.replicas)
+        if self._leader not in self.replicas:
+            self._leader = self._names[0]
+
     def channel(self, name: str) -> rpc.Channel:
         """Returns the channel to a replica."""
         held = self._channels.get(name)
@@ -112,10 +131,18 @@
         self, command: wire.PublishNote, *, timeout: float
     ) -> wire.Reply:
         """Publishes a note, asking again until an answer arrives."""
+        return await self._operate(methods.PUBLISH, command, timeout)
 
+    async def change_replicas(
+        self, command: wire.ChangeReplicas, *, timeout: float
+    ) -> wire.Reply:
+        """Changes which replicas take part; asks again as publish does."""
+        return await self._operate(methods.REPLICAS, command, timeout)
+
+    async def _operate(self, method, command, timeout: float) -> wire.Reply:
         async def attempt(name: str) -> wire.Outcome:
             return await self.channel(name).call(
-                methods.PUBLISH, command, timeout=CALL_TIMEOUT_SECONDS
+                method, command, timeout=CALL_TIMEOUT_SECONDS
             )
 
         outcome = await self._bounded(self._ask_leader(attempt), timeout)
@@ -260,8 +287,7 @@
         self.report = report
         self.on_event = on_event
         self.max_age = max_age
-        self._names = list(client.replicas)
-        rng.shuffle(self._names)
+        self.rng = rng
         self._changed = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -280,14 +306,18 @@
         self._changed.set()
 
     async def _run(self) -> None:
-        position = 0
+        names: list[str] = []
         while True:
-            name = self._names[position % len(self._names)]
+            if not names:
+                names = list(self.client.names)
+                self.rng.shuffle(names)
+            name = names.pop()
+            if name not in self.client.replicas:
+                continue
             try:
                 await self._follow(name)
             except (rpc.RpcError, TimeoutError, asyncio.InvalidStateError):
                 LOG.info("configuration feed from {} broke", name)
-            position += 1
             await asyncio.sleep(RETRY_SECONDS * 2)
 
     async def _follow(self, name: str) -> None:
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -17,6 +17,7 @@
         "connected",
         "index",
         "recalls",
+        "replicas",
         "report",
         "seen",
         "suspects_due",
@@ -29,6 +30,7 @@
         self.seen = time.monotonic()
         self.connected = True
         self.recalls: set[str] = set()
+        self.replicas: dict[str, str] = {}
         self.suspects_due = True
         self.wake = asyncio.Event()
 
@@ -42,11 +44,16 @@
         Its listener is set to this feed.
     contact_age : callable
         Returns the seconds since the replica was surely up to date.
+    addresses : callable
+        Returns the names and addresses of the replicas that vote.
     """
 
-    def __init__(self, *, machine: _machine.ControlMachine, contact_age):
+    def __init__(
+        self, *, machine: _machine.ControlMachine, contact_age, addresses
+    ):
         self.machine = machine
         self.contact_age = contact_age
+        self.addresses = addresses
         self._followers: dict[str, Follower] = {}
         machine.listener = self
 
@@ -113,6 +120,10 @@
         if follower.suspects_due:
             follower.suspects_due = False
             suspects = self.machine.suspects()
+        replicas = None
+        addresses = self.addresses()
+        if addresses != follower.replicas:
+            follower.replicas = replicas = addresses
         recalls, follower.recalls = sorted(follower.recalls), set()
         return wire.FollowEvent(
             age=self.contact_age(),
@@ -120,6 +131,7 @@
             notes=notes,
             recalls=recalls,
             suspects=suspects,
+            replicas=replicas,
         )
 
     def statuses(self) -> list[wire.FollowerStatus]:
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -59,6 +59,7 @@
             wire.ReportCrash: self._report_crash,
             wire.BeginTrial: self._begin_trial,
             wire.EndTrial: self._end_trial,
+            wire.ChangeReplicas: self._change_replicas,
             wire.Barrier: self._barrier,
         }
 
@@ -260,6 +261,22 @@
             self.listener.on_suspects()
         return wire.Done(index=index)
 
+    def _change_replicas(
+        self, index: int, cmd: wire.ChangeReplicas
+    ) -> wire.Reply:
+        # The log itself has changed them; here it is only written down.
+        if cmd.action == "remove":
+            self.state.retired_replicas.append(cmd.name)
+        self._audit(
+            index,
+            actor=cmd.actor,
+            action=f"replica {cmd.action}",
+            subject=cmd.name,
+            digest="",
+            result=f"done {cmd.address}".strip(),
+        )
+        return wire.Done(index=index)
+
     def _barrier(self, index: int, cmd: wire.Barrier) -> wire.Reply:
         return wire.Done(index=index)
 
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -13,11 +13,16 @@
 from galenashed.control import _links
 from galenashed.control import _machine
 from galenashed.control import _notes
+from galenashed.control import _replicas
+from galenashed.protocol import consensus as consensus_wire
 from galenashed.protocol import control as wire
 from galenashed.protocol import methods
 from galenashed.protocol import rpc
 
 
+OPERATORS_COMMANDS = (wire.PublishNote, wire.ChangeReplicas)
+
+
 class ControlServer:
     """One control replica.
 
@@ -28,7 +33,8 @@
     address : str
         ``ip:port`` to listen on.
     replicas : dict
-        Name to address of every replica, this one included.
+        Name to address of the replicas as this one reaches them, itself
+        included; others that take part are told by the log.
     storage : galenashed.consensus.Storage
         The data folder, made by its ``create``.
     peer_key : str
@@ -58,11 +64,11 @@
         self.failed: asyncio.Future = (
             asyncio.get_running_loop().create_future()
         )
-        others = {n: a for n, a in replicas.items() if n != name}
-        self._links = _links.PeerLinks(addresses=others, key=peer_key)
+        self._links = _links.PeerLinks(
+            name=name, addresses=replicas, key=peer_key
+        )
         self.node = consensus.Node(
             name=name,
-            members=list(replicas),
             storage=storage,
             machine=self.machine,
             transport=self._links,
@@ -71,7 +77,9 @@
             on_failure=self._on_failure,
         )
         self._feed = _feed.Feed(
-            machine=self.machine, contact_age=self.node.contact_age
+            machine=self.machine,
+            contact_age=self.node.contact_age,
+            addresses=self._addresses,
         )
         self._server = rpc.Server(
             address=address,
@@ -80,6 +88,7 @@
                 (methods.DELIVER, self._deliver),
                 (methods.PROPOSE, self._propose),
                 (methods.PUBLISH, self._publish),
+                (methods.REPLICAS, self._change_replicas),
                 (methods.FOLLOW, self._feed.serve),
                 (methods.QUERY, self._query),
                 (methods.STATUS, self._status),
@@ -89,7 +98,6 @@
     async def start(self) -> None:
         """Restores the state and starts to serve."""
         await self.node.start()
-        await self._links.start()
         await self._server.start()
 
     async def wait_failed(self) -> None:
@@ -119,6 +127,8 @@
         try:
             async for messages in requests:
                 sender = messages[-1].sender
+                if isinstance(messages[0], consensus_wire.Hello):
+                    self._links.hear(messages.pop(0))
                 self.node.deliver(messages)
         finally:
             self.node.suspect(sender)
@@ -126,10 +136,10 @@
 
     async def _propose(self, commands, context) -> list[wire.Outcome]:
         for command in commands:
-            if isinstance(command, wire.PublishNote):
+            if isinstance(command, OPERATORS_COMMANDS):
                 await context.abort(
                     grpc.StatusCode.PERMISSION_DENIED,
-                    "only operators publish notes",
+                    "only operators may send this",
                 )
         tasks = [self._commit(command) for command in commands]
         return await asyncio.gather(*tasks)
@@ -140,10 +150,28 @@
             return wire.Outcome(reply=wire.Refused(findings=findings))
         return await self._commit(command)
 
-    async def _commit(self, command: wire.Command) -> wire.Outcome:
-        stamped = wire.Stamped(time.time(), command)
+    async def _change_replicas(self, command, context) -> wire.Outcome:
+        if self.node.is_leader and _replicas.is_done(
+            self.node.core.membership.members, command
+        ):
+            return await self._commit(wire.Barrier())
         try:
-            reply = await self.node.propose(msgspec.msgpack.encode(stamped))
+            change = _replicas.change_of(
+                command, lambda: self.machine.state.retired_replicas
+            )
+            return await self._commit(command, change)
+        except consensus.MembershipError as exc:
+            return wire.Outcome(reply=wire.Refused(findings=[str(exc)]))
+
+    async def _commit(
+        self, command: wire.Command, change=None
+    ) -> wire.Outcome:
+        data = msgspec.msgpack.encode(wire.Stamped(time.time(), command))
+        try:
+            if change is None:
+                reply = await self.node.propose(data)
+            else:
+                reply = await self.node.change_members(change, data)
         except consensus.NotLeaderError as exc:
             return wire.Outcome(leader=exc.leader)
         return wire.Outcome(reply=typing.cast(wire.Reply, reply))
@@ -155,6 +183,26 @@
             return wire.QueryReply(leader=outcome.leader)
         return self.machine.query(query)
 
+    def _addresses(self) -> dict[str, str]:
+        """Returns where the replicas that vote are reached."""
+        return {
+            member.name: member.address
+            for member in self.node.core.membership.members
+            if not member.learner
+        }
+
+    def _member_statuses(self) -> list[wire.MemberStatus]:
+        core = self.node.core
+        return [
+            wire.MemberStatus(
+                name=member.name,
+                address=member.address,
+                learner=member.learner,
+                held=core.held_by(member.name),
+            )
+            for member in core.membership.members
+        ]
+
     async def _status(self, request, context) -> wire.ReplicaStatus:
         core = self.node.core
         return wire.ReplicaStatus(
@@ -167,5 +215,6 @@
             note=self.machine.state.release.number,
             contact_age=min(self.node.contact_age(), 1e6),
             disk_bytes=self.storage.size(),
+            members=self._member_statuses(),
             followers=self._feed.statuses(),
         )
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -91,7 +91,7 @@
     ``now`` is the latest time stamped on a command, in seconds since the
     epoch; it never steps back.  ``recent_notes`` holds every note accepted
     after index ``notes_complete_after``.  ``suspects_index`` is that of the
-    last change of ``crashes``.
+    last change of ``crashes``.  ``retired_replicas`` took part once.
     """
 
     now: float = 0.0
@@ -108,4 +108,5 @@
     recent_bills: list[wire.Bill] = []
     crashes: dict[str, CrashRecord] = {}
     suspects_index: int = 0
+    retired_replicas: list[str] = []
     audit: list[wire.AuditRecord] = []
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -285,6 +285,8 @@
         number = self.configuration.release.number
         if number != held:
             LOG.info("note {} is in force", number)
+        if event.replicas is not None:
+            self.proposer.set_replicas(event.replicas)
         for name in event.recalls:
             self.desk.recall(name)
 
--- a/galenashed/entry/_spreader.py
+++ b/galenashed/entry/_spreader.py
@@ -112,7 +112,7 @@
                 max_queued=1,
             )
             self._links[address] = link
-            await link.start()
+            link.start()
         return link
 
     async def _drop_old_links(self, now: float) -> None:
--- a/galenashed/protocol/consensus.py
+++ b/galenashed/protocol/consensus.py
@@ -7,12 +7,24 @@
 import msgspec
 
 
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """A replica; a ``learner`` follows the log and has no vote."""
+
+    name: str
+    address: str = ""
+    learner: bool = False
+
+
 class Entry(msgspec.Struct, array_like=True, frozen=True):
-    """One record of the replicated log; ``data`` is opaque to the log."""
+    """One record of the replicated log; ``data`` is opaque to the log.
+
+    ``members``, if any, take part from this entry on.
+    """
 
     index: int
     term: int
     data: bytes
+    members: tuple[Member, ...] = ()
 
 
 class HardState(msgspec.Struct, array_like=True, frozen=True):
@@ -24,10 +36,18 @@
 
 
 class SnapshotMeta(msgspec.Struct, array_like=True, frozen=True):
-    """The last log position that a snapshot covers."""
+    """The last log position that a snapshot covers, and who took part."""
 
     index: int = 0
     term: int = 0
+    members: tuple[Member, ...] = ()
+
+
+class Hello(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Begins a stream; says where answers to its sender go."""
+
+    sender: str
+    address: str
 
 
 class VoteRequest(msgspec.Struct, tag=True, frozen=True, kw_only=True):
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -229,6 +229,19 @@
     answered: bool
 
 
+class ChangeReplicas(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Changes which control replicas take part.
+
+    ``action`` is ``add``, which lets a new replica follow without a vote,
+    ``promote``, which gives it one, or ``remove``.
+    """
+
+    action: str
+    name: str
+    actor: str
+    address: str = ""
+
+
 class Barrier(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Changes nothing; its commit shows that the leader still leads."""
 
@@ -243,6 +256,7 @@
     | ReportCrash
     | BeginTrial
     | EndTrial
+    | ChangeReplicas
     | Barrier
 )
 
@@ -372,6 +386,19 @@
         return self.prepaid - self.settled - self.outstanding
 
 
+class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A control replica as another one sees it.
+
+    ``held`` is the index up to which it surely holds the log, None where
+    that is not known, as it is by the leader.
+    """
+
+    name: str
+    address: str
+    learner: bool
+    held: int | None
+
+
 class ReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
     """How one control replica is doing; ``contact_age`` in seconds."""
 
@@ -384,6 +411,7 @@
     note: int
     contact_age: float
     disk_bytes: int
+    members: list[MemberStatus]
     followers: list["FollowerStatus"]
 
 
@@ -452,6 +480,7 @@
 
     ``age`` is the seconds since the replica was surely up to date.  News is
     either the whole ``release`` or the ``notes`` accepted since.
+    ``replicas`` are the addresses of those that take part.
     """
 
     age: float
@@ -459,6 +488,7 @@
     notes: list[AcceptedNote] = []
     recalls: list[str] = []
     suspects: Suspects | None = None
+    replicas: dict[str, str] | None = None
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/protocol/links.py
+++ b/galenashed/protocol/links.py
@@ -31,6 +31,8 @@
         A ``client_stream`` method that takes lists of messages.
     max_queued : int
         Messages that may wait.
+    greeting : object
+        Sent first on each stream, if given.
     """
 
     def __init__(
@@ -41,16 +43,18 @@
         key: str,
         method: rpc.Method,
         max_queued: int,
+        greeting: typing.Any = None,
     ):
         self.name = name
         self.method = method
         self.max_queued = max_queued
+        self.greeting = greeting
         self._channel = rpc.Channel(address=address, key=key)
         self._queue: list[typing.Any] = []
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Starts the task that owns the stream."""
         self._task = telemetry.start_task(self._run(), "link")
 
@@ -86,6 +90,8 @@
     async def _stream(self) -> None:
         call = self._channel.open(self.method)
         try:
+            if self.greeting is not None:
+                await call.write([self.greeting])
             while True:
                 await self._wake.wait()
                 self._wake.clear()
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -8,7 +8,7 @@
 DELIVER = rpc.Method(
     path="/galenashed.Consensus/Deliver",
     kind="client_stream",
-    request=list[consensus.Message],
+    request=list[consensus.Hello | consensus.Message],
     reply=bool,
 )
 PUBLISH = rpc.Method(
@@ -18,6 +18,13 @@
     reply=control.Outcome,
     roles=("operator",),
 )
+REPLICAS = rpc.Method(
+    path="/galenashed.Control/Replicas",
+    kind="unary",
+    request=control.ChangeReplicas,
+    reply=control.Outcome,
+    roles=("operator",),
+)
 PROPOSE = rpc.Method(
     path="/galenashed.Control/Propose",
     kind="unary",
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -333,6 +334,24 @@
         args = ["control", "--config", str(path)]
         self.processes[name] = Process(name, args, self.folder)
 
+    def replace_control(self, old: str, new: str) -> None:
+        """Starts ``new`` with an empty folder, to take the place of ``old``.
+
+        Operators' settings name it from now on, those of entries do not.
+        """
+        self.control_names[self.control_names.index(old)] = new
+        self.addresses[new] = f"127.0.0.1:{free_port()}"
+        self._write_operator()
+        self._prepare_control(new)
+        self.processes[new].start("--join")
+        self.operate("replica", "add", new, self.addresses[new])
+        self.operate("replica", "remove", old)
+
+    def lose_disk(self, control_name: str) -> None:
+        """Kills a control replica and deletes its data folder."""
+        self.processes[control_name].kill()
+        shutil.rmtree(self.folder / f"{control_name}.data")
+
     def _prepare_entry(self, name: str) -> None:
         domain = DOMAINS[self.entry_names.index(name) % len(DOMAINS)]
         seeds = [
