--- a/benchmarks/escrow_policy.py
+++ b/benchmarks/escrow_policy.py
@@ -83,7 +83,7 @@
     def on_release(self) -> None:
         """Nothing to tell: budgets do not change."""
 
-    def on_quarantine(self) -> None:
+    def on_suspects(self) -> None:
         """Nothing to tell."""
 
     def on_recall(self, name: str) -> None:
--- a/galenashed/consensus/__init__.py
+++ b/galenashed/consensus/__init__.py
@@ -7,9 +7,9 @@
 """
 
 from galenashed.consensus._core import Core
+from galenashed.consensus._membership import add_learner
 from galenashed.consensus._membership import Members
 from galenashed.consensus._membership import MembershipError
-from galenashed.consensus._membership import add_learner
 from galenashed.consensus._membership import promote
 from galenashed.consensus._membership import remove
 from galenashed.consensus._node import Machine
