--- a/benchmarks/escrow_policy.py
+++ b/benchmarks/escrow_policy.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+import statistics
 import time
 
 import msgspec
@@ -65,7 +66,8 @@
         self.total = dict.fromkeys(self.names, prepaid)
         self.spent = dict.fromkeys(self.names, 0)
         self.reserved = dict.fromkeys(self.names, 0)
-        self.first_refusal: dict[str, float] = {}
+        # Shares of the budget: spent, and spent or set aside.
+        self.first_refusal: dict[str, tuple[float, float]] = {}
         self.asked = 0
         self.refused = 0
         self.false = 0
@@ -94,7 +96,8 @@
 
     def recall(self, entry: int, name: str) -> None:
         """Gives back what this entry does not wait for itself."""
-        self.escrows[entry].recall(name)
+        for command in self.escrows[entry].recall(name):
+            self.send(entry, command, lambda _: None)
         self.close_grants(entry)
 
     # Events
@@ -237,7 +240,7 @@
         """Sends the command; returns whether one was not under way."""
         escrow = self.escrows[entry]
         command = escrow.open_grant(
-            name, need=need, missing=need, now=self.now
+            name, need=need, missing=need, now=self.now, witnesses=[]
         )
         if command is None:
             return False
@@ -272,8 +275,9 @@
     def refuse(self, name: str, bound: int) -> None:
         """A request is refused; it may be falsely so."""
         self.refused += 1
-        share = self.spent[name] / self.total[name]
-        self.first_refusal.setdefault(name, share)
+        spent = self.spent[name] / self.total[name]
+        taken = spent + self.reserved[name] / self.total[name]
+        self.first_refusal.setdefault(name, (spent, taken))
         unspent = self.total[name] - self.spent[name] - self.reserved[name]
         if unspent >= bound:
             self.false += 1
@@ -286,10 +290,14 @@
         )
 
 
+def median_share(shares: list[float]) -> str:
+    """Returns the median as a text."""
+    return f"{statistics.median(shares):.1%}" if shares else "-"
+
+
 def row(title: str, run: Run) -> list[str]:
     """Returns a table row."""
-    refusals = sorted(run.first_refusal.values())
-    spendable = f"{refusals[len(refusals) // 2]:.1%}" if refusals else "-"
+    refusals = run.first_refusal.values()
     rate = run.commands / run.entries / run.seconds
     return [
         title,
@@ -297,7 +305,8 @@
         str(run.overspend()),
         f"{run.refused / run.asked:.2%}",
         f"{run.false / run.asked:.3%}",
-        spendable,
+        median_share([spent for spent, _ in refusals]),
+        median_share([taken for _, taken in refusals]),
         f"{rate:.2f}",
     ]
 
@@ -309,6 +318,7 @@
     "refused",
     "falsely",
     "spent at first refusal, p50",
+    "spent or set aside then, p50",
     "messages an entry a second",
 ]
 AMPLE = 10**9
@@ -332,6 +342,19 @@
                 {**common, **size, "skew": skew, "prepaid": prepaid},
             )
     base = {"entries": 10, "budgets": 10, "rate": 50.0, "skew": 1.0}
+    # A budget of which what is under way is a small part.
+    yield (
+        "10 entries, 10 large budgets, uniform, scarce",
+        {
+            **common,
+            "entries": 10,
+            "budgets": 10,
+            "rate": 50.0,
+            "skew": 0.0,
+            "seconds": 10 * seconds,
+            "prepaid": int(50.0 * 10 * seconds * 650 / 10 / 2),
+        },
+    )
     yield (
         "10 entries, one dies, ample",
         {**common, **base, "prepaid": AMPLE, "dead": 1},
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -187,7 +187,11 @@
 
     def open_one(number: int) -> None:
         command = escrow.open_grant(
-            f"budget-{number}", need=1, missing=1, now=0.0
+            f"budget-{number}",
+            need=1,
+            missing=1,
+            now=0.0,
+            witnesses=["entry-2/0123456789ab", "entry-3/0123456789ab"],
         )
         granted = wire.Granted(grant=command.grant, amount=10**9)
         escrow.on_opened(command, granted, 0.0)
@@ -306,6 +310,7 @@
             wire.SettleBills(
                 holder="entry-2/0123456789ab",
                 sequence=number + 1,
+                first=number * 10 + 1,
                 bills=bills,
             )
         )
@@ -339,6 +344,7 @@
                 wire.SettleBills(
                     holder="entry-3/0123456789ab",
                     sequence=number + 1,
+                    first=number * 10 + 1,
                     bills=bills,
                 )
             )
--- a/examples/embed_escrow.py
+++ b/examples/embed_escrow.py
@@ -49,7 +49,9 @@
     ledger.commit(wire.PublishNote(note=note, digest=digest))
     policy = budget.POLICIES["overspend-first"]
     escrow = budget.Escrow(holder="program/1", policy=policy)
-    command = escrow.open_grant("rounds", need=200, missing=200, now=0.0)
+    command = escrow.open_grant(
+        "rounds", need=200, missing=200, now=0.0, witnesses=[]
+    )
     escrow.on_opened(command, ledger.commit(command), 0.0)
     held = escrow.reserve("rounds", 200, now=0.0)
     print(f"reserved {held.tokens} tokens")
--- a/galenashed/budget/__init__.py
+++ b/galenashed/budget/__init__.py
@@ -2,16 +2,19 @@
 
 :class:`Escrow` is the sans-IO part: it keeps what has been granted to this
 entry, reserves from it before a request is dispatched and bills the real use
-afterwards.  :class:`BudgetDesk` is the asyncio task that owns it and talks
-to control.
+afterwards.  :class:`WitnessBook` is what other entries remember of it, to
+recover its grants if it dies.  :class:`BudgetDesk` is the asyncio task that
+owns the escrow and talks to control and to witnesses.
 """
 
 from galenashed.budget._desk import BudgetDesk
 from galenashed.budget._desk import BudgetExhaustedError
 from galenashed.budget._escrow import Escrow
 from galenashed.budget._escrow import Reservation
+from galenashed.budget._escrow import ToWitness
 from galenashed.budget._policy import POLICIES
 from galenashed.budget._policy import Policy
+from galenashed.budget._witness import WitnessBook
 
 __all__ = [
     "POLICIES",
@@ -20,4 +23,6 @@
     "Escrow",
     "Policy",
     "Reservation",
+    "ToWitness",
+    "WitnessBook",
 ]
--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -8,6 +8,7 @@
 
 from galenashed.budget import _escrow
 from galenashed.protocol import control as wire
+from galenashed.protocol import witness as witness_wire
 from galenashed import telemetry
 
 LOG = loguru.logger
@@ -16,6 +17,7 @@
 OPEN_TIMEOUT_SECONDS = 2.0
 SETTLE_TIMEOUT_SECONDS = 5.0
 SHORT_RETRY_SECONDS = 0.1
+KEPT_SECONDS = 1.0
 FRUITLESS_SECONDS = 5.0
 
 
@@ -43,6 +45,16 @@
         """Returns the committed reply; raises if control is not there."""
 
 
+class Witnesses(typing.Protocol):
+    """Reaches the entries that remember what this one may spend."""
+
+    def choose(self) -> list[str]:
+        """Returns the witnesses for a new grant; none if there are none."""
+
+    def send(self, notes: list[_escrow.ToWitness]) -> None:
+        """Sends notes; what is heard or lost is told to the desk."""
+
+
 class _Waiter:
     __slots__ = ("budget", "deadline", "fut", "tokens")
 
@@ -62,13 +74,18 @@
         Owned by the desk.
     control : Proposer
         Commits grants and bills.
+    witnesses : Witnesses
+        Other entries.
     unavailable : type of Exception
         What ``control.propose`` raises when it has no answer.
     """
 
-    def __init__(self, *, escrow, control: Proposer, unavailable):
+    def __init__(
+        self, *, escrow, control: Proposer, witnesses: Witnesses, unavailable
+    ):
         self.escrow = escrow
         self.control = control
+        self.witnesses = witnesses
         self.unavailable = unavailable
         self._waiters: list[_Waiter] = []
         self._fruitless: dict[str, tuple[float, int]] = {}
@@ -76,6 +93,7 @@
         self._ticker: asyncio.Task | None = None
         self._settled = asyncio.Event()
         self._bill_added = asyncio.Event()
+        self._kept: dict[int, asyncio.Future] = {}
 
     async def start(self) -> None:
         """Starts the task that settles bills and closes grants."""
@@ -112,6 +130,8 @@
         if reservation is not None:
             if self.escrow.wants_more(budget, now):
                 self._open(budget, 1, 1)
+            if self.escrow.wants_held(budget, now):
+                self._hold(budget, 0)
             return reservation
         fut = asyncio.get_running_loop().create_future()
         waiter = _Waiter(
@@ -145,15 +165,37 @@
     ) -> wire.Bill:
         """Bills a request; returns the bill as it is settled."""
         final = self.escrow.bill(reservation, bill, time.monotonic())
+        number = self.escrow.billed
+        copies = self.escrow.copies(number, final)
+        if copies:
+            fut = asyncio.get_running_loop().create_future()
+            self._kept[number] = fut
+            self.witnesses.send(copies)
         self._bill_added.set()
         self._serve(reservation.budget)
         return final
 
+    async def wait_kept(self) -> None:
+        """Waits until the latest bill outlives this process.
+
+        That is once a witness or control has it; not for long, for the
+        caller's answer waits too.  At once if the bill has no witness.
+        """
+        fut = self._kept.get(self.escrow.billed)
+        if fut is not None:
+            await asyncio.wait([fut], timeout=KEPT_SECONDS)
+
+    def _on_kept(self, number: int) -> None:
+        fut = self._kept.pop(number, None)
+        if fut is not None and not fut.done():
+            fut.set_result(None)
+
     def recall(self, budget: str) -> None:
         """Gives idle tokens back, for another entry needs them."""
         if any(waiter.budget == budget for waiter in self._waiters):
             return
-        self.escrow.recall(budget)
+        for command in self.escrow.recall(budget):
+            self._spawn(self._send_shrink(command))
         self._close_grants()
 
     async def flush(self) -> None:
@@ -162,14 +204,56 @@
             self._settled.clear()
             await self._settled.wait()
 
+    # Witnesses
+
+    def _hold(self, budget: str, missing: int) -> None:
+        notes = self.escrow.hold(budget, missing, time.monotonic())
+        if notes:
+            self.witnesses.send(notes)
+
+    def on_noted(self, witness: str, notes: list[witness_wire.Note]) -> None:
+        """Takes a witness's word that it has heard notes."""
+        for note in notes:
+            if isinstance(note, witness_wire.Hold):
+                self.escrow.on_held(witness, note)
+            elif isinstance(note, wire.BillCopy):
+                self._on_kept(note.number)
+        for budget in {waiter.budget for waiter in self._waiters}:
+            self._serve(budget)
+            self._ask_again(budget)
+
+    def on_witness_lost(self, witness: str) -> None:
+        """Gives up the grants that a witness answers for no more."""
+        self._on_given_up(self.escrow.on_witness_lost(witness))
+
+    def on_term_closed(self, term: int) -> None:
+        """Gives up the grants of a term, which a witness has closed."""
+        self._on_given_up(self.escrow.on_term_closed(term))
+
+    def _on_given_up(self, commands: list[wire.ShrinkGrant]) -> None:
+        for command in commands:
+            self._spawn(self._send_shrink(command))
+        self._close_grants()
+        for budget in {waiter.budget for waiter in self._waiters}:
+            self._ask_again(budget)
+
     # Waiters
 
+    def _ask_again(self, budget: str) -> None:
+        if any(waiter.budget == budget for waiter in self._waiters):
+            self._ask_for(budget)
+
     def _ask_for(self, budget: str) -> None:
-        """Asks for what the first waiting request needs, at best for all."""
+        """Asks for what the first waiting request needs, at best for all.
+
+        Witnesses come first: they answer sooner than control.
+        """
         wanted = [w.tokens for w in self._waiters if w.budget == budget]
-        free = self.escrow.free(budget)
-        need = max(1, wanted[0] - free)
-        self._open(budget, need, max(need, sum(wanted) - free))
+        self._hold(budget, sum(wanted) - self.escrow.free(budget))
+        unspent = self.escrow.unspent(budget)
+        if unspent < wanted[0]:
+            need = max(1, wanted[0] - unspent)
+            self._open(budget, need, max(need, sum(wanted) - unspent))
 
     def _serve(self, budget: str) -> None:
         """Gives waiting requests their tokens, in order."""
@@ -188,7 +272,11 @@
 
     def _open(self, budget: str, need: int, missing: int) -> None:
         command = self.escrow.open_grant(
-            budget, need=need, missing=missing, now=time.monotonic()
+            budget,
+            need=need,
+            missing=missing,
+            now=time.monotonic(),
+            witnesses=self.witnesses.choose(),
         )
         if command is not None:
             self._spawn(self._send_open(command))
@@ -214,8 +302,7 @@
             )
         elif isinstance(reply, wire.Short):
             await self._on_short(command.budget, reply)
-        if any(w.budget == command.budget for w in self._waiters):
-            self._ask_for(command.budget)
+        self._ask_again(command.budget)
 
     async def _commit_open(self, command: wire.OpenGrant) -> wire.Reply:
         return await self.control.propose(
@@ -231,7 +318,7 @@
                 continue
             if isinstance(reply, wire.Granted):
                 self.escrow.on_opened(command, reply, time.monotonic())
-                self._serve(command.budget)
+                self._ask_again(command.budget)
             return
 
     async def _on_short(self, budget: str, reply: wire.Short) -> None:
@@ -242,7 +329,7 @@
         for waiter in list(self._waiters):
             if waiter.budget != budget or waiter.fut.done():
                 continue
-            within = reply.available + account.free >= waiter.tokens
+            within = reply.available + account.unspent >= waiter.tokens
             if within or (hopeful and now < waiter.deadline):
                 continue
             if hopeful:
@@ -251,7 +338,7 @@
             self._waiters.remove(waiter)
             error = BudgetExhaustedError(
                 needed=waiter.tokens,
-                available=reply.available + account.free,
+                available=reply.available + account.unspent,
                 elsewhere=reply.elsewhere,
             )
             waiter.fut.set_exception(error)
@@ -294,6 +381,8 @@
         batch = self.escrow.settle()
         if batch is not None:
             self._spawn(self._send_bills(batch))
+        if self.witnesses.choose():
+            self._on_given_up(self.escrow.on_witnesses_found())
         self._close_grants()
 
     def _close_grants(self) -> None:
@@ -312,11 +401,23 @@
             break
         if isinstance(reply, wire.Settled):
             self.escrow.on_settled(reply)
+            for number in range(batch.first, batch.first + len(batch.bills)):
+                self._on_kept(number)
         else:
             LOG.error("bills were refused: {}", reply)
         self._settled.set()
         self._bill_added.set()
 
+    async def _send_shrink(self, command: wire.ShrinkGrant) -> None:
+        while True:
+            try:
+                await self.control.propose(
+                    command, timeout=SETTLE_TIMEOUT_SECONDS
+                )
+            except self.unavailable:
+                continue
+            return
+
     async def _send_close(self, command: wire.CloseGrant) -> None:
         try:
             reply = await self.control.propose(
@@ -327,7 +428,7 @@
             return
         if isinstance(reply, wire.Refused):
             LOG.error("grant {} was not closed: {}", command.grant, reply)
-        self.escrow.on_closed(command)
+        self.witnesses.send(self.escrow.on_closed(command))
 
     def _spawn(self, coro) -> None:
         task = telemetry.start_task(coro, "budget command")
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -1,38 +1,60 @@
 """The sans-IO escrow of an entry: grants, reservations and bills.
 
+A grant may have witnesses: other entries that have heard how far it may be
+spent before it is, and that can tell control if this entry is gone.
+
 Within a grant, ``reserved + used <= amount`` at all times, and the sum of
 the open grants of a budget is covered by what is prepaid.  So nothing that
 is spent here can pass the budget, whatever other entries do.
 """
 
 import math
+import typing
 
 from galenashed.budget import _policy
 from galenashed.protocol import control as wire
+from galenashed.protocol import witness as witness_wire
 
 RATE_WINDOW_SECONDS = 5.0
+# What witnesses have heard lasts for this at the present demand.
+HOLD_SECONDS = 0.5
+MIN_HOLD_TOKENS = 500
+
+
+class ToWitness(typing.NamedTuple):
+    """A note and the witness that it is for."""
+
+    witness: str
+    note: witness_wire.Note
 
 
 class Grant:
     """Tokens that this entry may spend.
 
     ``unsettled`` counts bills that control has not acknowledged.
+    ``limits`` is what each witness has heard, ``asked`` what it was told.
     """
 
     __slots__ = (
         "amount",
+        "asked",
         "closing",
         "id",
         "last_used",
+        "limits",
         "reserved",
         "sent_close",
         "unsettled",
         "used",
     )
 
-    def __init__(self, *, id: str, amount: int, now: float):
+    def __init__(
+        self, *, id: str, amount: int, now: float, witnesses: list[str]
+    ):
         self.id = id
         self.amount = amount
+        self.limits = dict.fromkeys(witnesses, 0)
+        self.asked = 0
         self.reserved = 0
         self.used = 0
         self.unsettled = 0
@@ -40,8 +62,19 @@
         self.sent_close = False
         self.last_used = now
 
+    @property
+    def limit(self) -> int:
+        """How far it may be spent now, as every witness has heard."""
+        return min([self.amount, *self.limits.values()])
+
     @property
     def free(self) -> int:
+        """What can be reserved at once."""
+        return 0 if self.closing else self.limit - self.reserved - self.used
+
+    @property
+    def unspent(self) -> int:
+        """What can be reserved once witnesses have heard of it."""
         return 0 if self.closing else self.amount - self.reserved - self.used
 
 
@@ -77,6 +110,18 @@
     def free(self) -> int:
         return sum(grant.free for grant in self.grants.values())
 
+    @property
+    def unspent(self) -> int:
+        return sum(grant.unspent for grant in self.grants.values())
+
+    @property
+    def has_emergency(self) -> bool:
+        """Whether a grant without witnesses is held."""
+        return any(
+            not grant.limits and not grant.closing
+            for grant in self.grants.values()
+        )
+
     def note_demand(self, tokens: int, now: float) -> None:
         """Counts a reservation towards the demand."""
         self.rate = self.demand(now) + tokens / RATE_WINDOW_SECONDS
@@ -112,7 +157,11 @@
         self.holder = holder
         self.policy = policy
         self.accounts: dict[str, Account] = {}
+        # Grows each time a witness has closed the grants.
+        self.term = 1
+        self._by_id: dict[str, Grant] = {}
         self._opened = 0
+        self._billed = 0
         self._sequence = 0
         self._bills: list[wire.Bill] = []
         self._in_flight: wire.SettleBills | None = None
@@ -129,7 +178,8 @@
         account.note_demand(tokens, now)
         parts = []
         left = tokens
-        for grant in account.grants.values():
+        # Those without witnesses last: they serve when no witness answers.
+        for grant in sorted(account.grants.values(), key=_has_no_witness):
             taken = min(grant.free, left)
             if taken <= 0:
                 continue
@@ -168,8 +218,32 @@
             parts=parts,
         )
         self._bills.append(final)
+        self._billed += 1
         return final
 
+    @property
+    def billed(self) -> int:
+        """The number of the latest bill; they count from 1."""
+        return self._billed
+
+    @property
+    def settled(self) -> int:
+        """The number of the latest bill that control has."""
+        waiting = len(self._bills)
+        if self._in_flight is not None:
+            waiting += len(self._in_flight.bills)
+        return self._billed - waiting
+
+    def copies(self, number: int, bill: wire.Bill) -> list[ToWitness]:
+        """Returns copies of a bill for the witnesses of its grants."""
+        names = dict.fromkeys(
+            name
+            for part in bill.parts
+            for name in self._by_id[part.grant].limits
+        )
+        copy = wire.BillCopy(number=number, bill=bill)
+        return [ToWitness(name, copy) for name in names]
+
     def _spend(
         self, reservation: Reservation, tokens: int, now: float
     ) -> list[wire.Part]:
@@ -203,8 +277,19 @@
         account = self.accounts.get(budget)
         return 0 if account is None else account.free
 
+    def unspent(self, budget: str) -> int:
+        """Returns the tokens that witnesses have yet to hear of, too."""
+        account = self.accounts.get(budget)
+        return 0 if account is None else account.unspent
+
     def open_grant(
-        self, budget: str, *, need: int, missing: int, now: float
+        self,
+        budget: str,
+        *,
+        need: int,
+        missing: int,
+        now: float,
+        witnesses: list[str],
     ) -> wire.OpenGrant | None:
         """Returns the command that asks for more tokens.
 
@@ -216,6 +301,9 @@
             return None
         ahead = account.demand(now) * self.policy.horizon
         want = missing + max(self.policy.min_slice, int(ahead))
+        if self.policy.emergency and not account.has_emergency:
+            witnesses = []
+            want = max(need, self.policy.emergency)
         self._opened += 1
         account.opening = wire.OpenGrant(
             grant=f"{self.holder}/{self._opened}",
@@ -225,28 +313,102 @@
             sequence=self._sequence,
             need=need,
             want=want,
+            term=self.term,
+            witnesses=witnesses,
         )
         return account.opening
 
+    def hold(self, budget: str, missing: int, now: float) -> list[ToWitness]:
+        """Returns what witnesses must hear for ``missing`` more tokens."""
+        account = self._account(budget, now)
+        ahead = int(account.demand(now) * HOLD_SECONDS)
+        wanted = max(missing, ahead - account.free)
+        notes: list[ToWitness] = []
+        for grant in account.grants.values():
+            if grant.closing or not grant.limits:
+                continue
+            # What was asked before may still be on its way.
+            wanted -= max(0, grant.asked - grant.limit)
+            step = min(
+                grant.amount - grant.asked, max(wanted, MIN_HOLD_TOKENS)
+            )
+            if wanted <= 0 or step <= 0:
+                continue
+            grant.asked += step
+            wanted -= step
+            note = witness_wire.Hold(grant=grant.id, limit=grant.asked)
+            notes += [ToWitness(name, note) for name in grant.limits]
+        return notes
+
+    def wants_held(self, budget: str, now: float) -> bool:
+        """Whether what witnesses have heard runs out soon."""
+        account = self._account(budget, now)
+        soon = account.demand(now) * HOLD_SECONDS / 2
+        return account.free < soon and account.free < account.unspent
+
+    def on_held(self, witness: str, note: witness_wire.Hold) -> None:
+        """Takes a witness's word that it has heard a note."""
+        grant = self._by_id.get(note.grant)
+        if grant is not None:
+            grant.limits[witness] = max(grant.limits[witness], note.limit)
+
+    def on_witness_lost(self, witness: str) -> list[wire.ShrinkGrant]:
+        """Stops spending grants of which a witness hears no more."""
+        return self._give_up(
+            [g for g in self._by_id.values() if witness in g.limits]
+        )
+
+    def on_term_closed(self, term: int) -> list[wire.ShrinkGrant]:
+        """Stops spending the grants of a term that a witness has closed."""
+        if term < self.term:
+            return []
+        self.term = term + 1
+        return self._give_up([g for g in self._by_id.values() if g.limits])
+
+    def on_witnesses_found(self) -> list[wire.ShrinkGrant]:
+        """Stops spending grants made while there were no witnesses."""
+        if self.policy.emergency:
+            return []
+        return self._give_up([g for g in self._by_id.values() if not g.limits])
+
+    def _give_up(self, grants: list[Grant]) -> list[wire.ShrinkGrant]:
+        commands = []
+        for grant in grants:
+            if grant.closing:
+                continue
+            if grant.unspent and (grant.reserved or grant.unsettled):
+                commands.append(self._shrink(grant))
+            grant.closing = True
+        return commands
+
     def wants_more(self, budget: str, now: float) -> bool:
         """Whether what is held runs out within half the horizon."""
         account = self._account(budget, now)
         if account.opening is not None or account.short is not None:
             return False
         ahead = account.demand(now) * self.policy.horizon / 2
-        return account.free < ahead
+        return account.unspent < ahead
 
     def on_opened(
         self, command: wire.OpenGrant, reply: wire.Reply, now: float
     ) -> None:
         """Takes the answer to :meth:`open_grant`."""
         account = self.accounts[command.budget]
+        is_old = command.witnesses and command.term < self.term
         if account.opening is command:
             account.opening = None
             account.short = None
         if isinstance(reply, wire.Granted):
-            grant = Grant(id=reply.grant, amount=reply.amount, now=now)
+            grant = Grant(
+                id=reply.grant,
+                amount=reply.amount,
+                now=now,
+                witnesses=command.witnesses,
+            )
+            # Of a term that was closed meanwhile nothing can be spent.
+            grant.closing = bool(is_old)
             account.grants[grant.id] = grant
+            self._by_id[grant.id] = grant
         elif isinstance(reply, wire.Short):
             account.short = reply
 
@@ -256,14 +418,29 @@
         if account is not None:
             account.short = None
 
-    def recall(self, budget: str) -> None:
-        """Stops spending from the budget's grants, so that they close."""
+    def recall(self, budget: str) -> list[wire.ShrinkGrant]:
+        """Stops spending what is free of the budget's grants.
+
+        Unused grants are closed next time; of those in use the free part
+        is returned by the commands, each to be sent until it is answered.
+        """
         account = self.accounts.get(budget)
-        if account is None:
-            return
-        for grant in account.grants.values():
-            if grant.amount - grant.reserved - grant.used > 0:
+        commands: list[wire.ShrinkGrant] = []
+        for grant in account.grants.values() if account else ():
+            if grant.unspent <= 0:
+                continue
+            if grant.reserved or grant.unsettled:
+                commands.append(self._shrink(grant))
+            else:
                 grant.closing = True
+        return commands
+
+    def _shrink(self, grant: Grant) -> wire.ShrinkGrant:
+        """Gives up what is neither used nor reserved of a grant."""
+        grant.amount = grant.reserved + grant.used
+        return wire.ShrinkGrant(
+            grant=grant.id, holder=self.holder, amount=grant.amount
+        )
 
     def recall_all(self) -> None:
         """Stops spending altogether; for a shutdown."""
@@ -290,10 +467,15 @@
         idle = now - grant.last_used >= self.policy.idle
         return grant.closing or idle or grant.used >= grant.amount
 
-    def on_closed(self, command: wire.CloseGrant) -> None:
-        """Forgets a grant that control has closed."""
+    def on_closed(self, command: wire.CloseGrant) -> list[ToWitness]:
+        """Forgets a grant that control has closed, and has others do so."""
         for account in self.accounts.values():
             account.grants.pop(command.grant, None)
+        grant = self._by_id.pop(command.grant, None)
+        if grant is None:
+            return []
+        note = witness_wire.Forget(grant=grant.id)
+        return [ToWitness(name, note) for name in grant.limits]
 
     def retry_close(self, command: wire.CloseGrant) -> None:
         """Has a close sent again that got no answer."""
@@ -314,6 +496,7 @@
         self._in_flight = wire.SettleBills(
             holder=self.holder,
             sequence=self._sequence + 1,
+            first=self._billed - len(self._bills) + 1,
             bills=self._bills,
         )
         self._bills = []
@@ -350,3 +533,7 @@
             for account in self.accounts.values()
         )
         return not held and not self.has_bills
+
+
+def _has_no_witness(grant: Grant) -> bool:
+    return not grant.limits
--- a/galenashed/budget/_policy.py
+++ b/galenashed/budget/_policy.py
@@ -7,9 +7,12 @@
     ``horizon`` is how long a grant should last at the present demand,
     ``idle`` how long an unused grant is kept, ``serve_when_stale`` whether
     an entry that is cut off from control goes on spending what it holds.
+    ``emergency`` is the size of one grant a budget that has no witnesses: it
+    can be spent when nobody answers, and is lost if its holder dies.
     """
 
     __slots__ = (
+        "emergency",
         "horizon",
         "idle",
         "min_slice",
@@ -25,7 +28,9 @@
         min_slice: int,
         recall_wait: float,
         serve_when_stale: bool,
+        emergency: int,
     ):
+        self.emergency = emergency
         self.horizon = horizon
         self.idle = idle
         self.min_slice = min_slice
@@ -43,6 +48,7 @@
         min_slice=2_000,
         recall_wait=1.0,
         serve_when_stale=False,
+        emergency=0,
     ),
     "refusals-first": Policy(
         horizon=60.0,
@@ -50,5 +56,6 @@
         min_slice=20_000,
         recall_wait=2.0,
         serve_when_stale=True,
+        emergency=20_000,
     ),
 }
--- a/galenashed/cli/_operator.py
+++ b/galenashed/cli/_operator.py
@@ -214,6 +214,7 @@
                 str(balance.prepaid),
                 str(balance.settled),
                 str(balance.outstanding),
+                str(balance.unwitnessed),
                 str(balance.free),
                 str(balance.pending_cut),
             ]
@@ -226,6 +227,7 @@
                 "prepaid",
                 "settled",
                 "granted",
+                "unwitnessed",
                 "free",
                 "pending cut",
             ],
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -1,10 +1,13 @@
 """Budgets, grants and bills within the replicated state.
 
 A grant moves tokens from free to outstanding, a bill from outstanding to
-settled, a closed grant from outstanding back to free.  No other path exists,
-so ``settled + outstanding <= prepaid`` holds whatever is lost or repeated.
+settled, a closed or shrunk grant from outstanding back to free.  No other
+path exists, so ``settled + outstanding <= prepaid`` holds whatever is lost or
+repeated.
 """
 
+import msgspec
+
 from galenashed.control import _state
 from galenashed.protocol import control as wire
 
@@ -13,9 +16,18 @@
 GRANT_SHARE_DIVISOR = 4
 BILL_RETENTION_SECONDS = 24 * 3600.0
 HOLDER_RETENTION_SECONDS = 7 * 24 * 3600.0
+WRITE_OFF_SECONDS = 3600.0
 MAX_RECENT_BILLS = 10_000
 
 
+class WrittenOff(msgspec.Struct, frozen=True, kw_only=True):
+    """What of a grant was counted as spent without a bill, in tokens."""
+
+    grant: str
+    budget: str
+    tokens: int
+
+
 def top_up(state: _state.ControlState, budget: wire.Budget) -> None:
     """Applies the top-ups and cuts of a note that are not yet applied."""
     held = state.budgets.get(budget.name)
@@ -54,8 +66,11 @@
         return wire.Granted(grant=cmd.grant, amount=existing.amount)
     holder = _holder(state, cmd.holder, cmd.sequence)
     if cmd.number <= holder.opened:
-        # A late copy of a command whose grant has been closed since.
+        # A late copy of a command whose grant has been closed since, or
+        # which was answered by a refusal: nobody waits for it any more.
         return wire.Closed(grant=cmd.grant)
+    holder.opened = cmd.number
+    holder.at = state.now
     if cmd.need > held.free:
         return wire.Short(
             available=held.free,
@@ -64,11 +79,12 @@
     share = max(cmd.need, held.free // GRANT_SHARE_DIVISOR)
     amount = min(max(cmd.want, cmd.need), share)
     held.grants[cmd.grant] = _state.GrantState(
-        holder=cmd.holder, amount=amount
+        holder=cmd.holder,
+        amount=amount,
+        term=cmd.term,
+        witnesses=cmd.witnesses,
     )
     held.outstanding += amount
-    holder.opened = cmd.number
-    holder.at = state.now
     return wire.Granted(grant=cmd.grant, amount=amount)
 
 
@@ -100,6 +116,25 @@
     return wire.Done(index=index)
 
 
+def shrink_grant(
+    state: _state.ControlState, cmd: wire.ShrinkGrant, budget: str, index: int
+) -> wire.Reply:
+    """Frees a part of a grant; late copies of the command change nothing."""
+    held = state.budgets[budget]
+    _shrink(held, held.grants[cmd.grant], cmd.amount)
+    return wire.Done(index=index)
+
+
+def _shrink(
+    held: _state.BudgetState, grant: _state.GrantState, amount: int
+) -> None:
+    kept = max(amount, grant.settled)
+    if kept < grant.amount:
+        held.outstanding -= grant.amount - kept
+        grant.amount = kept
+        _apply_cut(held)
+
+
 def settle(
     state: _state.ControlState, cmd: wire.SettleBills, grants: dict[str, str]
 ) -> wire.Reply:
@@ -117,17 +152,74 @@
             ]
         )
     duplicates = []
-    for bill in cmd.bills:
-        if _is_duplicate(state, bill):
+    for number, bill in enumerate(cmd.bills, cmd.first):
+        if number in holder.recovered:
+            holder.recovered.remove(number)
+        elif _is_duplicate(state, bill):
             duplicates.append(bill.attempt)
         else:
             _charge(state, bill, cmd.holder, grants)
     holder.sequence = cmd.sequence
+    holder.billed = cmd.first + len(cmd.bills) - 1
     holder.duplicates = duplicates
     holder.at = state.now
     return wire.Settled(sequence=cmd.sequence, duplicates=duplicates)
 
 
+def recover(
+    state: _state.ControlState, cmd: wire.RecoverHolder, grants: dict[str, str]
+) -> int:
+    """Bills and shrinks for a holder that is gone; returns tokens freed.
+
+    What it may have spent and not billed stays outstanding.
+    """
+    holder = _holder(state, cmd.holder, 0)
+    for copy in cmd.copies:
+        if copy.number <= holder.billed or copy.number in holder.recovered:
+            continue
+        holder.recovered.append(copy.number)
+        if not _is_duplicate(state, copy.bill):
+            _charge(state, copy.bill, cmd.holder, grants)
+    freed = 0
+    for name, budget in grants.items():
+        held = state.budgets[budget]
+        grant = held.grants[name]
+        if not _is_witnessed(grant, cmd):
+            continue
+        before = grant.amount
+        _shrink(held, grant, cmd.limits.get(name, 0))
+        freed += before - grant.amount
+        if grant.recovered_at is None:
+            grant.recovered_at = state.now
+    holder.at = state.now
+    return freed
+
+
+def _is_witnessed(grant: _state.GrantState, cmd: wire.RecoverHolder) -> bool:
+    """Whether the sender may speak for a grant."""
+    same = (grant.holder, grant.term) == (cmd.holder, cmd.term)
+    return same and cmd.witness in grant.witnesses
+
+
+def write_off(
+    state: _state.ControlState, grants: dict[str, str]
+) -> list[WrittenOff]:
+    """Counts as spent what holders that are gone have not billed."""
+    horizon = state.now - WRITE_OFF_SECONDS
+    found = []
+    for name, budget in list(grants.items()):
+        held = state.budgets[budget]
+        grant = held.grants[name]
+        if grant.recovered_at is None or grant.recovered_at > horizon:
+            continue
+        tokens = grant.amount - grant.settled
+        held.outstanding -= tokens
+        held.settled += tokens
+        del held.grants[name]
+        found.append(WrittenOff(grant=name, budget=budget, tokens=tokens))
+    return found
+
+
 def _is_duplicate(state: _state.ControlState, bill: wire.Bill) -> bool:
     """Whether the request was billed; if not, notes that it is now."""
     if not bill.keyed:
@@ -193,6 +285,11 @@
         prepaid=held.prepaid,
         settled=held.settled,
         outstanding=held.outstanding,
+        unwitnessed=sum(
+            grant.amount - grant.settled
+            for grant in held.grants.values()
+            if not grant.witnesses
+        ),
         pending_cut=held.pending_cut,
         grants=len(held.grants),
     )
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -53,7 +53,9 @@
             wire.PublishNote: self._publish,
             wire.OpenGrant: self._open_grant,
             wire.CloseGrant: self._close_grant,
+            wire.ShrinkGrant: self._shrink_grant,
             wire.SettleBills: self._settle,
+            wire.RecoverHolder: self._recover,
             wire.ClaimCall: self._claim,
             wire.FinishCall: self._finish,
             wire.ReportCrash: self._report_crash,
@@ -69,7 +71,7 @@
         """Applies one committed command."""
         stamped = _DECODER.decode(data)
         self.state.now = max(self.state.now, stamped.at)
-        self._expire()
+        self._expire(index)
         self.applied = index
         command = stamped.command
         return self._handlers[type(command)](index, command)
@@ -223,15 +225,39 @@
         budget = self._grants.get(cmd.grant)
         if budget is None:
             return wire.Done(index=index)
-        held = self.state.budgets[budget].grants[cmd.grant]
-        if held.holder != cmd.holder:
+        if self._is_foreign(cmd, budget):
             return wire.Refused(findings=["the grant is not the sender's"])
         del self._grants[cmd.grant]
         return _budgets.close_grant(self.state, cmd, budget, index)
 
+    def _shrink_grant(self, index: int, cmd: wire.ShrinkGrant) -> wire.Reply:
+        budget = self._grants.get(cmd.grant)
+        if budget is None:
+            return wire.Done(index=index)
+        if self._is_foreign(cmd, budget):
+            return wire.Refused(findings=["the grant is not the sender's"])
+        return _budgets.shrink_grant(self.state, cmd, budget, index)
+
+    def _is_foreign(self, cmd, budget: str) -> bool:
+        """Whether a grant belongs to another holder than the sender."""
+        grant = self.state.budgets[budget].grants[cmd.grant]
+        return grant.holder != cmd.holder
+
     def _settle(self, index: int, cmd: wire.SettleBills) -> wire.Reply:
         return _budgets.settle(self.state, cmd, self._grants)
 
+    def _recover(self, index: int, cmd: wire.RecoverHolder) -> wire.Reply:
+        freed = _budgets.recover(self.state, cmd, self._grants)
+        self._audit(
+            index,
+            actor=cmd.witness,
+            action="recover",
+            subject=cmd.holder,
+            digest="",
+            result=f"{freed} tokens freed, {len(cmd.copies)} bills",
+        )
+        return wire.Done(index=index)
+
     def _claim(self, index: int, cmd: wire.ClaimCall) -> wire.Reply:
         return _calls.claim(self.state, cmd)
 
@@ -280,11 +306,21 @@
     def _barrier(self, index: int, cmd: wire.Barrier) -> wire.Reply:
         return wire.Done(index=index)
 
-    def _expire(self) -> None:
+    def _expire(self, index: int) -> None:
         if self.state.now < self.state.next_expiry:
             return
         self.state.next_expiry = self.state.now + EXPIRE_EVERY_SECONDS
         _budgets.expire(self.state)
+        for item in _budgets.write_off(self.state, self._grants):
+            del self._grants[item.grant]
+            self._audit(
+                index,
+                actor="system",
+                action="write-off",
+                subject=item.budget,
+                digest="",
+                result=f"{item.tokens} tokens of {item.grant}",
+            )
         _calls.expire(self.state)
         if _suspects.expire(self.state) and self.listener is not None:
             self.listener.on_suspects()
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -6,11 +6,18 @@
 
 
 class GrantState(msgspec.Struct, kw_only=True):
-    """Tokens handed to one incarnation of one entry."""
+    """Tokens handed to one incarnation of one entry.
+
+    ``recovered_at`` is set once a witness has shrunk it for a holder that
+    is gone.
+    """
 
     holder: str
     amount: int
     settled: int = 0
+    term: int = 0
+    witnesses: list[str] = []
+    recovered_at: float | None = None
 
 
 class BudgetState(msgspec.Struct, kw_only=True):
@@ -37,11 +44,14 @@
 class HolderState(msgspec.Struct, kw_only=True):
     """What is known of one incarnation of an entry.
 
-    ``sequence`` is that of the last batch of bills, ``opened`` the highest
-    number of a grant.
+    ``sequence`` is that of the last batch of bills, ``billed`` the number
+    of the last bill in it, ``recovered`` later ones that a witness brought.
+    ``opened`` is the highest number of a grant.
     """
 
     sequence: int = 0
+    billed: int = 0
+    recovered: list[int] = []
     opened: int = 0
     duplicates: list[str] = []
     at: float = 0.0
--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -148,6 +148,7 @@
             run.end_slot()
             self.suspects.end(run, answered=True)
             self._bill(run, *usage)
+            await self.reservations.wait_kept()
             return blacksheep.Response(
                 200,
                 [
@@ -166,6 +167,10 @@
         try:
             async with contextlib.aclosing(relayed) as stream:
                 async for data in stream:
+                    if scanner.finished:
+                        # The end of the answer waits for its bill.
+                        self._settle_stream(run, scanner)
+                        await self.reservations.wait_kept()
                     yield data
         finally:
             run.end_slot()
@@ -173,6 +178,8 @@
             self._settle_stream(run, scanner)
 
     def _settle_stream(self, run: _runs.ModelRun, scanner) -> None:
+        if run.reservation.done:
+            return
         if scanner.usage is not None and scanner.finished:
             self._bill(run, *scanner.usage)
         elif run.caller_gone and scanner.events:
--- a/galenashed/entry/_reservations.py
+++ b/galenashed/entry/_reservations.py
@@ -49,6 +49,10 @@
         draft = wire.Bill(budget=reservation.budget, parts=[], **fields)
         return self.desk.bill(reservation, draft)
 
+    async def wait_kept(self) -> None:
+        """Waits a little until the latest bill outlives this entry."""
+        await self.desk.wait_kept()
+
     def release(self, reservation: budget.Reservation) -> None:
         """Gives a reservation back unused."""
         self.desk.release(reservation)
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -22,6 +22,7 @@
 from galenashed.entry import _runs
 from galenashed.entry import _spreader
 from galenashed.entry import _suspects
+from galenashed.entry import _witnesses
 from galenashed import membership
 from galenashed.protocol import control as control_wire
 from galenashed.protocol import methods
@@ -81,7 +82,10 @@
         self._peers = rpc.Server(
             address=cfg.peers_address,
             keys={"peer": rpc.hash_key(cfg.peer_key)},
-            handlers=[(methods.SPREAD, self._receive_spread)],
+            handlers=[
+                (methods.SPREAD, self._receive_spread),
+                (methods.WITNESS, self._witness.serve),
+            ],
         )
 
     def _make_control(self, rng: random.Random) -> None:
@@ -101,17 +105,34 @@
             rng=rng,
             max_age=REPLICA_MAX_AGE_SECONDS,
         )
+        self.directory = membership.Directory(lease=INSTANCE_LEASE_SECONDS)
+        self._witness_links = _witnesses.WitnessLinks(
+            holder=self.holder,
+            failure_domain=cfg.failure_domain,
+            directory=self.directory,
+            key=cfg.peer_key,
+            rng=rng,
+        )
         self.desk = budget.BudgetDesk(
             escrow=budget.Escrow(holder=self.holder, policy=policy),
             control=self.proposer,
+            witnesses=self._witness_links,
             unavailable=control.ControlUnavailableError,
         )
+        self._witness_links.attach(self.desk)
+        self._witness = _witnesses.WitnessServer(
+            book=budget.WitnessBook(
+                name=self.holder, silence=_witnesses.SILENCE_SECONDS
+            ),
+            directory=self.directory,
+            links=self._witness_links,
+            proposer=self.proposer,
+        )
 
     def _make_routing(self, rng: random.Random) -> None:
         """Makes what knows and chooses targets and other entries."""
         cfg = self.cfg
         self.targets = membership.Directory(lease=cfg.target_lease)
-        self.directory = membership.Directory(lease=INSTANCE_LEASE_SECONDS)
         self.dispatcher = _dispatcher.Dispatcher(
             router=routing.make_router("affinity", rng),
             targets=self.targets,
@@ -193,6 +214,7 @@
             await asyncio.sleep(CATCH_UP_POLL_SECONDS)
         await self._http.start()
         await self._spreader.start()
+        await self._witness.start()
         LOG.info("entry {} serves callers on port {}", self.holder, self.port)
 
     async def drain(self) -> None:
@@ -222,6 +244,8 @@
         await self._close_tasks()
 
     async def _close_tasks(self) -> None:
+        await self._witness.close()
+        await self._witness_links.close()
         await self._spreader.close()
         await self.dispatcher.close()
         await self._follow.close()
@@ -263,7 +287,7 @@
         if self.directory.get(holder.rpartition("/")[0]) is None:
             return waited < INSTANCE_LEASE_SECONDS
         return any(
-            f"{peer.name}/{peer.incarnation}" == holder
+            _witnesses.name_of(peer) == holder
             for peer in self.directory.alive(time.monotonic())
         )
 
--- /dev/null
+++ b/galenashed/entry/_witnesses.py
@@ -0,0 +1,260 @@
+"""Entries that remember for one another what each may spend."""
+
+import asyncio
+import random
+import time
+
+import loguru
+
+from galenashed import budget
+from galenashed import control
+from galenashed import membership
+from galenashed.protocol import control as control_wire
+from galenashed.protocol import methods
+from galenashed.protocol import rpc
+from galenashed.protocol import spread
+from galenashed.protocol import witness as wire
+from galenashed import telemetry
+
+LOG = loguru.logger
+
+WITNESSES = 2
+ANSWER_SECONDS = 1.0
+TICK_SECONDS = 0.5
+PAUSE_SECONDS = 2.0
+SILENCE_SECONDS = 10.0
+RECOVER_TIMEOUT_SECONDS = 5.0
+
+
+class _Link:
+    """The stream to one witness, and the task that owns it."""
+
+    __slots__ = ("address", "name", "queue", "task", "wake")
+
+    def __init__(self, *, name: str, address: str):
+        self.name = name
+        self.address = address
+        self.queue: list[wire.Note] = []
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+
+class WitnessLinks:
+    """A holder's streams to its witnesses.
+
+    Parameters
+    ----------
+    holder : str
+        This entry, with its incarnation.
+    failure_domain : str
+        Where it is; witnesses elsewhere go first.
+    directory : Directory
+        The entries that are alive.
+    key : str
+        The peers' key.
+    rng : random.Random
+        Spreads the load over the witnesses.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: str,
+        failure_domain: str,
+        directory: membership.Directory,
+        key: str,
+        rng: random.Random,
+    ):
+        self.holder = holder
+        self.failure_domain = failure_domain
+        self.directory = directory
+        self.key = key
+        self.rng = rng
+        self._desk: budget.BudgetDesk
+        self._links: dict[str, _Link] = {}
+
+    def attach(self, desk: budget.BudgetDesk) -> None:
+        """Takes the desk that is told what witnesses say."""
+        self._desk = desk
+
+    async def close(self) -> None:
+        """Ends every stream."""
+        tasks = [link.task for link in self._links.values() if link.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _serving(self) -> dict[str, spread.Instance]:
+        """Returns the other entries that can be witnesses, by their name."""
+        alive = self.directory.alive(time.monotonic())
+        named = {name_of(peer): peer for peer in alive}
+        return {
+            name: peer
+            for name, peer in named.items()
+            if peer.state == "serving" and name != self.holder
+        }
+
+    def choose(self) -> list[str]:
+        """Returns the witnesses of a new grant.
+
+        They are in other failure domains than this entry and one another,
+        as far as there are such.
+        """
+        peers = list(self._serving().items())
+        self.rng.shuffle(peers)
+        chosen: list[str] = []
+        domains = {self.failure_domain}
+        for name, peer in peers:
+            if peer.failure_domain not in domains:
+                domains.add(peer.failure_domain)
+                chosen.append(name)
+        rest = [name for name, _ in peers if name not in chosen]
+        return [*chosen, *rest][:WITNESSES]
+
+    def send(self, notes: list[budget.ToWitness]) -> None:
+        """Queues notes for their witnesses; never waits."""
+        for name, note in notes:
+            link = self._links.get(name) or self._open(name)
+            if link is not None:
+                link.queue.append(note)
+                link.wake.set()
+
+    def _open(self, name: str) -> _Link | None:
+        peer = self._serving().get(name)
+        if peer is None:
+            # Not here: the desk is in the midst of sending.
+            asyncio.get_running_loop().call_soon(self._lose, name)
+            return None
+        link = _Link(name=name, address=peer.peer_address)
+        self._links[name] = link
+        link.task = telemetry.start_task(self._run(link), "witness link")
+        return link
+
+    def _lose(self, name: str) -> None:
+        self._links.pop(name, None)
+        self._desk.on_witness_lost(name)
+
+    def drop_gone(self) -> None:
+        """Gives up witnesses that are gone or drain."""
+        serving = self._serving()
+        for name, link in list(self._links.items()):
+            if name not in serving and link.task is not None:
+                link.task.cancel()
+                self._lose(name)
+
+    async def _run(self, link: _Link) -> None:
+        channel = rpc.Channel(address=link.address, key=self.key)
+        try:
+            await self._exchange(link, channel.open(methods.WITNESS))
+        except (rpc.RpcError, TimeoutError, asyncio.InvalidStateError):
+            LOG.info("witness {} does not answer", link.name)
+        finally:
+            await channel.close()
+        if self._links.get(link.name) is link:
+            self._lose(link.name)
+
+    async def _exchange(self, link: _Link, call) -> None:
+        """Sends batches of notes until the witness is lost."""
+        while True:
+            await link.wake.wait()
+            link.wake.clear()
+            batch, link.queue = link.queue, []
+            term = self._desk.escrow.term
+            notes = wire.Notes(
+                holder=self.holder,
+                term=term,
+                witness=link.name,
+                settled=self._desk.escrow.settled,
+                notes=batch,
+            )
+            async with asyncio.timeout(ANSWER_SECONDS):
+                await call.write(notes)
+                noted = await call.read()
+            if not isinstance(noted, wire.Noted):
+                return
+            if noted.closed:
+                LOG.warning("witness {} has closed term {}", link.name, term)
+                self._desk.on_term_closed(term)
+                continue
+            self._desk.on_noted(link.name, batch)
+
+
+class WitnessServer:
+    """What this entry does as a witness of others.
+
+    Parameters
+    ----------
+    book : WitnessBook
+        Owned by the server.
+    directory : Directory
+        The entries that are alive.
+    links : WitnessLinks
+        This entry's own; told now and then to give up those that are gone.
+    proposer : ControlClient
+        Commits what is known of holders that are gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        book: budget.WitnessBook,
+        directory: membership.Directory,
+        links: WitnessLinks,
+        proposer: control.ControlClient,
+    ):
+        self.book = book
+        self.directory = directory
+        self.links = links
+        self.proposer = proposer
+        self._task: asyncio.Task | None = None
+        self._recovering: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Starts the task that notices holders that are gone."""
+        self._task = telemetry.start_task(self._run(), "witness")
+
+    async def close(self) -> None:
+        """Stops the tasks."""
+        tasks = list(self._recovering)
+        if self._task is not None:
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def serve(self, requests, context):
+        """Serves one holder's stream; an async generator of answers."""
+        async for notes in requests:
+            yield self.book.take(notes, time.monotonic())
+
+    async def _run(self) -> None:
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            if now - last > PAUSE_SECONDS:
+                # This process did not run; the others were not silent.
+                self.book.pardon(now)
+            last = now
+            self.links.drop_gone()
+            alive = {name_of(peer) for peer in self.directory.alive(now)}
+            for command in self.book.tick(alive=alive, now=now):
+                LOG.warning("holder {} is gone", command.holder)
+                task = telemetry.start_task(self._recover(command), "recovery")
+                self._recovering.add(task)
+                task.add_done_callback(self._recovering.discard)
+
+    async def _recover(self, command: control_wire.RecoverHolder) -> None:
+        while True:
+            try:
+                await self.proposer.propose(
+                    command, timeout=RECOVER_TIMEOUT_SECONDS
+                )
+            except control.ControlUnavailableError:
+                continue
+            return
+
+
+def name_of(peer: spread.Instance) -> str:
+    """Returns an entry's name with its incarnation."""
+    return f"{peer.name}/{peer.incarnation}"
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -153,7 +153,8 @@
     """Asks for tokens to spend: at least ``need``, at best ``want``.
 
     ``number`` counts the holder's grants; ``sequence`` is that of its last
-    settled batch of bills.
+    settled batch of bills.  Any of the ``witnesses`` knows how far it may
+    be spent, in the ``term`` in which the holder speaks to them.
     """
 
     grant: str
@@ -163,6 +164,8 @@
     sequence: int
     need: int
     want: int
+    term: int = 0
+    witnesses: list[str] = []
 
 
 class CloseGrant(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -172,14 +175,51 @@
     holder: str
 
 
+class ShrinkGrant(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Returns what a grant holds beyond ``amount`` tokens.
+
+    Its holder has stopped to spend that before it sends this.
+    """
+
+    grant: str
+    holder: str
+    amount: int
+
+
 class SettleBills(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Bills requests; ``sequence`` counts the holder's batches from 1."""
+    """Bills requests; ``sequence`` counts the holder's batches from 1.
+
+    ``first`` is the number of the first bill, which counts the holder's
+    bills from 1 too.
+    """
 
     holder: str
     sequence: int
+    first: int
     bills: list[Bill]
 
 
+class BillCopy(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """A bill as a witness has it, with its number."""
+
+    number: int
+    bill: Bill
+
+
+class RecoverHolder(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """A witness's word on a holder that is gone.
+
+    It has closed the holder's grants of a term: no more than ``limits`` of
+    them can have been spent, and nothing of one that is not named.
+    """
+
+    holder: str
+    term: int
+    witness: str
+    limits: dict[str, int]
+    copies: list[BillCopy]
+
+
 class ClaimCall(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Claims a non-idempotent call for one run by ``owner``."""
 
@@ -250,7 +290,9 @@
     PublishNote
     | OpenGrant
     | CloseGrant
+    | ShrinkGrant
     | SettleBills
+    | RecoverHolder
     | ClaimCall
     | FinishCall
     | ReportCrash
@@ -291,7 +333,7 @@
 
 
 class Closed(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """The grant was closed before, or a later one has been opened."""
+    """The grant was closed or refused before, or a later one was asked for."""
 
     grant: str
 
@@ -371,13 +413,18 @@
 
 
 class Balance(msgspec.Struct, frozen=True, kw_only=True):
-    """What a budget stands at, in tokens."""
+    """What a budget stands at, in tokens.
+
+    ``unwitnessed`` is the part of ``outstanding`` that is lost to the team
+    if its holders die.
+    """
 
     budget: str
     team: str
     prepaid: int
     settled: int
     outstanding: int
+    unwitnessed: int
     pending_cut: int
     grants: int
 
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -4,6 +4,7 @@
 from galenashed.protocol import control
 from galenashed.protocol import rpc
 from galenashed.protocol import spread
+from galenashed.protocol import witness
 
 DELIVER = rpc.Method(
     path="/galenashed.Consensus/Deliver",
@@ -51,6 +52,12 @@
     reply=control.ReplicaStatus,
     roles=("peer", "operator"),
 )
+WITNESS = rpc.Method(
+    path="/galenashed.Entry/Witness",
+    kind="bidi",
+    request=witness.Notes,
+    reply=witness.Noted,
+)
 SPREAD = rpc.Method(
     path="/galenashed.Entry/Spread",
     kind="client_stream",
--- /dev/null
+++ b/galenashed/tests/test_witnesses.py
@@ -0,0 +1,102 @@
+"""Entries that die, freeze or are cut off while they hold tokens."""
+
+import json
+import signal
+
+import testtools
+
+from galenashed.tests import _fleet
+
+SMALL_BUDGET = 6_000
+
+
+class TestWitnesses(testtools.TestCase):
+    """What an entry held comes back, and no more than that."""
+
+    def start(self, note: str = _fleet.NOTE) -> None:
+        self.fleet = _fleet.Fleet(entries=3, engines=2, services=0, note=note)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+
+    def warm_up(self, entry: str) -> None:
+        """Has an entry hold tokens that witnesses have heard of."""
+
+        def is_warm():
+            self.assertEqual(200, self.fleet.ask(entry, "warm up").status)
+            held = self.fleet.balance()
+            return held["outstanding"] and not held["unwitnessed"]
+
+        _fleet.wait_for(is_warm, "witnessed tokens")
+
+    def wait_recovered(self, entry: str) -> None:
+        """Waits until a witness has spoken for an entry."""
+
+        def is_recovered():
+            shown = self.fleet.operate("audit", "--json")
+            return any(
+                record["action"] == "recover"
+                and record["subject"].startswith(f"{entry}/")
+                for record in json.loads(shown.stdout)
+            )
+
+        _fleet.wait_for(is_recovered, "a witness's word")
+
+    def test_tokens_of_a_killed_entry_come_back(self):
+        self.start()
+        self.warm_up("e1")
+        before = self.fleet.balance()
+        self.assertGreater(before["outstanding"], 1_000)
+        self.fleet.processes["e1"].kill()
+        self.wait_recovered("e1")
+        after = self.fleet.balance()
+        # What it may have spent without a bill stays out of reach.
+        self.assertLess(after["outstanding"], before["outstanding"] / 2)
+        self.assertGreaterEqual(after["settled"], before["settled"])
+
+    def test_answer_given_just_before_a_kill_is_billed(self):
+        self.start()
+        self.warm_up("e1")
+        for name in self.fleet.control_names:
+            link = self.fleet.control_links[("e1", name)]
+            link.forward = link.backward = "drop"
+        answer = self.fleet.ask("e1", "last words")
+        self.assertEqual(200, answer.status)
+        self.fleet.processes["e1"].kill()
+        name = answer.headers["X-Request-Id"]
+        self.assertEqual([], self.fleet.bills(name))
+        self.wait_recovered("e1")
+        bills = self.fleet.bills(name)
+        self.assertEqual(1, len(bills))
+        used = answer.json()["usage"]["total_tokens"]
+        self.assertEqual(used, sum(part[1] for part in bills[0]["parts"]))
+
+    def test_entry_that_wakes_spends_nothing_that_was_freed(self):
+        self.start(_fleet.NOTE.replace("1000000", str(SMALL_BUDGET)))
+        self.warm_up("e1")
+        self.fleet.processes["e1"].signal(signal.SIGSTOP)
+        self.wait_recovered("e1")
+        self.spend_all("e2")
+        self.fleet.processes["e1"].signal(signal.SIGCONT)
+        self.spend_all("e1")
+        made = sum(
+            self.fleet.stats(name)["prompt_tokens"]
+            + self.fleet.stats(name)["output_tokens"]
+            for name in self.fleet.engine_names
+        )
+        self.assertLessEqual(made, SMALL_BUDGET)
+
+        def is_settled():
+            return self.fleet.balance()["settled"] == made
+
+        _fleet.wait_for(is_settled, "every bill")
+
+    def spend_all(self, entry: str) -> None:
+        """Asks until the budget does not cover another request."""
+
+        def is_refused():
+            answer = self.fleet.ask(entry, "more")
+            return answer.status == 429 or self.assertIn(
+                answer.status, (200, 503)
+            )
+
+        _fleet.wait_for(is_refused, "an empty budget")
