Keep the bills of plain calls before their answers, and split the desk

Cause: an idempotent plain call without a key was answered before its bill had left the entry, as model requests once were.

Change: the answer of a plain call waits for its bill as well, for a second at most. What the desk needs of others and the wait for a kept bill have modules of their own.

--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import time
-import typing
 
 import loguru
 
 from galenashed.budget import _account
-from galenashed.budget import _escrow
+from galenashed.budget import _kept
+from galenashed.budget import _ports
 from galenashed.protocol import control as wire
 from galenashed.protocol import witness as witness_wire
 from galenashed import telemetry
@@ -18,7 +18,6 @@
 OPEN_TIMEOUT_SECONDS = 2.0
 SETTLE_TIMEOUT_SECONDS = 5.0
 SHORT_RETRY_SECONDS = 0.1
-KEPT_SECONDS = 1.0
 FRUITLESS_SECONDS = 5.0
 
 
@@ -37,25 +36,6 @@
         self.elsewhere = elsewhere
 
 
-class Proposer(typing.Protocol):
-    """Commits commands; see ``ControlClient``."""
-
-    async def propose(
-        self, command: wire.Command, *, timeout: float
-    ) -> wire.Reply:
-        """Returns the committed reply; raises if control is not there."""
-
-
-class Witnesses(typing.Protocol):
-    """Reaches the entries that remember what this one may spend."""
-
-    def choose(self) -> list[str]:
-        """Returns the witnesses for a new grant; none if there are none."""
-
-    def send(self, notes: list[_escrow.ToWitness]) -> None:
-        """Sends notes; what is heard or lost is told to the desk."""
-
-
 class _Waiter:
     __slots__ = ("budget", "deadline", "fut", "tokens")
 
@@ -82,7 +62,12 @@
     """
 
     def __init__(
-        self, *, escrow, control: Proposer, witnesses: Witnesses, unavailable
+        self,
+        *,
+        escrow,
+        control: _ports.Proposer,
+        witnesses: _ports.Witnesses,
+        unavailable,
     ):
         self.escrow = escrow
         self.control = control
@@ -94,7 +79,7 @@
         self._ticker: asyncio.Task | None = None
         self._settled = asyncio.Event()
         self._bill_added = asyncio.Event()
-        self._kept: dict[int, asyncio.Future] = {}
+        self._kept = _kept.KeptBills()
 
     async def start(self) -> None:
         """Starts the task that settles bills and closes grants."""
@@ -169,8 +154,7 @@
         number = self.escrow.bills.latest
         copies = self.escrow.copies(number, final)
         if copies:
-            fut = asyncio.get_running_loop().create_future()
-            self._kept[number] = fut
+            self._kept.expect(number)
             self.witnesses.send(copies)
         self._bill_added.set()
         self._serve(reservation.budget)
@@ -182,14 +166,7 @@
         That is once a witness or control has it; not for long, for the
         caller's answer waits too.  At once if the bill has no witness.
         """
-        fut = self._kept.get(self.escrow.bills.latest)
-        if fut is not None:
-            await asyncio.wait([fut], timeout=KEPT_SECONDS)
-
-    def _on_kept(self, number: int) -> None:
-        fut = self._kept.pop(number, None)
-        if fut is not None and not fut.done():
-            fut.set_result(None)
+        await self._kept.wait(self.escrow.bills.latest)
 
     def recall(self, budget: str) -> None:
         """Gives idle tokens back, for another entry needs them."""
@@ -218,7 +195,7 @@
             if isinstance(note, witness_wire.Hold):
                 self.escrow.on_held(witness, note)
             elif isinstance(note, wire.BillCopy):
-                self._on_kept(note.number)
+                self._kept.note(note.number)
         for budget in {waiter.budget for waiter in self._waiters}:
             self._serve(budget)
             self._ask_again(budget)
@@ -403,7 +380,7 @@
         if isinstance(reply, wire.Settled):
             self.escrow.on_settled(reply)
             for number in range(batch.first, batch.first + len(batch.bills)):
-                self._on_kept(number)
+                self._kept.note(number)
         else:
             LOG.error("bills were refused: {}", reply)
         self._settled.set()
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -77,7 +77,7 @@
         except BaseException as exc:
             self._settle_failure(call, reservation, exc)
             raise
-        self._bill(call, reservation)
+        await self._bill_and_keep(call, reservation)
         return _call.respond(call, answer)
 
     async def _handle_once(self, call: _call.Call) -> blacksheep.Response:
@@ -100,7 +100,7 @@
         except BaseException as exc:
             self._settle_failure(call, reservation, exc)
             raise
-        self._bill(call, reservation)
+        await self._bill_and_keep(call, reservation)
         return _call.respond(call, answer)
 
     async def _reserve(self, call: _call.Call) -> budget.Reservation | None:
@@ -108,6 +108,12 @@
             return None
         return await self.reservations.reserve(call.budget, call.service.cost)
 
+    async def _bill_and_keep(self, call: _call.Call, reservation) -> None:
+        """Bills a call, and waits a little until the bill outlives this."""
+        if reservation is not None:
+            self._bill(call, reservation)
+            await self.reservations.wait_kept()
+
     async def _bill_again(self, call: _call.Call) -> None:
         """Bills a call whose owner may have died before it did.
 
--- a/galenashed/tests/test_witnesses.py
+++ b/galenashed/tests/test_witnesses.py
@@ -14,7 +14,7 @@
     """What an entry held comes back, and no more than that."""
 
     def start(self, note: str = _fleet.NOTE) -> None:
-        self.fleet = _fleet.Fleet(entries=3, engines=2, services=0, note=note)
+        self.fleet = _fleet.Fleet(entries=3, engines=2, services=1, note=note)
         self.addCleanup(self.fleet.close)
         self.fleet.start()
 
@@ -60,15 +60,21 @@
             link = self.fleet.control_links[("e1", name)]
             link.forward = link.backward = "drop"
         answer = self.fleet.ask("e1", "last words")
-        self.assertEqual(200, answer.status)
+        call = self.fleet.call("e1", "/lookup", method="GET")
+        self.assertEqual([200, 200], [answer.status, call.status])
         self.fleet.processes["e1"].kill()
-        name = answer.headers["X-Request-Id"]
-        self.assertEqual([], self.fleet.bills(name))
+        names = [a.headers["X-Request-Id"] for a in (answer, call)]
+        self.assertEqual([[], []], [self.fleet.bills(n) for n in names])
         self.wait_recovered("e1")
-        bills = self.fleet.bills(name)
-        self.assertEqual(1, len(bills))
         used = answer.json()["usage"]["total_tokens"]
-        self.assertEqual(used, sum(part[1] for part in bills[0]["parts"]))
+        self.assertEqual([[used], [1]], [self.billed(n) for n in names])
+
+    def billed(self, name: str) -> list[int]:
+        """Returns the tokens of each bill of a request."""
+        return [
+            sum(part[1] for part in bill["parts"])
+            for bill in self.fleet.bills(name)
+        ]
 
     def test_entry_that_wakes_spends_nothing_that_was_freed(self):
         self.start(_fleet.NOTE.replace("1000000", str(SMALL_BUDGET)))
