Send copies of bills to others where a grant has no witnesses

Cause: under refusals-first, at little demand, all tokens come from the grant without witnesses, and its bills had no copies: an answer just before a kill went unbilled.

Change: such bills are copied to the entries that would be witnesses. A recovery that frees and bills nothing, as after a graceful stop, leaves no line in the audit trail.

--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -152,7 +152,8 @@
         """Bills a request; returns the bill as it is settled."""
         final = self.escrow.bill(reservation, bill, time.monotonic())
         number = self.escrow.bills.latest
-        copies = self.escrow.copies(number, final)
+        others = self.witnesses.choose()
+        copies = self.escrow.copies(number, final, others)
         if copies:
             self._kept.expect(number)
             self.witnesses.send(copies)
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -112,15 +112,20 @@
         self.bills.add(final)
         return final
 
-    def copies(self, number: int, bill: wire.Bill) -> list[ToWitness]:
-        """Returns copies of a bill for the witnesses of its grants."""
+    def copies(
+        self, number: int, bill: wire.Bill, others: list[str]
+    ) -> list[ToWitness]:
+        """Returns copies of a bill for the witnesses of its grants.
+
+        They go to ``others`` if the grants have no witnesses.
+        """
         names = dict.fromkeys(
             name
             for part in bill.parts
             for name in self._by_id[part.grant].limits
         )
         copy = wire.BillCopy(number=number, bill=bill)
-        return [ToWitness(name, copy) for name in names]
+        return [ToWitness(name, copy) for name in names or others]
 
     def _spend(
         self, reservation: _account.Reservation, tokens: int, now: float
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -248,6 +248,9 @@
 
     def _recover(self, index: int, cmd: wire.RecoverHolder) -> wire.Reply:
         freed = _budgets.recover(self.state, cmd, self._grants)
+        if not freed and not cmd.copies:
+            # As after a graceful stop, which left nothing to recover.
+            return wire.Done(index=index)
         self._audit(
             index,
             actor=cmd.witness,
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -288,6 +288,15 @@
             return wanted <= names
         return False
 
+    def wait_peers(self, entry: str) -> None:
+        """Waits until an entry knows all the others."""
+
+        def is_known():
+            listed = fetch(self.addresses[entry], "/v1/instances").json()
+            return len(listed["instances"]) == len(self.entry_names)
+
+        wait_for(is_known, f"{entry} to know the others")
+
     # Settings
 
     def _write(self, name: str, text: str) -> pathlib.Path:
--- a/galenashed/tests/test_witnesses.py
+++ b/galenashed/tests/test_witnesses.py
@@ -13,8 +13,8 @@
 class TestWitnesses(testtools.TestCase):
     """What an entry held comes back, and no more than that."""
 
-    def start(self, note: str = _fleet.NOTE) -> None:
-        self.fleet = _fleet.Fleet(entries=3, engines=2, services=1, note=note)
+    def start(self, **options) -> None:
+        self.fleet = _fleet.Fleet(entries=3, engines=2, services=1, **options)
         self.addCleanup(self.fleet.close)
         self.fleet.start()
 
@@ -56,16 +56,27 @@
     def test_answer_given_just_before_a_kill_is_billed(self):
         self.start()
         self.warm_up("e1")
+        self.check_last_answers("e1")
+
+    def test_answer_from_tokens_without_witnesses_is_billed_too(self):
+        self.start(policy='[policy]\npreset = "refusals-first"\n')
+        self.fleet.wait_peers("e1")
+        self.assertEqual(200, self.fleet.ask("e1", "warm up").status)
+        self.assertGreater(self.fleet.balance()["unwitnessed"], 0)
+        self.check_last_answers("e1")
+
+    def check_last_answers(self, entry: str) -> None:
+        """Cuts an entry off from control, has it answer, and kills it."""
         for name in self.fleet.control_names:
-            link = self.fleet.control_links[("e1", name)]
+            link = self.fleet.control_links[(entry, name)]
             link.forward = link.backward = "drop"
-        answer = self.fleet.ask("e1", "last words")
-        call = self.fleet.call("e1", "/lookup", method="GET")
+        answer = self.fleet.ask(entry, "last words")
+        call = self.fleet.call(entry, "/lookup", method="GET")
         self.assertEqual([200, 200], [answer.status, call.status])
-        self.fleet.processes["e1"].kill()
+        self.fleet.processes[entry].kill()
         names = [a.headers["X-Request-Id"] for a in (answer, call)]
-        self.assertEqual([[], []], [self.fleet.bills(n) for n in names])
-        self.wait_recovered("e1")
+        self.assertEqual([[], []], [self.billed(n) for n in names])
+        self.wait_recovered(entry)
         used = answer.json()["usage"]["total_tokens"]
         self.assertEqual([[used], [1]], [self.billed(n) for n in names])
 
@@ -77,7 +88,8 @@
         ]
 
     def test_entry_that_wakes_spends_nothing_that_was_freed(self):
-        self.start(_fleet.NOTE.replace("1000000", str(SMALL_BUDGET)))
+        note = _fleet.NOTE.replace("1000000", str(SMALL_BUDGET))
+        self.start(note=note)
         self.warm_up("e1")
         self.fleet.processes["e1"].signal(signal.SIGSTOP)
         self.wait_recovered("e1")
