Give what a leader knows of its followers a class of its own

Change: Followers holds the progress of each replica and answers what the core asks of them together. No behaviour changes.

--- a/benchmarks/entry_requests.py
+++ b/benchmarks/entry_requests.py
@@ -43,12 +43,18 @@
     """Prints the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--requests", type=int, default=10_000)
+    parser.add_argument(
+        "--entries",
+        type=int,
+        default=1,
+        help="entries; the first gets all requests, the others are witnesses",
+    )
     args = parser.parse_args()
     _common.print_head("entry_requests")
     note = _fleet.NOTE.replace("concurrency = 64", "concurrency = 1000")
     note = note.replace("tokens = 1000000", "tokens = 1000000000")
     fleet = _fleet.Fleet(
-        entries=1,
+        entries=args.entries,
         engines=ENGINES,
         services=0,
         note=note,
@@ -56,6 +62,8 @@
     )
     try:
         fleet.start()
+        if args.entries > 1:
+            fleet.wait_peers("e1")
         measure(fleet, args.requests)
     finally:
         fleet.close()
@@ -63,7 +71,7 @@
 
 def measure(fleet: _fleet.Fleet, count: int) -> None:
     """Runs the requests and prints what they took."""
-    names = ["e1", *fleet.control_names]
+    names = [*fleet.entry_names, *fleet.control_names]
     pids = {name: fleet.processes[name].popen.pid for name in names}
     address = fleet.addresses["e1"]
     idle = {name: _common.resident_mib(pid) for name, pid in pids.items()}
--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -13,6 +13,7 @@
 import random
 import typing
 
+from galenashed.consensus import _followers
 from galenashed.consensus import _log
 from galenashed.consensus import _membership
 from galenashed.consensus import _snapshots
@@ -72,7 +73,7 @@
         self.leader_contact = now - election_timeout
         self.term_start_index = 0
         self._votes: set[str] = set()
-        self._progress: dict[str, _state.Progress] = {}
+        self._followers = _followers.Followers()
         self._incoming = _snapshots.IncomingSnapshot()
         self._ready = _state.Ready()
         self._saved = wire.HardState(
@@ -92,12 +93,9 @@
         self.quorum = len(self.membership.voters) // 2 + 1
         if self.role is not _state.Role.LEADER:
             return
-        held = self._progress
-        self._progress = {
-            peer: held.get(peer)
-            or _state.Progress(next_index=self.log.last_index + 1, contact=now)
-            for peer in self.peers
-        }
+        self._followers.keep(
+            self.peers, next_index=self.log.last_index + 1, now=now
+        )
 
     @property
     def is_voter(self) -> bool:
@@ -138,15 +136,9 @@
 
     def _count_recent(self, voters: set[str], now: float) -> int:
         """Counts those of the voters that answered of late."""
-        recent = 0
-        for name in voters:
-            progress = self._progress.get(name)
-            if name == self.name:
-                recent += 1
-            elif progress is not None:
-                silent = now - progress.contact
-                recent += silent < self.election_timeout
-        return recent
+        since = now - self.election_timeout
+        others = self._followers.count_recent(voters, since)
+        return others + (self.name in voters)
 
     def suspect(self, peer: str, now: float) -> None:
         """Takes a hint that a replica may be gone, as its stream broke.
@@ -266,8 +258,7 @@
         """Returns how far a replica surely holds the log, if known here."""
         if name == self.name:
             return self.durable_index
-        progress = self._progress.get(name)
-        return progress.match if progress is not None else None
+        return self._followers.match(name)
 
     def _check_caught_up(self, name: str) -> None:
         """Raises MembershipError unless a learner holds what is committed.
@@ -297,8 +288,7 @@
         self.snapshot_data = data
         self.log.compact(meta.index - keep)
         self.membership.compact(self.log.base.index)
-        for progress in self._progress.values():
-            progress.offset = None
+        self._followers.restart_snapshots()
 
     # Elections
 
@@ -337,12 +327,9 @@
         self.role = _state.Role.LEADER
         self.leader = self.name
         self._next_heartbeat = now + self.heartbeat
-        self._progress = {
-            peer: _state.Progress(
-                next_index=self.log.last_index + 1, contact=now
-            )
-            for peer in self.peers
-        }
+        self._followers.keep(
+            self.peers, next_index=self.log.last_index + 1, now=now
+        )
         # An empty entry of the new term lets entries of older terms commit.
         entry = self.propose(b"")
         assert entry is not None
@@ -355,7 +342,7 @@
             self.voted_for = ""
         self.role = _state.Role.FOLLOWER
         self.leader = leader
-        self._progress = {}
+        self._followers.clear()
         self._reset_deadline(now)
 
     # Messages
@@ -380,7 +367,7 @@
             self._on_append(now, message)
         elif isinstance(message, wire.SnapshotChunk):
             self._on_snapshot_chunk(now, message)
-        elif message.sender not in self._progress:
+        elif message.sender not in self._followers:
             # Removed since, or this replica no longer leads.
             return
         elif isinstance(message, wire.AppendReply):
@@ -450,7 +437,7 @@
         self.leader_contact = now
         if self.role is not _state.Role.FOLLOWER:
             self.role = _state.Role.FOLLOWER
-            self._progress = {}
+            self._followers.clear()
         self._reset_deadline(now)
 
     def _on_append(self, now: float, req: wire.Append) -> None:
@@ -513,7 +500,7 @@
     def _on_append_reply(self, now: float, reply: wire.AppendReply) -> None:
         if self.role is not _state.Role.LEADER or reply.term != self.term:
             return
-        progress = self._progress[reply.sender]
+        progress = self._followers[reply.sender]
         progress.contact = now
         if progress.offset is not None:
             return
@@ -530,7 +517,7 @@
             self._send_append(reply.sender, heartbeat=False)
 
     def _send_append(self, peer: str, *, heartbeat: bool) -> None:
-        progress = self._progress[peer]
+        progress = self._followers[peer]
         if progress.offset is not None:
             if heartbeat:
                 self._send_chunk(peer, progress)
@@ -560,15 +547,9 @@
         )
 
     def _advance_commit(self) -> None:
-        matches = sorted(
-            [self.durable_index]
-            + [
-                progress.match
-                for peer, progress in self._progress.items()
-                if peer in self.membership.voters
-            ],
-            reverse=True,
-        )
+        matches = self._followers.matches(self.membership.voters)
+        matches.append(self.durable_index)
+        matches.sort(reverse=True)
         index = matches[self.quorum - 1]
         if index > self.commit and self.log.term_at(index) == self.term:
             self.commit = index
@@ -578,7 +559,7 @@
 
     # Snapshots
 
-    def _send_chunk(self, peer: str, progress: _state.Progress) -> None:
+    def _send_chunk(self, peer: str, progress: _followers.Progress) -> None:
         offset = progress.offset or 0
         end = offset + SNAPSHOT_CHUNK_BYTES
         self._send(
@@ -637,7 +618,7 @@
     def _on_snapshot_reply(self, now, reply: wire.SnapshotReply) -> None:
         if self.role is not _state.Role.LEADER or reply.term != self.term:
             return
-        progress = self._progress[reply.sender]
+        progress = self._followers[reply.sender]
         progress.contact = now
         if progress.offset is None:
             return
--- a/galenashed/consensus/_state.py
+++ b/galenashed/consensus/_state.py
@@ -66,17 +66,3 @@
     def durable(self) -> bool:
         """Whether there is anything to write to disk."""
         return bool(self.hard_state or self.entries or self.snapshot)
-
-
-class Progress:
-    """What a leader knows of one follower; ``contact`` in seconds."""
-
-    __slots__ = ("contact", "match", "next", "offset")
-
-    def __init__(self, *, next_index: int, contact: float):
-        self.match = 0
-        self.next = next_index
-        self.contact = contact
-        # Bytes of the current snapshot that the follower holds, or None
-        # while it is served from the log.
-        self.offset: int | None = None
