Choose witnesses for a bill only where its grants have none

Cause: each bill listed every live entry, and so did each tick under refusals-first, whose emergency grants have no witnesses on purpose. Both need that list only for grants that lack witnesses.

Change: a bill's copies go to its grants' witnesses, and others are chosen only if there are none; the escrow says whether it wants witnesses, with the policy taken into account.

The cost of witnesses in MEASUREMENTS.md was measured before, with two peers, and has not been measured again.

--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -152,8 +152,7 @@
         """Bills a request; returns the bill as it is settled."""
         final = self.escrow.bill(reservation, bill, time.monotonic())
         number = self.escrow.bills.latest
-        others = self.witnesses.choose()
-        copies = self.escrow.copies(number, final, others)
+        copies = self.escrow.copies(number, final, self.witnesses.choose)
         if copies:
             self._kept.expect(number)
             self.witnesses.send(copies)
@@ -360,7 +359,7 @@
         batch = self.escrow.settle()
         if batch is not None:
             self._spawn(self._send_bills(batch))
-        if self.escrow.has_unwitnessed and self.witnesses.choose():
+        if self.escrow.wants_witnesses and self.witnesses.choose():
             self._on_given_up(self.escrow.on_witnesses_found())
         self._close_grants()
 
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -113,11 +113,14 @@
         return final
 
     def copies(
-        self, number: int, bill: wire.Bill, others: list[str]
+        self,
+        number: int,
+        bill: wire.Bill,
+        choose: typing.Callable[[], list[str]],
     ) -> list[ToWitness]:
         """Returns copies of a bill for the witnesses of its grants.
 
-        They go to ``others`` if the grants have no witnesses.
+        Only if the grants have none, ``choose`` names others.
         """
         names = dict.fromkeys(
             name
@@ -125,7 +128,7 @@
             for name in self._by_id[part.grant].limits
         )
         copy = wire.BillCopy(number=number, bill=bill)
-        return [ToWitness(name, copy) for name in names or others]
+        return [ToWitness(name, copy) for name in names or choose()]
 
     def _spend(
         self, reservation: _account.Reservation, tokens: int, now: float
@@ -250,13 +253,13 @@
 
     def on_witnesses_found(self) -> list[wire.ShrinkGrant]:
         """Stops spending grants made while there were no witnesses."""
-        if self.policy.emergency:
-            return []
         return self._give_up([g for g in self._by_id.values() if not g.limits])
 
     @property
-    def has_unwitnessed(self) -> bool:
-        """Whether any grant has no witnesses."""
+    def wants_witnesses(self) -> bool:
+        """Whether any grant lacks witnesses that it should have."""
+        if self.policy.emergency:
+            return False
         return any(not grant.limits for grant in self._by_id.values())
 
     def _give_up(self, grants: list[_account.Grant]) -> list[wire.ShrinkGrant]:
--- a/galenashed/budget/tests/test_escrow_property.py
+++ b/galenashed/budget/tests/test_escrow_property.py
@@ -253,7 +253,7 @@
             parts=[],
         )
         final = escrow.bill(held, bill, self.now)
-        self.post(escrow, escrow.copies(escrow.bills.latest, final, []))
+        self.post(escrow, escrow.copies(escrow.bills.latest, final, list))
         if not resent:
             self.spent[held.budget] += final.tokens
 
