--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -134,6 +134,12 @@
             self._drop(waiter)
             raise
 
+    def prefetch(self, budget: str, tokens: int) -> None:
+        """Asks for tokens before any request needs them."""
+        missing = tokens - self.escrow.unspent(budget)
+        if missing > 0:
+            self._open(budget, 1, missing)
+
     def _drop(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
--- a/galenashed/budget/_policy.py
+++ b/galenashed/budget/_policy.py
@@ -50,6 +50,16 @@
         serve_when_stale=False,
         emergency=0,
     ),
+    # For entries without witnesses that are cut off for ten seconds and more:
+    # what is held must last for that long, and is kept while it is idle.
+    "cut-tolerant": Policy(
+        horizon=20.0,
+        idle=3600.0,
+        min_slice=10_000,
+        recall_wait=0.5,
+        serve_when_stale=True,
+        emergency=0,
+    ),
     "refusals-first": Policy(
         horizon=60.0,
         idle=60.0,
--- a/galenashed/consensus/__init__.py
+++ b/galenashed/consensus/__init__.py
@@ -18,6 +18,7 @@
 from galenashed.consensus._node import Transport
 from galenashed.consensus._state import Ready
 from galenashed.consensus._state import Restored
+from galenashed.consensus._storage import read_identity
 from galenashed.consensus._storage import Storage
 from galenashed.consensus._storage import StorageError
 from galenashed.protocol.consensus import Member
@@ -37,5 +38,6 @@
     "Transport",
     "add_learner",
     "promote",
+    "read_identity",
     "remove",
 ]
--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -260,6 +260,10 @@
             return self.durable_index
         return self._followers.match(name)
 
+    def silence_of(self, name: str, now: float) -> float:
+        """Returns the seconds since a follower of this leader answered."""
+        return self._followers.silence(name, now)
+
     def _check_caught_up(self, name: str) -> None:
         """Raises MembershipError unless a learner holds what is committed.
 
--- a/galenashed/consensus/_followers.py
+++ b/galenashed/consensus/_followers.py
@@ -66,6 +66,11 @@
             if name in names
         )
 
+    def silence(self, name: str, now: float) -> float:
+        """Returns the seconds since a follower answered; 0 if unknown."""
+        progress = self._progress.get(name)
+        return 0.0 if progress is None else now - progress.contact
+
     def restart_snapshots(self) -> None:
         """Has unfinished snapshots start again, for there is a newer one."""
         for progress in self._progress.values():
--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -201,7 +201,7 @@
                 f"{self.folder}: no replica data here; a replica that has"
                 " lost its disk must not vote under its old name"
             )
-        identity = msgspec.msgpack.decode(_read_file(path), type=Identity)
+        identity = read_identity(self.folder)
         wanted = Identity(cluster=self.cluster, name=self.name)
         if identity != wanted:
             raise StorageError(
@@ -268,6 +268,12 @@
         os.fsync(out.fileno())
 
 
+def read_identity(folder: pathlib.Path) -> Identity:
+    """Returns whose data a folder holds; raises StorageError."""
+    content = _read_file(folder / "identity")
+    return msgspec.msgpack.decode(content, type=Identity)
+
+
 def _record_at(raw: bytes, offset: int) -> bytes | None:
     start = offset + RECORD_HEADER.size
     if start > len(raw):
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -38,13 +38,32 @@
         if item.id in held.top_ups:
             continue
         held.top_ups[item.id] = item.tokens
-        if item.tokens >= 0:
-            covered = min(held.pending_cut, item.tokens)
-            held.pending_cut -= covered
-            held.prepaid += item.tokens - covered
-        else:
-            held.pending_cut -= item.tokens
-            _apply_cut(held)
+        _adjust(held, item.tokens)
+
+
+def set_total(state: _state.ControlState, team: str, total: int) -> bool:
+    """Sets what a team of the routing table has prepaid, in all.
+
+    Returns whether tokens that are granted have to come back for it.
+    """
+    held = state.budgets.get(team)
+    if held is None:
+        held = _state.BudgetState(name=team, team=team)
+        state.budgets[team] = held
+    held.routed = True
+    _adjust(held, total - (held.prepaid - held.pending_cut))
+    return held.pending_cut > 0
+
+
+def _adjust(held: _state.BudgetState, tokens: int) -> None:
+    """Adds to what is prepaid, or takes from it as far as it is free."""
+    if tokens >= 0:
+        covered = min(held.pending_cut, tokens)
+        held.pending_cut -= covered
+        held.prepaid += tokens - covered
+    else:
+        held.pending_cut -= tokens
+        _apply_cut(held)
 
 
 def _apply_cut(held: _state.BudgetState) -> None:
@@ -57,7 +76,7 @@
 def open_grant(state: _state.ControlState, cmd: wire.OpenGrant) -> wire.Reply:
     """Grants tokens; the same grant asked for again is the same grant."""
     held = state.budgets.get(cmd.budget)
-    if held is None or cmd.budget not in state.release.budgets:
+    if held is None or not _in_force(state, held):
         return wire.Refused(findings=[f"no budget {cmd.budget!r}"])
     if cmd.need < 1:
         return wire.Refused(findings=[f"need must be over 0: {cmd.need}"])
@@ -88,6 +107,10 @@
     return wire.Granted(grant=cmd.grant, amount=amount)
 
 
+def _in_force(state: _state.ControlState, held: _state.BudgetState) -> bool:
+    return held.routed or held.name in state.release.budgets
+
+
 def _holder(state, name: str, sequence: int) -> _state.HolderState:
     """Returns the holder's record; a forgotten one goes on from before."""
     held = state.holders.get(name)
--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -102,6 +102,12 @@
         if self._leader not in self.replicas:
             self._leader = self._names[0]
 
+    def add_replicas(self, replicas: dict[str, str]) -> None:
+        """Takes replicas that may take part, beside those known."""
+        unknown = {n: a for n, a in replicas.items() if n not in self.replicas}
+        if unknown:
+            self.set_replicas({**self.replicas, **unknown})
+
     def channel(self, name: str) -> rpc.Channel:
         """Returns the channel to a replica."""
         held = self._channels.get(name)
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -19,6 +19,7 @@
         "recalls",
         "replicas",
         "report",
+        "routes_version",
         "seen",
         "suspects_due",
         "wake",
@@ -27,6 +28,7 @@
     def __init__(self, *, report: wire.FollowReport):
         self.report = report
         self.index = report.index
+        self.routes_version = report.routes_version
         self.seen = time.monotonic()
         self.connected = True
         self.recalls: set[str] = set()
@@ -116,6 +118,10 @@
             release = self.machine.state.release
             notes = []
         follower.index = max(follower.index, self.machine.state.release.index)
+        routes = None
+        if self.machine.state.routes.version > follower.routes_version:
+            routes = self.machine.state.routes
+            follower.routes_version = routes.version
         suspects = None
         if follower.suspects_due:
             follower.suspects_due = False
@@ -132,6 +138,7 @@
             recalls=recalls,
             suspects=suspects,
             replicas=replicas,
+            routes=routes,
         )
 
     def statuses(self) -> list[wire.FollowerStatus]:
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -10,6 +10,7 @@
 from galenashed.control import _state
 from galenashed.control import _suspects
 from galenashed.protocol import control as wire
+from galenashed.protocol import routes as routes_wire
 
 EXPIRE_EVERY_SECONDS = 10.0
 MAX_AUDIT_RECORDS = 20_000
@@ -51,6 +52,7 @@
         self._grants: dict[str, str] = {}
         self._handlers: dict[type, typing.Callable] = {
             wire.PublishNote: self._publish,
+            wire.ReplaceRoutes: self._replace_routes,
             wire.OpenGrant: self._open_grant,
             wire.CloseGrant: self._close_grant,
             wire.ShrinkGrant: self._shrink_grant,
@@ -101,6 +103,11 @@
             return wire.QueryReply(balances=self._balances(query))
         if query.kind == "bill":
             return wire.QueryReply(bills=self._bills(query))
+        if query.kind == "routes":
+            return wire.QueryReply(
+                routes_version=self.state.routes.version,
+                routes_source=self.state.routes_source,
+            )
         audit = self.state.audit
         found = [r for r in audit if query.subject in ("", r.subject)]
         return wire.QueryReply(audit=found[-query.limit :])
@@ -181,6 +188,48 @@
             self.listener.on_release()
         return wire.Done(index=index)
 
+    def _replace_routes(
+        self, index: int, cmd: wire.ReplaceRoutes
+    ) -> wire.Reply:
+        table = cmd.table
+        findings = routes_wire.find_faults(table)
+        if findings:
+            return wire.Refused(findings=findings)
+        if table.version <= self.state.routes.version:
+            # An older one is answered all the same, and changes nothing.
+            return wire.Done(index=index)
+        self.state.routes = table
+        self.state.routes_source = cmd.source
+        short = self._set_totals(table)
+        self._audit(
+            index,
+            actor="operator",
+            action="replace routes",
+            subject=f"version {table.version}",
+            digest=_notes.digest_of_bytes(cmd.source),
+            result="accepted",
+        )
+        if self.listener is not None:
+            self.listener.on_release()
+            for budget in short:
+                self.listener.on_recall(budget)
+        return wire.Done(index=index)
+
+    def _set_totals(self, table: routes_wire.RoutingTable) -> list[str]:
+        """Sets the teams' totals; returns those that grants exceed."""
+        kept = set()
+        short = []
+        for team in table.teams:
+            if team.prepaid is None:
+                continue
+            kept.add(team.name)
+            if _budgets.set_total(self.state, team.name, team.prepaid):
+                short.append(team.name)
+        for held in self.state.budgets.values():
+            if held.routed and held.name not in kept:
+                held.routed = False
+        return short
+
     def _audit_note(self, index, cmd: wire.PublishNote, reply) -> None:
         if isinstance(reply, wire.Refused):
             result = "refused: " + "; ".join(reply.findings)
--- a/galenashed/control/_notes.py
+++ b/galenashed/control/_notes.py
@@ -161,3 +161,8 @@
     """Returns the hexadecimal digest of a note's content."""
     encoded = msgspec.msgpack.encode(note)
     return hashlib.sha256(encoded).hexdigest()
+
+
+def digest_of_bytes(content: bytes) -> str:
+    """Returns the hexadecimal digest of a document as it was sent."""
+    return hashlib.sha256(content).hexdigest()
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -43,6 +43,8 @@
         SHA-256 of the key of each role, ``peer`` and ``operator``.
     rng : random.Random
         Source of election jitter.
+    election_timeout, heartbeat : float
+        Seconds; see :class:`galenashed.consensus.Node`.
     """
 
     def __init__(
@@ -56,6 +58,8 @@
         key_hashes: dict[str, str],
         rng: random.Random,
         snapshot_every: int = 10_000,
+        election_timeout: float = 0.5,
+        heartbeat: float = 0.1,
     ):
         self.name = name
         self.replicas = replicas
@@ -73,6 +77,8 @@
             machine=self.machine,
             transport=self._links,
             rng=rng,
+            election_timeout=election_timeout,
+            heartbeat=heartbeat,
             snapshot_every=snapshot_every,
             on_failure=self._on_failure,
         )
@@ -151,6 +157,15 @@
         return await self._commit(command)
 
     async def _change_replicas(self, command, context) -> wire.Outcome:
+        return await self._change(command)
+
+    async def change_replicas(
+        self, command: wire.ChangeReplicas
+    ) -> wire.Reply | None:
+        """Changes the membership if this replica leads; None if not."""
+        return (await self._change(command)).reply
+
+    async def _change(self, command: wire.ChangeReplicas) -> wire.Outcome:
         if self.node.is_leader and _replicas.is_done(
             self.node.core.membership.members, command
         ):
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from galenashed.protocol import control as wire
+from galenashed.protocol import routes as routes_wire
 
 
 class GrantState(msgspec.Struct, kw_only=True):
@@ -25,6 +26,7 @@
 
     ``settled + outstanding <= prepaid`` holds in every reachable state.
     ``pending_cut`` is what a note has taken that is not yet free.
+    ``routed`` is set for the prepaid total of a team of the routing table.
     """
 
     name: str
@@ -35,6 +37,7 @@
     pending_cut: int = 0
     top_ups: dict[str, int] = {}
     grants: dict[str, GrantState] = {}
+    routed: bool = False
 
     @property
     def free(self) -> int:
@@ -119,4 +122,6 @@
     crashes: dict[str, CrashRecord] = {}
     suspects_index: int = 0
     retired_replicas: list[str] = []
+    routes: routes_wire.RoutingTable = routes_wire.RoutingTable()
+    routes_source: bytes = b""
     audit: list[wire.AuditRecord] = []
--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -49,12 +49,17 @@
     """Returns a socket that probes an idle connection."""
     family, kind, proto, _, _ = address_info
     sock = socket.socket(family=family, type=kind, proto=proto)
+    probe_when_idle(sock)
+    return sock
+
+
+def probe_when_idle(sock: socket.socket) -> None:
+    """Has the system find out when the peer of a silent socket is gone."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    return sock
 
 
 class TargetClient:
--- /dev/null
+++ b/galenashed/gateway/_placement.py
@@ -0,0 +1,143 @@
+"""Which target runs a request: pure decisions over what this entry knows.
+
+Two load patterns shape them.  Prompts share long parts, which a target that
+has read them need not read again; so requests of one session meet at one
+target.  And reports of load lag while many entries read the same ones; so an
+entry adds what it has sent since, and looks at few targets only.
+"""
+
+import bisect
+import random
+import typing
+
+import xxhash
+
+from galenashed.gateway import _request
+
+# Tokens of prompts that an engine reads in a second; trial figure of the
+# emulated engines.
+PREFILL_TOKENS_PER_SECOND = 40_000.0
+# Seconds that a full batch adds to the first event, and each request that
+# waits before it; trial figures of the emulated engines.
+FULL_BATCH_SECONDS = 0.3
+WAITING_SECONDS = 0.05
+# Seconds that a target in another failure domain costs: a round trip.
+FAR_SECONDS = 0.003
+# Of many targets this many are looked at beside the home of the session.
+SAMPLE_SIZE = 6
+
+
+class Candidate(typing.Protocol):
+    """A target as the placement sees it."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def near(self) -> bool: ...
+
+    @property
+    def slots(self) -> int: ...
+
+    @property
+    def running(self) -> int: ...
+
+    @property
+    def waiting(self) -> int: ...
+
+
+C = typing.TypeVar("C", bound=Candidate)
+
+
+class Ring(typing.Generic[C]):
+    """Candidates in the order of their hashes, for finding a home.
+
+    Example::
+
+        ring = Ring(candidates=candidates)
+        home = ring.home("5c1e07a2")
+    """
+
+    __slots__ = ("_owners", "_points", "candidates")
+
+    # Points a candidate on the ring; evens the shares out to about a tenth.
+    POINTS = 64
+
+    def __init__(self, *, candidates: list[C]):
+        self.candidates = candidates
+        ring = sorted(
+            (
+                xxhash.xxh64_intdigest(f"{candidate.name}#{n}".encode()),
+                position,
+            )
+            for position, candidate in enumerate(candidates)
+            for n in range(self.POINTS)
+        )
+        self._points = [point for point, _ in ring]
+        self._owners = [owner for _, owner in ring]
+
+    def home(self, key: str, avoid: typing.Collection[str]) -> C | None:
+        """Returns the first candidate from the key's point on."""
+        start = bisect.bisect(
+            self._points, xxhash.xxh64_intdigest(key.encode())
+        )
+        for step in range(len(self._owners)):
+            owner = self._owners[(start + step) % len(self._owners)]
+            if self.candidates[owner].name not in avoid:
+                return self.candidates[owner]
+        return None
+
+
+def session_of(prompt: tuple[_request.Part, ...]) -> str | None:
+    """Returns the last part that other requests share.
+
+    The part after it belongs to the request alone.
+    """
+    return prompt[-2].id if len(prompt) >= 2 else None
+
+
+def choose(
+    ring: Ring[C],
+    prompt: tuple[_request.Part, ...],
+    avoid: typing.Collection[str],
+    rng: random.Random,
+) -> C | None:
+    """Returns the target with the earliest predicted first event."""
+    session = session_of(prompt)
+    home = None if session is None else ring.home(session, avoid)
+    looked_at = _sample(ring.candidates, avoid, rng)
+    if home is not None and home not in looked_at:
+        looked_at.append(home)
+    if not looked_at:
+        return None
+    again = sum(part.tokens for part in prompt[1:-1])
+    return min(
+        looked_at,
+        key=lambda one: (
+            predicted_wait(one, 0 if one is home else again),
+            rng.random(),
+        ),
+    )
+
+
+def predicted_wait(candidate: Candidate, tokens: int) -> float:
+    """Returns the seconds until the first event, beyond the least.
+
+    ``tokens`` are those of shared parts that must be read again.
+    """
+    slots = max(1, candidate.slots)
+    wait = FULL_BATCH_SECONDS * min(1.0, candidate.running / slots)
+    over = max(0, candidate.running - slots) + candidate.waiting
+    wait += WAITING_SECONDS * over
+    wait += tokens / PREFILL_TOKENS_PER_SECOND
+    return wait if candidate.near else wait + FAR_SECONDS
+
+
+def _sample(
+    candidates: list[C],
+    avoid: typing.Collection[str],
+    rng: random.Random,
+) -> list[C]:
+    if len(candidates) > SAMPLE_SIZE + len(avoid):
+        candidates = rng.sample(candidates, SAMPLE_SIZE + len(avoid))
+    return [one for one in candidates if one.name not in avoid]
--- /dev/null
+++ b/galenashed/gateway/_prepaid.py
@@ -0,0 +1,116 @@
+"""Prepaid tokens of one request: set aside before it runs, billed after."""
+
+import asyncio
+
+from galenashed import budget
+from galenashed import control
+from galenashed.gateway import _request
+from galenashed.protocol import control as wire
+from galenashed.protocol import routes as routes_wire
+from galenashed import web
+
+# Of the time within which an answer is worth most, the part that a request
+# may wait for tokens: an eighth, so that a refusal still comes early.
+WAIT_SHARE = 0.125
+RETRY_SECONDS = 1.0
+
+
+class Account:
+    """What one request has set aside; ends exactly once.
+
+    ``ran`` is set once a target may have read the prompt.
+    """
+
+    __slots__ = ("_desk", "_reservation", "_team", "events", "ran")
+
+    def __init__(self, *, desk, reservation, team: str):
+        self._desk: budget.BudgetDesk = desk
+        self._reservation: budget.Reservation | None = reservation
+        self._team = team
+        self.ran = False
+        self.events = 0
+
+    def close(self, request: _request.Request, per_event: int) -> None:
+        """Bills what was used; a request that did not run costs nothing."""
+        reservation, self._reservation = self._reservation, None
+        if reservation is None:
+            return
+        if not self.ran:
+            self._desk.release(reservation)
+            return
+        assert request.usage is not None
+        output = min(request.usage.max_output, self.events * per_event)
+        draft = wire.Bill(
+            id=request.id,
+            team=self._team,
+            budget=reservation.budget,
+            subject=request.path,
+            attempt=request.id,
+            keyed=False,
+            prompt_tokens=request.usage.prompt,
+            output_tokens=output,
+            parts=[],
+        )
+        self._desk.bill(reservation, draft)
+
+
+class Prepaid:
+    """Opens accounts of requests at the budget desk.
+
+    Parameters
+    ----------
+    desk : BudgetDesk
+        Holds this entry's grants.
+    is_cut_off : callable
+        Returns whether control is out of reach, so that what is not held
+        here can't be had in time.
+    """
+
+    def __init__(self, *, desk: budget.BudgetDesk, is_cut_off):
+        self.desk = desk
+        self.is_cut_off = is_cut_off
+
+    async def open(
+        self,
+        request: _request.Request,
+        team: routes_wire.KeyedTeam | None,
+        objective: float,
+    ) -> Account:
+        """Sets aside the most that a request may use; raises ApiError."""
+        if team is None or team.prepaid is None or request.usage is None:
+            return Account(desk=self.desk, reservation=None, team="")
+        need = request.usage.prompt + request.usage.max_output
+        if need > team.prepaid:
+            raise _exhausted(team, need, team.prepaid)
+        wait = 0.0 if self.is_cut_off() else objective * WAIT_SHARE
+        try:
+            async with asyncio.timeout(wait):
+                reservation = await self.desk.reserve(team.name, need)
+        except TimeoutError:
+            raise _not_now("tokens did not come in time") from None
+        except control.ControlUnavailableError as exc:
+            raise _not_now(str(exc)) from None
+        except budget.BudgetExhaustedError as exc:
+            if exc.available + exc.elsewhere >= need:
+                raise _not_now("other entries hold the tokens") from None
+            left = exc.available + exc.elsewhere
+            raise _exhausted(team, need, left) from None
+        return Account(desk=self.desk, reservation=reservation, team=team.name)
+
+
+def _exhausted(team, need: int, left: int) -> web.ApiError:
+    return web.ApiError(
+        status=402,
+        code="prepaid_exhausted",
+        message=f"team {team.name!r}: the request may take {need} tokens;"
+        f" {left} are left",
+    )
+
+
+def _not_now(reason: str) -> web.ApiError:
+    return web.ApiError(
+        status=503,
+        code="tokens_unavailable",
+        message=f"tokens can't be set aside now: {reason}",
+        retry_after=RETRY_SECONDS,
+    )
--- /dev/null
+++ b/galenashed/gateway/_table.py
@@ -0,0 +1,74 @@
+"""The routing table in force, prepared for look-ups."""
+
+import hashlib
+
+import xxhash
+
+from galenashed.protocol import routes as wire
+
+
+class Routing:
+    """Finds the route and the team of a request.
+
+    Example::
+
+        routing = Routing(table=table)
+        route = routing.match("depot.example", "/rounds/today")
+    """
+
+    __slots__ = ("_by_place", "_services", "_teams", "table")
+
+    def __init__(self, *, table: wire.RoutingTable):
+        self.table = table
+        self._by_place = {
+            (route.host, route.prefix): route for route in table.routes
+        }
+        self._services = {service.name: service for service in table.services}
+        self._teams = {
+            key_hash: team
+            for team in table.teams
+            for key_hash in team.key_hashes
+        }
+
+    @property
+    def version(self) -> int:
+        return self.table.version
+
+    def match(self, host: str, path: str) -> wire.Route | None:
+        """Returns the route with the longest prefix of the path."""
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_place.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+    def team_of(self, key: str) -> wire.KeyedTeam | None:
+        """Returns the team that holds a key."""
+        return self._teams.get(hash_key(key))
+
+    def service(self, name: str) -> wire.RoutedService | None:
+        """Returns a service by its name."""
+        return self._services.get(name)
+
+
+def hash_key(key: str) -> str:
+    """Returns the hexadecimal SHA-256 of a caller's key."""
+    return hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
+
+
+def pick_share(route: wire.Route, request_id: str) -> str:
+    """Returns the service that runs a request, by the shares' weights.
+
+    The same request always goes to the same service of one table.
+    """
+    shares = [share for share in route.shares if share.weight > 0]
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
+    point = xxhash.xxh64_intdigest(request_id.encode()) % total
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    raise AssertionError("the point lies below the total")
--- /dev/null
+++ b/galenashed/gateway/_targets.py
@@ -0,0 +1,190 @@
+"""The targets of every service as this entry knows them."""
+
+import typing
+
+from galenashed.gateway import _placement
+from galenashed.protocol import spread as wire
+
+EJECT_AFTER_FAILURES = 3
+EJECT_SECONDS = 2.0
+# Below this share of usable targets the path to them is taken to be at
+# fault, and all that have not left are used.
+MIN_USABLE_SHARE = 0.5
+
+
+class KnownTarget:
+    """One target: its announcement, reported load and own requests."""
+
+    __slots__ = (
+        "announced",
+        "ejected_until",
+        "failures",
+        "in_flight",
+        "near",
+        "report",
+        "since_report",
+    )
+
+    def __init__(self, *, announced: wire.Target, near: bool):
+        self.announced = announced
+        self.near = near
+        self.report = wire.Load()
+        self.since_report = 0
+        self.in_flight = 0
+        self.failures = 0
+        self.ejected_until = 0.0
+
+    @property
+    def name(self) -> str:
+        return self.announced.name
+
+    @property
+    def slots(self) -> int:
+        return self.announced.slots
+
+    @property
+    def running(self) -> int:
+        """Requests in its batch: reported, or known from here."""
+        return max(self.report.running + self.since_report, self.in_flight)
+
+    @property
+    def waiting(self) -> int:
+        return self.report.waiting
+
+
+class Targets:
+    """Keeps what is known of targets; chooses by :mod:`_placement`.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain of this entry; targets in it are near.
+    """
+
+    def __init__(self, *, domain: str):
+        self.domain = domain
+        self._known: dict[str, KnownTarget] = {}
+        self._alive: frozenset[str] = frozenset()
+        self._rings: dict[str, _placement.Ring] = {}
+        self._dirty: set[str] = set()
+        self._ejected: set[str] = set()
+
+    def update(self, announced: wire.Target) -> None:
+        """Takes a newer announcement."""
+        held = self._known.get(announced.name)
+        if held is None or (
+            held.announced.incarnation != announced.incarnation
+            or held.announced.started != announced.started
+        ):
+            near = announced.failure_domain == self.domain
+            self._known[announced.name] = KnownTarget(
+                announced=announced, near=near
+            )
+            self._rings.clear()
+        else:
+            before = held.announced
+            held.announced = announced
+            if (before.state, before.service, before.address) != (
+                announced.state,
+                announced.service,
+                announced.address,
+            ):
+                self._rings.clear()
+
+    def set_alive(
+        self, names: typing.Iterable[str], known: typing.Iterable[str]
+    ) -> None:
+        """Takes the names whose lease runs, and all that are remembered."""
+        alive = frozenset(names)
+        if alive != self._alive:
+            self._alive = alive
+            self._rings.clear()
+        for name in set(self._known) - set(known):
+            if not self._known[name].in_flight:
+                del self._known[name]
+                self._rings.clear()
+
+    def get(self, name: str) -> KnownTarget | None:
+        """Returns what is known of a target."""
+        return self._known.get(name)
+
+    def of_service(self, service: str) -> list[KnownTarget]:
+        """Returns the targets of a service that may get work."""
+        return self._ring(service, -1.0).candidates
+
+    def _ring(self, service: str, now: float) -> _placement.Ring:
+        if any(
+            self._known[name].ejected_until <= now
+            for name in self._ejected
+            if name in self._known
+        ):
+            self._ejected = {
+                name
+                for name in self._ejected
+                if name in self._known
+                and self._known[name].ejected_until > now
+            }
+            self._rings.clear()
+        ring = self._rings.get(service)
+        if ring is None:
+            ring = _placement.Ring(candidates=self._usable(service))
+            self._rings[service] = ring
+        return ring
+
+    def _usable(self, service: str) -> list[KnownTarget]:
+        holders: dict[str, KnownTarget] = {}
+        for target in self._known.values():
+            held = holders.get(target.announced.address)
+            if held is None or held.announced.started < (
+                target.announced.started
+            ):
+                # The address belongs to whoever started there last.
+                holders[target.announced.address] = target
+        ready = [
+            target
+            for target in holders.values()
+            if target.announced.service == service
+            and target.announced.state == "ready"
+        ]
+        usable = [
+            target
+            for target in ready
+            if target.name in self._alive and target.name not in self._ejected
+        ]
+        if len(usable) < MIN_USABLE_SHARE * len(ready):
+            return ready
+        return usable
+
+    def choose(self, service: str, prompt, avoid, now: float, rng):
+        """Returns the target for a request; None if there is none."""
+        return _placement.choose(self._ring(service, now), prompt, avoid, rng)
+
+    # Requests
+
+    def begin(self, target: KnownTarget) -> None:
+        """Counts a request that is sent."""
+        target.in_flight += 1
+        target.since_report += 1
+
+    def end(self, target: KnownTarget, *, failed: bool, now: float) -> None:
+        """Counts a request that has ended."""
+        target.in_flight -= 1
+        target.since_report = max(0, target.since_report - 1)
+        if not failed:
+            target.failures = 0
+            return
+        target.failures += 1
+        if target.failures >= EJECT_AFTER_FAILURES:
+            target.failures = 0
+            self.eject(target, now)
+
+    def eject(self, target: KnownTarget, now: float) -> None:
+        """Gives a target no work for a while."""
+        target.ejected_until = now + EJECT_SECONDS
+        self._ejected.add(target.name)
+        self._rings.clear()
+
+    def on_report(self, target: KnownTarget, load: wire.Load) -> None:
+        """Takes the load that an answer reports."""
+        target.report = load
+        target.since_report = 0
--- a/galenashed/membership/_directory.py
+++ b/galenashed/membership/_directory.py
@@ -71,6 +71,10 @@
         held = self._held.get(name)
         return None if held is None else held.announced
 
+    def names(self) -> list[str]:
+        """Returns all names that are remembered."""
+        return list(self._held)
+
     def joined(self, name: str) -> float:
         """Returns when the present incarnation was first heard of."""
         return self._held[name].joined
--- /dev/null
+++ b/galenashed/node/__init__.py
@@ -0,0 +1,6 @@
+"""A node of the fleet: entry, control replica and targets in one process."""
+
+from galenashed.node._server import Node
+from galenashed.node._settings import NodeSettings
+
+__all__ = ["Node", "NodeSettings"]
--- /dev/null
+++ b/galenashed/node/_server.py
@@ -0,0 +1,408 @@
+"""A node: an entry for callers, and a control replica where there is a disk.
+
+The node composes the parts of the product in one process.  What callers,
+operators and targets speak is another's concern: they reach the node by its
+methods.
+"""
+
+import asyncio
+import random
+import time
+import uuid
+
+import loguru
+
+from galenashed import budget
+from galenashed import control
+from galenashed import engines
+from galenashed import gateway
+from galenashed import membership
+from galenashed.entry import spreading
+from galenashed.node import _entries
+from galenashed.node import _keeper
+from galenashed.node import _replica
+from galenashed.node import _settings
+from galenashed.protocol import control as wire
+from galenashed.protocol import methods
+from galenashed.protocol import routes as routes_wire
+from galenashed.protocol import rpc
+from galenashed.protocol import spread as spread_wire
+from galenashed import routing
+from galenashed import telemetry
+
+LOG = loguru.logger
+
+INSTANCE_LEASE_SECONDS = 2.5
+REPLICA_MAX_AGE_SECONDS = 2.0
+# Without a sign of life from control for this long an entry takes itself
+# for cut off: two signs of life and the slack of a busy process.
+CUT_OFF_SECONDS = 1.5
+TARGETS_SECONDS = 0.25
+# Seconds that an operator's change may take before it is left open.
+COMMIT_SECONDS = 2.0
+READ_SECONDS = 0.9
+# Of the shared allowance of retries, what this node saves up at most.
+MOST_SAVED_RETRIES = 3.0
+# Of a team's prepaid total, what all entries together take before there is
+# any demand, so that a team's first request can be served in a partition.
+PREFETCH_SHARE = 0.3
+CONNECT_SECONDS = 0.5
+# What it takes until the other entries know that this one drains.
+SPREAD_SLACK_SECONDS = 0.5
+# Seconds kept back from the time to stop, for the answers to arrive.
+STOP_MARGIN_SECONDS = 0.5
+
+
+class _NoWitnesses:
+    """No other entry is told what this one may spend."""
+
+    def choose(self) -> list[str]:
+        """See :class:`galenashed.budget.Witnesses`."""
+        return []
+
+    def send(self, notes) -> None:
+        """See :class:`galenashed.budget.Witnesses`."""
+
+
+class Node:
+    """One node.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Checked settings.
+    dialect : galenashed.gateway.Dialect
+        How targets are spoken to.
+    log : DecisionLog
+        Takes decision lines.
+    metrics : Metrics
+        Takes counts and durations.
+    rng : random.Random
+        Spreads load and breaks ties.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: _settings.NodeSettings,
+        dialect: gateway.Dialect,
+        log: telemetry.DecisionLog,
+        metrics: telemetry.Metrics,
+        rng: random.Random,
+    ):
+        self.cfg = cfg
+        self.log = log
+        self.rng = rng
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.holder = f"{cfg.name}/{self.incarnation}"
+        self.started = time.time()
+        self.draining = False
+        self._sequence = 0
+        self._fresh_at = 0.0
+        self._caught_up = False
+        self._known_cut_off = False
+        self._tasks: list[asyncio.Task] = []
+        self.directory = membership.Directory(lease=INSTANCE_LEASE_SECONDS)
+        self.announced = membership.Directory(lease=cfg.target_lease)
+        self.targets = gateway.Targets(domain=cfg.domain)
+        self.replica = _replica.make_replica(cfg, rng)
+        self.keeper = self._make_keeper()
+        self.proposer = control.ControlClient(
+            replicas={item: item for item in cfg.replicas}, key=cfg.peer_key
+        )
+        self._follow = control.Follow(
+            client=self.proposer,
+            report=self._report,
+            on_event=self._on_event,
+            rng=rng,
+            max_age=REPLICA_MAX_AGE_SECONDS,
+        )
+        self.desk = budget.BudgetDesk(
+            escrow=budget.Escrow(
+                holder=self.holder, policy=budget.POLICIES["cut-tolerant"]
+            ),
+            control=self.proposer,
+            witnesses=_NoWitnesses(),
+            unavailable=control.ControlUnavailableError,
+        )
+        self._pool = engines.ConnectionPool(connect_timeout=CONNECT_SECONDS)
+        self.gateway = gateway.Gateway(
+            targets=self.targets,
+            prepaid=gateway.Prepaid(
+                desk=self.desk, is_cut_off=lambda: self.is_cut_off
+            ),
+            pool=self._pool,
+            dialect=dialect,
+            retries=routing.RetryBudget(
+                share=cfg.retry_share, most_saved=MOST_SAVED_RETRIES
+            ),
+            log=log,
+            metrics=metrics,
+            rng=rng,
+        )
+        self._spreader = spreading.Spreader(
+            instances=self.directory,
+            targets=self.announced,
+            describe=self.describe,
+            seeds=cfg.seeds,
+            key=cfg.peer_key,
+            on_change=self.targets.update,
+        )
+        self._peers = rpc.Server(
+            address=cfg.peers_address,
+            keys={"peer": rpc.hash_key(cfg.peer_key)},
+            handlers=[(methods.SPREAD, self._receive_spread)],
+        )
+
+    def _make_keeper(self) -> _keeper.ReplicaKeeper | None:
+        if self.replica is None:
+            return None
+        return _keeper.ReplicaKeeper(
+            server=self.replica,
+            directory=self.directory,
+            wanted=self.cfg.voters,
+            log=self.log,
+        )
+
+    async def start(self) -> None:
+        """Starts all tasks; callers can be served once :attr:`ready`."""
+        if self.replica is not None:
+            await self.replica.start()
+        await self._peers.start()
+        await self.proposer.start()
+        await self._follow.start()
+        await self.desk.start()
+        await self._spreader.start()
+        if self.keeper is not None:
+            await self.keeper.start()
+        self._tasks.append(
+            telemetry.start_task(self._watch(), "watch of targets")
+        )
+        self.log.write(
+            "node started",
+            incarnation=self.incarnation,
+            replica=self.replica.name if self.replica else None,
+            domain=self.cfg.domain,
+        )
+
+    def set_seeds(self, cfg: _settings.NodeSettings) -> None:
+        """Takes other nodes to begin with from changed settings."""
+        self._spreader.seeds = cfg.seeds
+        self.proposer.add_replicas({item: item for item in cfg.replicas})
+
+    async def wait_failed(self) -> None:
+        """Raises the disk's error when the replica has stopped over it."""
+        if self.replica is None:
+            await asyncio.Event().wait()
+        else:
+            await self.replica.wait_failed()
+
+    def begin_drain(self) -> None:
+        """Has callers and other nodes told that this one stops."""
+        self.draining = True
+        self._spreader.notify()
+        self.log.write("node drains", in_flight=self.gateway.in_flight)
+
+    async def close(self) -> None:
+        """Bills what is open, gives grants back, and stops all tasks."""
+        try:
+            async with asyncio.timeout(STOP_MARGIN_SECONDS):
+                await self.desk.close()
+        except TimeoutError:
+            self.log.write(
+                "grants not returned", reason="control does not answer"
+            )
+            await self.desk.abort()
+        if self.keeper is not None:
+            await self.keeper.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._spreader.close()
+        await self._follow.close()
+        await self.proposer.close()
+        await self._pool.close()
+        await self._peers.close()
+        if self.replica is not None:
+            await self.replica.close()
+        self.log.write("node stopped")
+
+    # Configuration
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no up-to-date control replica has been heard lately."""
+        return time.monotonic() - self._fresh_at > CUT_OFF_SECONDS
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._caught_up and not self.draining
+
+    @property
+    def routes_version(self) -> int:
+        routing_in_force = self.gateway.routing
+        return 0 if routing_in_force is None else routing_in_force.version
+
+    async def replace_routes(
+        self, table: routes_wire.RoutingTable, source: bytes
+    ) -> wire.Reply:
+        """Commits a table; raises ControlUnavailableError if that is open."""
+        command = wire.ReplaceRoutes(table=table, source=source)
+        reply = await self.proposer.propose(command, timeout=COMMIT_SECONDS)
+        self.log.write(
+            "routes offered",
+            version=table.version,
+            held=self.routes_version,
+            reply=type(reply).__name__,
+        )
+        return reply
+
+    async def read_routes(self) -> wire.QueryReply:
+        """Returns the newest table's version and source, surely.
+
+        Raises ControlUnavailableError if that can't be known now.
+        """
+        query = wire.Query(kind="routes")
+        return await self.proposer.query(query, timeout=READ_SECONDS)
+
+    def _report(self) -> wire.FollowReport:
+        return wire.FollowReport(
+            name=self.cfg.name,
+            incarnation=self.incarnation,
+            number=0,
+            index=0,
+            suspects=0,
+            draining=self.draining,
+            routes_version=self.routes_version,
+        )
+
+    def _on_event(self, event: wire.FollowEvent) -> None:
+        if event.age < CUT_OFF_SECONDS:
+            self._fresh_at = time.monotonic() - event.age
+        if event.replicas is not None:
+            self.proposer.set_replicas(event.replicas)
+        for name in event.recalls:
+            self.desk.recall(name)
+        if event.routes is not None and self.gateway.adopt(event.routes):
+            self._on_table(event.routes, event.age)
+        if event.age < CUT_OFF_SECONDS and self.routes_version:
+            self._caught_up = True
+
+    def _on_table(self, table: routes_wire.RoutingTable, age: float) -> None:
+        self.log.write(
+            "routes in force",
+            version=table.version,
+            routes=len(table.routes),
+            teams=len(table.teams),
+            age=round(age, 3),
+        )
+        self._follow.notify()
+        entries = max(1, len(self.directory.alive(time.monotonic())))
+        for team in table.teams:
+            if team.prepaid is not None:
+                share = int(team.prepaid * PREFETCH_SHARE / entries)
+                self.desk.prefetch(team.name, share)
+
+    # Targets and other nodes
+
+    def announce(self, target: spread_wire.Target) -> None:
+        """Takes a target's word on itself."""
+        held = self.announced.get(target.name)
+        self._spreader.announce(target)
+        if held is None or held.state != target.state:
+            self.log.write(
+                "target announced",
+                target=target.name,
+                address=target.address,
+                state=target.state,
+                sequence=target.sequence,
+            )
+
+    def leave(self, name: str, started: float | None) -> bool:
+        """Takes a target's word that it goes; False if it is not known.
+
+        ``started`` tells its incarnation, if it says so.
+        """
+        held = self.announced.get(name)
+        if not isinstance(held, spread_wire.Target) or started not in (
+            None,
+            held.started,
+        ):
+            return False
+        gone = spread_wire.Target(
+            name=held.name,
+            incarnation=held.incarnation,
+            started=held.started,
+            sequence=held.sequence + 1,
+            service=held.service,
+            address=held.address,
+            failure_domain=held.failure_domain,
+            state="leaving",
+            slots=held.slots,
+        )
+        self.announce(gone)
+        return True
+
+    def entries_for(self, domain: str) -> list[str]:
+        """Returns where callers of a failure domain should connect."""
+        alive = self.directory.alive(time.monotonic())
+        others = [entry for entry in alive if entry.name != self.cfg.name]
+        return _entries.choose(
+            [*others, self.describe()], domain or self.cfg.domain, self.rng
+        )
+
+    def describe(self) -> spread_wire.Instance:
+        """Returns this node's announcement, newer at each call."""
+        self._sequence += 1
+        state = "serving" if self.ready else "starting"
+        if self.draining:
+            state = "draining"
+        replica = self.replica
+        return spread_wire.Instance(
+            name=self.cfg.name,
+            incarnation=self.incarnation,
+            started=self.started,
+            sequence=self._sequence,
+            address=self.cfg.callers_address,
+            peer_address=self.cfg.peers_address,
+            failure_domain=self.cfg.domain,
+            state=state,
+            in_flight=self.gateway.in_flight,
+            replica=replica.name if replica else "",
+            replica_address=self.cfg.control_address if replica else "",
+        )
+
+    async def _receive_spread(self, requests, context) -> bool:
+        async for messages in requests:
+            self._spreader.receive(messages[-1])
+        return True
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(TARGETS_SECONDS)
+            now = time.monotonic()
+            self.targets.set_alive(
+                (target.name for target in self.announced.alive(now)),
+                self.announced.names(),
+            )
+            self._note_contact()
+
+    def _note_contact(self) -> None:
+        """Logs a lost or regained control, and looks for it elsewhere."""
+        if self.is_cut_off != self._known_cut_off:
+            self._known_cut_off = self.is_cut_off
+            word = "lost" if self.is_cut_off else "regained"
+            self.log.write(
+                f"control {word}",
+                age=round(time.monotonic() - self._fresh_at, 3),
+                replicas=self.proposer.names,
+            )
+        if self.is_cut_off:
+            now = time.monotonic()
+            heard = {
+                entry.replica: entry.replica_address
+                for entry in self.directory.alive(now)
+                if entry.replica
+            }
+            self.proposer.add_replicas(heard)
--- /dev/null
+++ b/galenashed/node/_settings.py
@@ -0,0 +1,93 @@
+"""What a node must be told, whatever platform it runs on."""
+
+import pathlib
+
+
+class NodeSettings:
+    """Checked settings of a node.
+
+    Parameters
+    ----------
+    name : str
+        The instance's name.
+    domain : str
+        Its failure domain.
+    callers_address : str
+        ``ip:port`` that callers connect to.
+    peers_address, control_address : str
+        ``ip:port`` that other nodes connect to.
+    seeds : list of str
+        ``peers_address`` of nodes to begin with.
+    replicas : list of str
+        ``control_address`` of control replicas to begin with.
+    data_folder : pathlib.Path or None
+        Where a control replica stores its log; None where there is none.
+    founding : bool
+        Whether the replicas named are to found a new cluster.
+    voters : int
+        Control replicas that should vote.
+    peer_key : str
+        Shared by all nodes.
+    target_lease : float
+        Seconds after which a silent target counts as gone.
+    answer_age : float
+        Seconds for which callers may keep an answer of where to connect.
+    stop_within : float
+        Seconds from the order to stop until the process is killed.
+    retry_share : float
+        Sendings beyond the first that all nodes together may add, as a
+        share of the first ones.
+    """
+
+    __slots__ = (
+        "answer_age",
+        "callers_address",
+        "control_address",
+        "data_folder",
+        "domain",
+        "founding",
+        "name",
+        "peer_key",
+        "peers_address",
+        "replicas",
+        "retry_share",
+        "seeds",
+        "stop_within",
+        "target_lease",
+        "voters",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        domain: str,
+        callers_address: str,
+        peers_address: str,
+        control_address: str,
+        seeds: list[str],
+        replicas: list[str],
+        data_folder: pathlib.Path | None,
+        founding: bool,
+        voters: int,
+        peer_key: str,
+        target_lease: float,
+        answer_age: float,
+        stop_within: float,
+        retry_share: float,
+    ):
+        self.name = name
+        self.domain = domain
+        self.callers_address = callers_address
+        self.peers_address = peers_address
+        self.control_address = control_address
+        self.seeds = seeds
+        self.replicas = replicas
+        self.data_folder = data_folder
+        self.founding = founding
+        self.voters = voters
+        self.peer_key = peer_key
+        self.target_lease = target_lease
+        self.answer_age = answer_age
+        self.stop_within = stop_within
+        self.retry_share = retry_share
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from galenashed.protocol import routes as routes_wire
+
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
     """A model that teams may call."""
@@ -142,6 +144,16 @@
     digest: str
 
 
+class ReplaceRoutes(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Puts a routing table in force if its version is the highest so far.
+
+    ``source`` is what the operator sent, kept to be read back unchanged.
+    """
+
+    table: routes_wire.RoutingTable
+    source: bytes
+
+
 class AcceptedNote(msgspec.Struct, frozen=True, kw_only=True):
     """A note and the index at which it was accepted."""
 
@@ -288,6 +300,7 @@
 
 Command = (
     PublishNote
+    | ReplaceRoutes
     | OpenGrant
     | CloseGrant
     | ShrinkGrant
@@ -479,8 +492,8 @@
 class Query(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Asks for balances, bills or audit records.
 
-    ``kind`` is ``balance``, ``bill`` or ``audit``; ``subject`` filters by
-    budget or by request, ``team`` by team.
+    ``kind`` is ``balance``, ``bill``, ``audit`` or ``routes``; ``subject``
+    filters by budget or by request, ``team`` by team.
     """
 
     kind: str
@@ -496,6 +509,8 @@
     balances: list[Balance] = []
     bills: list[Bill] = []
     audit: list[AuditRecord] = []
+    routes_version: int = 0
+    routes_source: bytes = b""
 
 
 class FollowReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -510,6 +525,7 @@
     index: int
     suspects: int
     draining: bool = False
+    routes_version: int = 0
 
 
 class Suspects(msgspec.Struct, frozen=True, kw_only=True):
@@ -527,7 +543,8 @@
 
     ``age`` is the seconds since the replica was surely up to date.  News is
     either the whole ``release`` or the ``notes`` accepted since.
-    ``replicas`` are the addresses of those that take part.
+    ``replicas`` are the addresses of those that take part, ``routes`` the
+    routing table if it is newer than what the entry has.
     """
 
     age: float
@@ -536,6 +553,7 @@
     recalls: list[str] = []
     suspects: Suspects | None = None
     replicas: dict[str, str] | None = None
+    routes: routes_wire.RoutingTable | None = None
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/protocol/spread.py
+++ b/galenashed/protocol/spread.py
@@ -15,7 +15,8 @@
 
     ``sequence`` grows with each announcement of one ``incarnation``;
     ``started`` orders incarnations, in seconds since the epoch.  ``state``
-    is ``ready`` or ``leaving``.
+    is ``ready`` or ``leaving``.  ``slots`` is how many requests it runs at
+    once, 0 if that is not known.
     """
 
     name: str
@@ -29,12 +30,15 @@
     models: list[str] = []
     resumes: bool = False
     load: Load = Load()
+    slots: int = 0
 
 
 class Instance(msgspec.Struct, frozen=True, kw_only=True):
     """An entry's announcement to the other entries.
 
     ``state`` is ``serving`` or ``draining``; ``in_flight`` counts requests.
+    ``replica`` and ``replica_address`` name the control replica of the same
+    process, if it has one, whether that takes part yet or not.
     """
 
     name: str
@@ -46,6 +50,8 @@
     failure_domain: str
     state: str = "serving"
     in_flight: int = 0
+    replica: str = ""
+    replica_address: str = ""
 
 
 class Spread(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/routing/_retries.py
+++ b/galenashed/routing/_retries.py
@@ -7,6 +7,13 @@
 class RetryBudget:
     """Allows retries as a share of the first tries.
 
+    Parameters
+    ----------
+    share : float
+        Retries for each first try.
+    most_saved : float
+        Retries that may be saved up.
+
     Example::
 
         retries = RetryBudget()
@@ -15,14 +22,21 @@
             ...  # try again
     """
 
-    __slots__ = ("_saved",)
+    __slots__ = ("_saved", "most_saved", "share")
 
-    def __init__(self) -> None:
-        self._saved = MAX_SAVED_RETRIES
+    def __init__(
+        self,
+        *,
+        share: float = RETRY_SHARE,
+        most_saved: float = MAX_SAVED_RETRIES,
+    ) -> None:
+        self.share = share
+        self.most_saved = most_saved
+        self._saved = most_saved
 
     def on_request(self) -> None:
         """Counts a first try."""
-        self._saved = min(MAX_SAVED_RETRIES, self._saved + RETRY_SHARE)
+        self._saved = min(self.most_saved, self._saved + self.share)
 
     def take(self) -> bool:
         """Takes one retry, if there is one."""
--- a/galenashed/telemetry/__init__.py
+++ b/galenashed/telemetry/__init__.py
@@ -1,14 +1,20 @@
-"""Logs by ``loguru`` and metrics by ``statsd``."""
+"""Logs by ``loguru``, decision lines, and metrics by ``statsd``."""
 
+from galenashed.telemetry._decisions import DecisionLog
+from galenashed.telemetry._decisions import NullDecisionLog
 from galenashed.telemetry._logs import set_up_logs
 from galenashed.telemetry._metrics import Metrics
 from galenashed.telemetry._metrics import NullMetrics
 from galenashed.telemetry._metrics import open_metrics
+from galenashed.telemetry._served import ServedMetrics
 from galenashed.telemetry._tasks import start_task
 
 __all__ = [
+    "DecisionLog",
     "Metrics",
+    "NullDecisionLog",
     "NullMetrics",
+    "ServedMetrics",
     "open_metrics",
     "set_up_logs",
     "start_task",
--- a/galenashed/web/__init__.py
+++ b/galenashed/web/__init__.py
@@ -6,9 +6,11 @@
 from galenashed.web._errors import ApiError
 from galenashed.web._errors import error_response
 from galenashed.web._errors import Run
+from galenashed.web._errors import UNREAD_STATUSES
 from galenashed.web._server import HttpServer
 
 __all__ = [
+    "UNREAD_STATUSES",
     "ApiError",
     "Handler",
     "HttpServer",
--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import typing
 
 import uvicorn
 import uvicorn.protocols.http.httptools_impl as httptools_impl
@@ -113,6 +114,8 @@
         The application.
     address : str
         ``ip:port``; port 0 takes a free one.
+    others : list of str
+        Further addresses that the same application is served on.
     max_connections : int
         More are refused.
     head_timeout : float
@@ -124,11 +127,13 @@
         *,
         app,
         address: str,
+        others: typing.Sequence[str] = (),
         max_connections: int = 1000,
         head_timeout: float = 10.0,
     ):
         self.app = app
         self.address = address
+        self.others = list(others)
         self.max_connections = max_connections
         self.head_timeout = head_timeout
         self.port = 0
@@ -137,16 +142,8 @@
 
     async def start(self) -> None:
         """Binds the address and starts to accept; raises OSError."""
-        host, _, port = self.address.rpartition(":")
-        host = host.strip("[]")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((host, int(port)))
-        except OSError:
-            sock.close()
-            raise
+        sock = _bind(self.address)
+        socks = [sock] + [_bind(address) for address in self.others]
         self.port = sock.getsockname()[1]
         protocol = type(
             "_Protocol",
@@ -170,7 +167,7 @@
             timeout_keep_alive=75,
         )
         self._server = _Server(cfg)
-        self._task = asyncio.create_task(self._server.serve(sockets=[sock]))
+        self._task = asyncio.create_task(self._server.serve(sockets=socks))
         while not self._server.started:
             if self._task.done():
                 await self._task
@@ -191,3 +188,18 @@
         self._server.should_exit = True
         self._server.force_exit = True
         await self._task
+
+
+def _bind(address: str) -> socket.socket:
+    """Returns a socket bound to ``ip:port``; raises OSError."""
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
