--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -147,6 +147,7 @@
             seeds=cfg.seeds,
             key=cfg.peer_key,
             on_change=self.dispatcher.on_target,
+            rng=rng,
         )
         self._instances = _instances.Instances(
             directory=self.directory,
@@ -316,5 +317,6 @@
 
     async def _receive_spread(self, requests, context) -> bool:
         async for messages in requests:
-            self._spreader.receive(messages[-1])
+            for message in messages:
+                self._spreader.receive(message)
         return True
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -216,8 +216,10 @@
     async def _run(self, job: Job, relay: _relay.Relay) -> None:
         """Sends the request to one target after another."""
         while True:
-            target = self._choose(job, relay)
+            target = self._choose(job)
             if target is None:
+                if not await relay.give_up():
+                    raise self._given_up(job)
                 return
             ending = await self._send(job, target, relay)
             if ending is None:
@@ -247,30 +249,32 @@
                 return
             raise self._given_up(job)
 
-    def _choose(self, job: Job, relay) -> _targets.KnownTarget | None:
+    def _choose(self, job: Job) -> _targets.KnownTarget | None:
         now = time.monotonic()
         target = self.targets.choose(
             job.service, job.request.prompt, job.sent_to, now, self.rng
         )
-        if target is not None:
-            return target
-        if relay.started:
-            relay.abort()
-            return None
-        if job.progress.runs:
-            raise self._given_up(job)
-        raise web.ApiError(
-            status=503,
-            code="no_target",
-            message=f"service {job.service!r}: no target is left to try",
-            retry_after=RETRY_SECONDS,
-        )
+        if target is None and not job.trouble:
+            job.trouble = f"service {job.service!r} has no target"
+        return target
 
     async def _send(
         self, job: Job, target: _targets.KnownTarget, relay: _relay.Relay
     ) -> _attempts.Ending | None:
         """Sends the request to a target; None once the answer is whole."""
         job.sent_to.append(target.name)
+        self.log.write(
+            "sent",
+            request=job.request.id,
+            route=job.route.name,
+            target=target.name,
+            running=target.running,
+            waiting=target.waiting,
+            report_age=target.report_age(time.monotonic()),
+            sending=len(job.sent_to),
+            version=self.routing.version if self.routing else 0,
+            after=_since(job.request),
+        )
         self.targets.begin(target)
         failed = True
         try:
@@ -327,7 +331,7 @@
         head = await conn.head()
         answer = self.dialect.decode(head)
         if answer.load is not None:
-            self.targets.on_report(target, answer.load)
+            self.targets.on_report(target, answer.load, time.monotonic())
         if answer.elsewhere:
             job.trouble = "the address belongs to another target"
             self.targets.eject(target, time.monotonic())
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -10,6 +10,8 @@
 # Below this share of usable targets the path to them is taken to be at
 # fault, and all that have not left are used.
 MIN_USABLE_SHARE = 0.5
+# A target that answered this lately is there, whatever its announcements.
+ANSWERED_SECONDS = 3.0
 
 
 class KnownTarget:
@@ -17,11 +19,13 @@
 
     __slots__ = (
         "announced",
+        "answered",
         "ejected_until",
         "failures",
         "in_flight",
         "near",
         "report",
+        "reported_at",
         "since_report",
     )
 
@@ -29,6 +33,9 @@
         self.announced = announced
         self.near = near
         self.report = wire.Load()
+        self.reported_at: float | None = None
+        # Set while it has answered lately; see :meth:`Targets.set_alive`.
+        self.answered = False
         self.since_report = 0
         self.in_flight = 0
         self.failures = 0
@@ -51,6 +58,12 @@
     def waiting(self) -> int:
         return self.report.waiting
 
+    def report_age(self, now: float) -> float | None:
+        """Returns the seconds since the last report; None before one."""
+        if self.reported_at is None:
+            return None
+        return round(now - self.reported_at, 3)
+
 
 class Targets:
     """Keeps what is known of targets; chooses by :mod:`_placement`.
@@ -92,10 +105,19 @@
                 self._rings.clear()
 
     def set_alive(
-        self, names: typing.Iterable[str], known: typing.Iterable[str]
+        self,
+        names: typing.Iterable[str],
+        known: typing.Iterable[str],
+        now: float,
     ) -> None:
         """Takes the names whose lease runs, and all that are remembered."""
         alive = frozenset(names)
+        for target in self._known.values():
+            age = target.report_age(now)
+            answered = age is not None and age < ANSWERED_SECONDS
+            if answered != target.answered:
+                target.answered = answered
+                self._rings.clear()
         if alive != self._alive:
             self._alive = alive
             self._rings.clear()
@@ -149,7 +171,8 @@
         usable = [
             target
             for target in ready
-            if target.name in self._alive and target.name not in self._ejected
+            if target.name not in self._ejected
+            and (target.name in self._alive or target.answered)
         ]
         if len(usable) < MIN_USABLE_SHARE * len(ready):
             return ready
@@ -184,7 +207,10 @@
         self._ejected.add(target.name)
         self._rings.clear()
 
-    def on_report(self, target: KnownTarget, load: wire.Load) -> None:
+    def on_report(
+        self, target: KnownTarget, load: wire.Load, now: float
+    ) -> None:
         """Takes the load that an answer reports."""
         target.report = load
+        target.reported_at = now
         target.since_report = 0
--- a/galenashed/membership/__init__.py
+++ b/galenashed/membership/__init__.py
@@ -5,5 +5,6 @@
 """
 
 from galenashed.membership._directory import Directory
+from galenashed.membership._rumors import Rumors
 
-__all__ = ["Directory"]
+__all__ = ["Directory", "Rumors"]
--- a/galenashed/membership/_directory.py
+++ b/galenashed/membership/_directory.py
@@ -71,6 +71,10 @@
         held = self._held.get(name)
         return None if held is None else held.announced
 
+    def all(self) -> list[typing.Any]:
+        """Returns every announcement that is remembered, alive or not."""
+        return [held.announced for held in self._held.values()]
+
     def names(self) -> list[str]:
         """Returns all names that are remembered."""
         return list(self._held)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -47,6 +47,8 @@
 # any demand, so that a team's first request can be served in a partition.
 PREFETCH_SHARE = 0.3
 CONNECT_SECONDS = 0.5
+# After its start a node knows too few others to tell callers of entries.
+LEARN_SECONDS = 2.0
 # What it takes until the other entries know that this one drains.
 SPREAD_SLACK_SECONDS = 0.5
 # Seconds kept back from the time to stop, for the answers to arrive.
@@ -147,6 +149,7 @@
             seeds=cfg.seeds,
             key=cfg.peer_key,
             on_change=self.targets.update,
+            rng=rng,
         )
         self._peers = rpc.Server(
             address=cfg.peers_address,
@@ -346,6 +349,8 @@
 
     def entries_for(self, domain: str) -> list[str]:
         """Returns where callers of a failure domain should connect."""
+        if time.time() - self.started < LEARN_SECONDS:
+            return []
         alive = self.directory.alive(time.monotonic())
         others = [entry for entry in alive if entry.name != self.cfg.name]
         return _entries.choose(
@@ -375,7 +380,8 @@
 
     async def _receive_spread(self, requests, context) -> bool:
         async for messages in requests:
-            self._spreader.receive(messages[-1])
+            for message in messages:
+                self._spreader.receive(message)
         return True
 
     async def _watch(self) -> None:
@@ -385,6 +391,7 @@
             self.targets.set_alive(
                 (target.name for target in self.announced.alive(now)),
                 self.announced.names(),
+                now,
             )
             self._note_contact()
 
--- a/galenashed/protocol/spread.py
+++ b/galenashed/protocol/spread.py
@@ -55,7 +55,8 @@
 
 
 class Spread(msgspec.Struct, frozen=True, kw_only=True):
-    """What an entry knows at first hand."""
+    """The sender's own announcement, and what it passes on of others."""
 
     sender: Instance
     targets: list[Target]
+    instances: list[Instance] = []
