--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -127,6 +127,7 @@
             self._become_follower(now, self.term, leader="")
             return
         self._next_heartbeat = now + self.heartbeat
+        self._followers.probe_silent(now - self.election_timeout)
         for peer in self.peers:
             self._send_append(peer, heartbeat=True)
 
@@ -473,7 +474,16 @@
         ):
             hint -= 1
             term = self.log.term_at(hint)
-        self._reply_append(req.sender, ok=False, index=hint)
+        self._send(
+            req.sender,
+            wire.AppendReply(
+                sender=self.name,
+                term=self.term,
+                ok=False,
+                index=hint,
+                prev_index=req.prev_index,
+            ),
+        )
 
     def _append_new(self, entries: list[wire.Entry], now: float) -> None:
         for position, entry in enumerate(entries):
@@ -509,10 +519,11 @@
         if progress.offset is not None:
             return
         if not reply.ok:
-            # A reply older than what has matched since is of no use.
-            progress.next = max(reply.index + 1, progress.match + 1)
-            self._send_append(reply.sender, heartbeat=True)
+            self._on_refused(progress, reply)
             return
+        if progress.probing:
+            progress.probing = False
+            progress.next = max(reply.index, progress.match) + 1
         if reply.index > progress.match:
             progress.match = reply.index
             progress.next = max(progress.next, reply.index + 1)
@@ -520,8 +531,25 @@
         if progress.next <= self.log.last_index:
             self._send_append(reply.sender, heartbeat=False)
 
+    def _on_refused(
+        self, progress: _followers.Progress, reply: wire.AppendReply
+    ) -> None:
+        """Goes back to where the follower's log may agree.
+
+        Of many appends on their way that were refused, the first one is
+        answered: each of the others would have all entries sent again.
+        """
+        if progress.probing and reply.prev_index != progress.next - 1:
+            return
+        # A reply older than what has matched since is of no use.
+        progress.next = max(reply.index + 1, progress.match + 1)
+        progress.probing = True
+        self._send_append(reply.sender, heartbeat=True)
+
     def _send_append(self, peer: str, *, heartbeat: bool) -> None:
         progress = self._followers[peer]
+        if progress.probing and not heartbeat:
+            return
         if progress.offset is not None:
             if heartbeat:
                 self._send_chunk(peer, progress)
@@ -533,7 +561,8 @@
             self._send_chunk(peer, progress)
             return
         entries: list[wire.Entry] = []
-        if prev_index - progress.match < MAX_PENDING_ENTRIES:
+        room = prev_index - progress.match < MAX_PENDING_ENTRIES
+        if room and not progress.probing:
             entries = self.log.after(prev_index, MAX_APPEND_BYTES)
         if not entries and not heartbeat:
             return
--- a/galenashed/consensus/_followers.py
+++ b/galenashed/consensus/_followers.py
@@ -2,13 +2,18 @@
 
 
 class Progress:
-    """What a leader knows of one follower; ``contact`` in seconds."""
+    """What a leader knows of one follower; ``contact`` in seconds.
 
-    __slots__ = ("contact", "match", "next", "offset")
+    While ``probing``, it is sent no entries, until an empty append has
+    shown where its log and the leader's agree.
+    """
+
+    __slots__ = ("contact", "match", "next", "offset", "probing")
 
     def __init__(self, *, next_index: int, contact: float):
         self.match = 0
         self.next = next_index
+        self.probing = False
         self.contact = contact
         # Bytes of the current snapshot that the follower holds, or None
         # while it is served from the log.
@@ -71,6 +76,13 @@
         progress = self._progress.get(name)
         return 0.0 if progress is None else now - progress.contact
 
+    def probe_silent(self, since: float) -> None:
+        """Has those that have not answered after ``since`` probed."""
+        for progress in self._progress.values():
+            if progress.contact < since:
+                progress.probing = True
+                progress.next = progress.match + 1
+
     def restart_snapshots(self) -> None:
         """Has unfinished snapshots start again, for there is a newer one."""
         for progress in self._progress.values():
--- a/galenashed/consensus/tests/test_core.py
+++ b/galenashed/consensus/tests/test_core.py
@@ -175,3 +175,73 @@
         )
         index = simulation.replicas[lagging].disk.snapshot.index
         self.assertGreater(index, 40)
+
+
+class TestLostPipeline(testtools.TestCase):
+    """What a leader sends to a follower that misses many messages."""
+
+    ENTRIES = 200
+
+    def count_sent(self):
+        """Returns entries sent per entry after a cut of one follower."""
+        simulation = _simulation.Simulation(seed=4)
+        simulation.faults = False
+        simulation.run(100)
+        leader = simulation.leaders[max(simulation.leaders)]
+        lagging = next(n for n in simulation.names if n != leader)
+        core = simulation.replicas[leader].core
+        sent = 0
+        send = core._send
+
+        def count(peer, message):
+            nonlocal sent
+            if peer == lagging and isinstance(message, wire.Append):
+                sent += len(message.entries)
+            send(peer, message)
+
+        core._send = count
+        simulation.cut |= {(leader, lagging)}
+        self.propose_each(core)
+        simulation.run(3)
+        simulation.cut.clear()
+        # These arrive, but do not fit what the follower holds.
+        self.propose_each(core)
+        simulation.run(200)
+        self.assertEqual(
+            core.log.last_index,
+            simulation.replicas[lagging].core.log.last_index,
+        )
+        return sent / self.ENTRIES
+
+    def propose_each(self, core):
+        for _ in range(self.ENTRIES // 2):
+            core.propose(b"x")
+            core.replicate()
+
+    def test_each_entry_is_sent_few_times(self):
+        # Once into the cut, once again, and half of them a third time.
+        self.assertLessEqual(self.count_sent(), 4.0)
+
+    def test_silent_follower_gets_no_entries(self):
+        simulation = _simulation.Simulation(seed=5)
+        simulation.faults = False
+        simulation.run(100)
+        leader = simulation.leaders[max(simulation.leaders)]
+        lagging = next(n for n in simulation.names if n != leader)
+        core = simulation.replicas[leader].core
+        simulation.crash(lagging)
+        steps = _simulation.ELECTION_TIMEOUT / _simulation.STEP_SECONDS
+        simulation.run(int(3 * steps))
+        sent = []
+        send = core._send
+
+        def note(peer, message):
+            if peer == lagging and isinstance(message, wire.Append):
+                sent.extend(message.entries)
+            send(peer, message)
+
+        core._send = note
+        for _ in range(20):
+            simulation.propose()
+            simulation.run(1)
+        self.assertEqual([], sent)
--- a/galenashed/protocol/consensus.py
+++ b/galenashed/protocol/consensus.py
@@ -84,13 +84,15 @@
     """Answers an :class:`Append`.
 
     ``index`` is the last index known to match the leader's log if ``ok``,
-    else the highest index that the leader should try next.
+    else the highest index that the leader should try next.  ``prev_index``
+    is that of the append that is refused.
     """
 
     sender: str
     term: int
     ok: bool
     index: int
+    prev_index: int = 0
 
 
 class SnapshotChunk(msgspec.Struct, tag=True, frozen=True, kw_only=True):
