--- a/galenashed/budget/_account.py
+++ b/galenashed/budget/_account.py
@@ -53,7 +53,7 @@
 
     @property
     def unspent(self) -> int:
-        """What can be reserved once witnesses have heard of it."""
+        """What can be reserved once those who must have heard of it."""
         return 0 if self.closing else self.amount - self.reserved - self.used
 
 
@@ -75,7 +75,7 @@
 class Account:
     """What this entry holds of one budget."""
 
-    __slots__ = ("grants", "opening", "rate", "rate_at", "short")
+    __slots__ = ("grants", "largest", "opening", "rate", "rate_at", "short")
 
     def __init__(self, *, now: float):
         self.grants: dict[str, Grant] = {}
@@ -84,6 +84,9 @@
         # Tokens a second, decaying exponentially.
         self.rate = 0.0
         self.rate_at = now
+        # The most that one request has reserved, which is the unit in which
+        # demand comes.
+        self.largest = 0
 
     @property
     def free(self) -> int:
@@ -105,6 +108,7 @@
         """Counts a reservation towards the demand."""
         self.rate = self.demand(now) + tokens / RATE_WINDOW_SECONDS
         self.rate_at = now
+        self.largest = max(self.largest, tokens)
 
     def demand(self, now: float) -> float:
         """Returns the present demand in tokens a second."""
--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import time
+import typing
 
 import loguru
 
 from galenashed.budget import _account
+from galenashed.budget import _announcer
 from galenashed.budget import _kept
 from galenashed.budget import _ports
 from galenashed.protocol import control as wire
@@ -16,6 +18,7 @@
 
 TICK_SECONDS = 0.05
 OPEN_TIMEOUT_SECONDS = 2.0
+HOLDING_TIMEOUT_SECONDS = 1.0
 SETTLE_TIMEOUT_SECONDS = 5.0
 SHORT_RETRY_SECONDS = 0.1
 FRUITLESS_SECONDS = 5.0
@@ -59,6 +62,8 @@
         Other entries.
     unavailable : type of Exception
         What ``control.propose`` raises when it has no answer.
+    in_contact : callable
+        Returns whether control is within reach.
     """
 
     def __init__(
@@ -68,7 +73,10 @@
         control: _ports.Proposer,
         witnesses: _ports.Witnesses,
         unavailable,
+        in_contact: typing.Callable[[], bool] = lambda: True,
     ):
+        self.in_contact = in_contact
+        self.announcer = _announcer.Announcer()
         self.escrow = escrow
         self.control = control
         self.witnesses = witnesses
@@ -192,8 +200,52 @@
 
     def _hold(self, budget: str, missing: int) -> None:
         notes = self.escrow.hold(budget, missing, time.monotonic())
-        if notes:
-            self.witnesses.send(notes)
+        others = [n for n in notes if n.witness != _announcer.CONTROL]
+        if others:
+            self.witnesses.send(others)
+        if len(others) < len(notes):
+            self.announcer.hasten()
+            self._announce()
+
+    # Limits that control hears of
+
+    def _announce(self) -> None:
+        """Tells control how far the grants are spent, if that is due."""
+        now = time.monotonic()
+        in_contact = self.in_contact()
+        if self.announcer.may_lift(now=now, in_contact=in_contact):
+            self.announcer.lifted = True
+            self.escrow.lift_limits()
+            LOG.warning("control is out of reach: grants are spent freely")
+        if not self.escrow.limits():
+            return
+        if not self.announcer.is_due(now=now, in_contact=in_contact):
+            return
+        if self.announcer.lifted:
+            self.escrow.lower_limits(now)
+        command = wire.Holding(
+            holder=self.escrow.holder,
+            boot_at=time.clock_gettime(time.CLOCK_BOOTTIME),
+            wall_at=time.time(),
+            limits=self.escrow.limits(),
+        )
+        self.announcer.on_sent(now=now)
+        self._spawn(self._send_holding(command))
+
+    async def _send_holding(self, command: wire.Holding) -> None:
+        try:
+            await self.control.propose(
+                command, timeout=HOLDING_TIMEOUT_SECONDS
+            )
+        except self.unavailable:
+            self.announcer.on_answer(now=time.monotonic(), heard=False)
+            return
+        self.announcer.on_answer(now=time.monotonic(), heard=True)
+        self.escrow.on_announced(command.limits)
+        for budget in {waiter.budget for waiter in self._waiters}:
+            self._serve(budget)
+            self._ask_again(budget)
+        self._announce()
 
     def on_noted(self, witness: str, notes: list[witness_wire.Note]) -> None:
         """Takes a witness's word that it has heard notes."""
@@ -349,10 +401,17 @@
 
     # Bills and grants
 
+    @property
+    def _longest_pause(self) -> float:
+        """Seconds without bills after which there is a tick all the same."""
+        if self.escrow.policy.announces:
+            return _announcer.PERIOD_SECONDS
+        return TICK_SECONDS * 10
+
     async def _tick_forever(self) -> None:
         while True:
             try:
-                async with asyncio.timeout(TICK_SECONDS * 10):
+                async with asyncio.timeout(self._longest_pause):
                     await self._bill_added.wait()
             except TimeoutError:
                 pass
@@ -368,6 +427,7 @@
         if self.escrow.wants_witnesses and self.witnesses.choose():
             self._on_given_up(self.escrow.on_witnesses_found())
         self._close_grants()
+        self._announce()
 
     def _close_grants(self) -> None:
         for command in self.escrow.close_grants(time.monotonic()):
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -11,13 +11,12 @@
 import typing
 
 from galenashed.budget import _account
+from galenashed.budget import _announcer
 from galenashed.budget import _bills
 from galenashed.budget import _policy
 from galenashed.protocol import control as wire
 from galenashed.protocol import witness as witness_wire
 
-# What witnesses have heard lasts for this at the present demand.
-HOLD_SECONDS = 0.5
 MIN_HOLD_TOKENS = 500
 
 
@@ -201,13 +200,16 @@
             want=want,
             term=self.term,
             witnesses=witnesses,
+            limit=need if self.policy.announces else None,
         )
         return account.opening
 
     def hold(self, budget: str, missing: int, now: float) -> list[ToWitness]:
         """Returns what witnesses must hear for ``missing`` more tokens."""
         account = self._account_of(budget, now)
-        ahead = int(account.demand(now) * HOLD_SECONDS)
+        ahead = int(account.demand(now) * self.policy.hold_ahead)
+        if self.policy.announces and account.rate:
+            ahead += account.largest
         wanted = max(missing, ahead - account.free)
         notes: list[ToWitness] = []
         for grant in account.grants.values():
@@ -229,7 +231,7 @@
     def wants_held(self, budget: str, now: float) -> bool:
         """Whether what witnesses have heard runs out soon."""
         account = self._account_of(budget, now)
-        soon = account.demand(now) * HOLD_SECONDS / 2
+        soon = account.demand(now) * self.policy.hold_ahead / 2
         return account.free < soon and account.free < account.unspent
 
     def on_held(self, witness: str, note: witness_wire.Hold) -> None:
@@ -238,6 +240,39 @@
         if grant is not None:
             grant.limits[witness] = max(grant.limits[witness], note.limit)
 
+    def limits(self) -> dict[str, int]:
+        """Returns how far each grant may be spent once control has heard."""
+        return {
+            grant.id: max(grant.asked, grant.reserved + grant.used)
+            for grant in self._by_id.values()
+            if _announcer.CONTROL in grant.limits
+        }
+
+    def on_announced(self, limits: dict[str, int]) -> None:
+        """Takes control's word that it has heard of limits."""
+        for name, limit in limits.items():
+            grant = self._by_id.get(name)
+            if grant is not None:
+                held = grant.limits[_announcer.CONTROL]
+                grant.limits[_announcer.CONTROL] = max(held, limit)
+
+    def lift_limits(self) -> None:
+        """Lets all that is held be spent, while control is out of reach."""
+        for grant in self._by_id.values():
+            if _announcer.CONTROL in grant.limits:
+                grant.limits[_announcer.CONTROL] = grant.amount
+
+    def lower_limits(self, now: float) -> None:
+        """Goes back to what is announced from now on."""
+        for account in self.accounts.values():
+            ahead = int(account.demand(now) * self.policy.hold_ahead)
+            for grant in account.grants.values():
+                if _announcer.CONTROL not in grant.limits:
+                    continue
+                busy = grant.reserved + grant.used
+                grant.asked = min(grant.amount, busy + ahead)
+                grant.limits[_announcer.CONTROL] = grant.asked
+
     def on_witness_lost(self, witness: str) -> list[wire.ShrinkGrant]:
         """Stops spending grants of which a witness hears no more."""
         return self._give_up(
@@ -296,6 +331,9 @@
                 now=now,
                 witnesses=command.witnesses,
             )
+            if command.limit is not None:
+                grant.limits[_announcer.CONTROL] = command.limit
+                grant.asked = command.limit
             # Of a term that was closed meanwhile nothing can be spent.
             grant.closing = bool(is_old)
             account.grants[grant.id] = grant
--- a/galenashed/budget/_policy.py
+++ b/galenashed/budget/_policy.py
@@ -1,5 +1,8 @@
 """How much an entry asks for ahead of its demand."""
 
+# What witnesses have heard lasts for this at the present demand.
+HOLD_SECONDS = 0.5
+
 
 class Policy:
     """Sizes of grants; times in seconds, sizes in tokens.
@@ -8,11 +11,15 @@
     ``idle`` how long an unused grant is kept, ``serve_when_stale`` whether
     an entry that is cut off from control goes on spending what it holds.
     ``emergency`` is the size of one grant a budget that has no witnesses: it
-    can be spent when nobody answers, and is lost if its holder dies.
+    can be spent when nobody answers, and is lost if its holder dies.  With
+    ``announces`` the holder tells control how far it spends before it does,
+    ``hold_ahead`` seconds of demand ahead; see :class:`Announcer`.
     """
 
     __slots__ = (
+        "announces",
         "emergency",
+        "hold_ahead",
         "horizon",
         "idle",
         "min_slice",
@@ -29,7 +36,11 @@
         recall_wait: float,
         serve_when_stale: bool,
         emergency: int,
+        announces: bool = False,
+        hold_ahead: float = HOLD_SECONDS,
     ):
+        self.announces = announces
+        self.hold_ahead = hold_ahead
         self.emergency = emergency
         self.horizon = horizon
         self.idle = idle
@@ -53,12 +64,14 @@
     # For entries without witnesses that are cut off for ten seconds and more:
     # what is held must last for that long, and is kept while it is idle.
     "cut-tolerant": Policy(
-        horizon=20.0,
+        horizon=15.0,
         idle=3600.0,
         min_slice=10_000,
         recall_wait=0.5,
         serve_when_stale=True,
         emergency=0,
+        announces=True,
+        hold_ahead=4.5,
     ),
     "refusals-first": Policy(
         horizon=60.0,
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -18,6 +18,9 @@
 HOLDER_RETENTION_SECONDS = 7 * 24 * 3600.0
 WRITE_OFF_SECONDS = 3600.0
 MAX_RECENT_BILLS = 10_000
+# A holder spends what it has not announced only after it has been silent
+# for longer, by a margin for clocks that jump; see ``budget.CUT_SECONDS``.
+SUCCESSION_SECONDS = 1.8
 
 
 class WrittenOff(msgspec.Struct, frozen=True, kw_only=True):
@@ -102,6 +105,7 @@
         amount=amount,
         term=cmd.term,
         witnesses=cmd.witnesses,
+        limit=cmd.limit,
     )
     held.outstanding += amount
     return wire.Granted(grant=cmd.grant, amount=amount)
@@ -218,6 +222,68 @@
     return freed
 
 
+def note_holding(
+    state: _state.ControlState, cmd: wire.Holding, grants: dict[str, str]
+) -> None:
+    """Notes how far a holder may spend; late copies change nothing."""
+    holder = _holder(state, cmd.holder, 0)
+    for name, limit in cmd.limits.items():
+        budget = grants.get(name)
+        if budget is None:
+            continue
+        grant = state.budgets[budget].grants[name]
+        if grant.holder == cmd.holder and grant.limit is not None:
+            grant.limit = max(grant.limit, limit)
+    if holder.heard_boot is None or cmd.boot_at > holder.heard_boot:
+        holder.heard_boot = cmd.boot_at
+        holder.heard_wall = cmd.wall_at
+    holder.at = state.now
+
+
+def succeed(
+    state: _state.ControlState, cmd: wire.SucceedHolder, grants: dict[str, str]
+) -> int:
+    """Frees what holders that are gone can't have spent; returns tokens.
+
+    What they may have spent and not billed counts as spent.
+    """
+    freed = 0
+    for name, budget in list(grants.items()):
+        held = state.budgets[budget]
+        grant = held.grants[name]
+        place = grant.holder.rpartition("/")[0]
+        if place != cmd.place or grant.holder == cmd.holder:
+            continue
+        if _was_heard_lately(state, grant, cmd):
+            before = grant.amount
+            _shrink(held, grant, min(grant.amount, grant.limit or 0))
+            freed += before - grant.amount
+        spent = grant.amount - grant.settled
+        held.outstanding -= spent
+        held.settled += spent
+        del held.grants[name]
+        del grants[name]
+    return freed
+
+
+def _was_heard_lately(state, grant, cmd: wire.SucceedHolder) -> bool:
+    """Whether a dead holder kept to what it had announced.
+
+    It did if it had said so shortly before its successor started.  The time
+    since boot starts again when the machine loses power; the time of day
+    may jump.  The longer of the two counts.
+    """
+    holder = state.holders.get(grant.holder)
+    if grant.limit is None or holder is None:
+        return False
+    if holder.heard_boot is None or holder.heard_wall is None:
+        return False
+    silent = max(
+        cmd.boot_at - holder.heard_boot, cmd.wall_at - holder.heard_wall
+    )
+    return silent <= SUCCESSION_SECONDS
+
+
 def _is_witnessed(grant: _state.GrantState, cmd: wire.RecoverHolder) -> bool:
     """Whether the sender may speak for a grant."""
     same = (grant.holder, grant.term) == (cmd.holder, cmd.term)
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -58,6 +58,8 @@
             wire.ShrinkGrant: self._shrink_grant,
             wire.SettleBills: self._settle,
             wire.RecoverHolder: self._recover,
+            wire.Holding: self._note_holding,
+            wire.SucceedHolder: self._succeed,
             wire.ClaimCall: self._claim,
             wire.FinishCall: self._finish,
             wire.ReportCrash: self._report_crash,
@@ -310,6 +312,23 @@
         )
         return wire.Done(index=index)
 
+    def _note_holding(self, index: int, cmd: wire.Holding) -> wire.Reply:
+        _budgets.note_holding(self.state, cmd, self._grants)
+        return wire.Done(index=index)
+
+    def _succeed(self, index: int, cmd: wire.SucceedHolder) -> wire.Reply:
+        freed = _budgets.succeed(self.state, cmd, self._grants)
+        if freed:
+            self._audit(
+                index,
+                actor=cmd.holder,
+                action="succeed",
+                subject=cmd.place,
+                digest="",
+                result=f"{freed} tokens freed",
+            )
+        return wire.Done(index=index)
+
     def _claim(self, index: int, cmd: wire.ClaimCall) -> wire.Reply:
         return _calls.claim(self.state, cmd)
 
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -10,7 +10,8 @@
     """Tokens handed to one incarnation of one entry.
 
     ``recovered_at`` is set once a witness has shrunk it for a holder that
-    is gone.
+    is gone.  ``limit`` is how far the holder has said that it spends it,
+    None if it does not say.
     """
 
     holder: str
@@ -19,6 +20,7 @@
     term: int = 0
     witnesses: list[str] = []
     recovered_at: float | None = None
+    limit: int | None = None
 
 
 class BudgetState(msgspec.Struct, kw_only=True):
@@ -49,7 +51,9 @@
 
     ``sequence`` is that of the last batch of bills, ``billed`` the number
     of the last bill in it, ``recovered`` later ones that a witness brought.
-    ``opened`` is the highest number of a grant.
+    ``opened`` is the highest number of a grant.  ``heard_boot`` and
+    ``heard_wall`` are when it sent its last :class:`wire.Holding`, by the
+    clocks of its machine.
     """
 
     sequence: int = 0
@@ -58,6 +62,8 @@
     opened: int = 0
     duplicates: list[str] = []
     at: float = 0.0
+    heard_boot: float | None = None
+    heard_wall: float | None = None
 
 
 class CallRecord(msgspec.Struct, kw_only=True):
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -10,8 +10,9 @@
 from galenashed import web
 
 # Of the time within which an answer is worth most, the part that a request
-# may wait for tokens: an eighth, so that a refusal still comes early.
-WAIT_SHARE = 0.125
+# may wait for tokens that other entries give back: a recall and a grant take
+# 150 to 200 ms, the shortest objectives of the pages are 400 to 600 ms.
+WAIT_SHARE = 0.4
 RETRY_SECONDS = 1.0
 
 
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -96,8 +96,11 @@
         self.log = log
         self.rng = rng
         self.incarnation = uuid.uuid4().hex[:12]
-        self.holder = f"{cfg.name}/{self.incarnation}"
+        # Only one process can listen there, so a new holder of a place
+        # proves that the ones before it are gone.
+        self.holder = f"{cfg.callers_address}/{self.incarnation}"
         self.started = time.time()
+        self._booted = time.clock_gettime(time.CLOCK_BOOTTIME)
         self.draining = False
         self._sequence = 0
         self._fresh_at = 0.0
@@ -126,6 +129,7 @@
             control=self.proposer,
             witnesses=_NoWitnesses(),
             unavailable=control.ControlUnavailableError,
+            in_contact=lambda: not self.is_cut_off,
         )
         self._pool = engines.ConnectionPool(connect_timeout=CONNECT_SECONDS)
         self.gateway = gateway.Gateway(
@@ -181,6 +185,7 @@
         self._tasks.append(
             telemetry.start_task(self._watch(), "watch of targets")
         )
+        self._tasks.append(telemetry.start_task(self._succeed(), "succession"))
         self.log.write(
             "node started",
             incarnation=self.incarnation,
@@ -384,6 +389,22 @@
                 self._spreader.receive(message)
         return True
 
+    async def _succeed(self) -> None:
+        """Has control free what earlier processes at this place held."""
+        command = wire.SucceedHolder(
+            place=self.cfg.callers_address,
+            holder=self.holder,
+            boot_at=self._booted,
+            wall_at=self.started,
+        )
+        while True:
+            try:
+                await self.proposer.propose(command, timeout=COMMIT_SECONDS)
+            except control.ControlUnavailableError as exc:
+                LOG.warning("succession is not committed yet: {}", exc)
+                continue
+            return
+
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(TARGETS_SECONDS)
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -166,7 +166,9 @@
 
     ``number`` counts the holder's grants; ``sequence`` is that of its last
     settled batch of bills.  Any of the ``witnesses`` knows how far it may
-    be spent, in the ``term`` in which the holder speaks to them.
+    be spent, in the ``term`` in which the holder speaks to them.  With a
+    ``limit`` the holder spends no more than that before it says so by
+    :class:`Holding`.
     """
 
     grant: str
@@ -178,6 +180,7 @@
     want: int
     term: int = 0
     witnesses: list[str] = []
+    limit: int | None = None
 
 
 class CloseGrant(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -232,6 +235,32 @@
     copies: list[BillCopy]
 
 
+class Holding(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Says how far its holder may spend its grants, before it does.
+
+    ``boot_at`` and ``wall_at`` are when the holder sent this, in seconds of
+    its machine's time since boot and of its time of day.
+    """
+
+    holder: str
+    boot_at: float
+    wall_at: float
+    limits: dict[str, int]
+
+
+class SucceedHolder(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Says that ``holder`` runs where others of its ``place`` ran before.
+
+    Only one process can run at a place, so the others are gone for good.
+    The times are those at which this process started.
+    """
+
+    place: str
+    holder: str
+    boot_at: float
+    wall_at: float
+
+
 class ClaimCall(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Claims a non-idempotent call for one run by ``owner``."""
 
@@ -306,6 +335,8 @@
     | ShrinkGrant
     | SettleBills
     | RecoverHolder
+    | Holding
+    | SucceedHolder
     | ClaimCall
     | FinishCall
     | ReportCrash
