--- a/galenashed/budget/_account.py
+++ b/galenashed/budget/_account.py
@@ -12,11 +12,14 @@
 
     ``unsettled`` counts bills that control has not acknowledged.
     ``limits`` is what each witness has heard, ``asked`` what it was told.
+    A ``borrowed`` one is of tokens that another entry has billed as spent;
+    control knows nothing of it.
     """
 
     __slots__ = (
         "amount",
         "asked",
+        "borrowed",
         "closing",
         "id",
         "last_used",
@@ -28,8 +31,15 @@
     )
 
     def __init__(
-        self, *, id: str, amount: int, now: float, witnesses: list[str]
+        self,
+        *,
+        id: str,
+        amount: int,
+        now: float,
+        witnesses: list[str],
+        borrowed: bool = False,
     ):
+        self.borrowed = borrowed
         self.id = id
         self.amount = amount
         self.limits = dict.fromkeys(witnesses, 0)
--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -17,6 +17,8 @@
 LOG = loguru.logger
 
 TICK_SECONDS = 0.05
+# What a grant from control takes, several times over; then others are asked.
+BORROW_AFTER_SECONDS = 0.04
 OPEN_TIMEOUT_SECONDS = 2.0
 HOLDING_TIMEOUT_SECONDS = 1.0
 SETTLE_TIMEOUT_SECONDS = 5.0
@@ -64,6 +66,8 @@
         What ``control.propose`` raises when it has no answer.
     in_contact : callable
         Returns whether control is within reach.
+    lenders : Lenders
+        Other entries, asked when control does not answer in time.
     """
 
     def __init__(
@@ -74,7 +78,10 @@
         witnesses: _ports.Witnesses,
         unavailable,
         in_contact: typing.Callable[[], bool] = lambda: True,
+        lenders: _ports.Lenders | None = None,
     ):
+        self.lenders = lenders or _ports.NoLenders()
+        self._borrowing: set[str] = set()
         self.in_contact = in_contact
         self.announcer = _announcer.Announcer()
         self.escrow = escrow
@@ -136,11 +143,55 @@
         )
         self._waiters.append(waiter)
         self._ask_for(budget)
+        delay = BORROW_AFTER_SECONDS if self.in_contact() else 0.0
+        timer = asyncio.get_running_loop().call_later(
+            delay, self._borrow, waiter
+        )
         try:
             return await fut
         except asyncio.CancelledError:
             self._drop(waiter)
             raise
+        finally:
+            timer.cancel()
+
+    def lend(self, budget: str, tokens: int, borrower: str) -> int:
+        """Gives tokens to another entry; returns how many."""
+        now = time.monotonic()
+        if any(waiter.budget == budget for waiter in self._waiters):
+            return 0
+        given = self.escrow.lend(budget, tokens, borrower, now)
+        if given:
+            self._bill_added.set()
+            if self.escrow.wants_held(budget, now):
+                self._hold(budget, 0)
+        return given
+
+    def _borrow(self, waiter: _Waiter) -> None:
+        """Asks other entries for what a waiting request lacks."""
+        if waiter.fut.done() or waiter.budget in self._borrowing:
+            return
+        self._borrowing.add(waiter.budget)
+        self._spawn(self._send_loan(waiter))
+
+    async def _send_loan(self, waiter: _Waiter) -> None:
+        need = max(1, waiter.tokens - self.escrow.free(waiter.budget))
+        try:
+            given = await self.lenders.borrow(waiter.budget, need)
+        finally:
+            self._borrowing.discard(waiter.budget)
+        if given:
+            self.escrow.on_borrowed(waiter.budget, given, time.monotonic())
+            self._serve(waiter.budget)
+        elif not self.in_contact():
+            # Neither control nor the entries within reach have any.
+            self._fail(
+                waiter.budget, self.unavailable("control is out of reach")
+            )
+        for other in self._waiters:
+            if given and other.budget == waiter.budget:
+                self._borrow(other)
+                return
 
     def prefetch(self, budget: str, tokens: int) -> None:
         """Asks for tokens before any request needs them."""
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -17,6 +17,8 @@
 from galenashed.protocol import control as wire
 from galenashed.protocol import witness as witness_wire
 
+# Of its own demand an entry lends nothing for this long.
+KEPT_SECONDS = 1.0
 MIN_HOLD_TOKENS = 500
 
 
@@ -55,6 +57,8 @@
         self.term = 1
         self._by_id: dict[str, _account.Grant] = {}
         self._opened = 0
+        self._lent = 0
+        self._borrowed = 0
         self.bills = _bills.BillQueue(holder=holder)
 
     # Reservations
@@ -69,8 +73,7 @@
         account.note_demand(tokens, now)
         parts = []
         left = tokens
-        # Those without witnesses last: they serve when no witness answers.
-        for grant in sorted(account.grants.values(), key=_has_no_witness):
+        for grant in sorted(account.grants.values(), key=_order):
             taken = min(grant.free, left)
             if taken <= 0:
                 continue
@@ -144,10 +147,64 @@
             grant.reserved -= part.tokens
             grant.used += spent
             grant.last_used = now
-            if spent:
+            if spent and not grant.borrowed:
                 parts.append(wire.Part(part.grant, spent))
+            if grant.borrowed and grant.used >= grant.amount:
+                # Nobody else knows of it.
+                del account.grants[grant.id]
         return parts
 
+    # Lending
+
+    def lend(self, budget: str, tokens: int, borrower: str, now: float) -> int:
+        """Bills tokens as spent that another entry may spend; how many.
+
+        What this entry needs itself in the next second is not lent.
+        """
+        account = self.accounts.get(budget)
+        if account is None:
+            return 0
+        own = int(account.demand(now) * KEPT_SECONDS)
+        spare = min(tokens, account.free - own)
+        if spare <= 0:
+            return 0
+        rate, rate_at = account.rate, account.rate_at
+        reservation = self.reserve(budget, spare, now)
+        # Lending is no demand of this entry's callers.
+        account.rate, account.rate_at = rate, rate_at
+        assert reservation is not None
+        self._lent += 1
+        name = f"{self.holder}/lent/{self._lent}"
+        self.bill(
+            reservation,
+            wire.Bill(
+                id=name,
+                team=budget,
+                budget=budget,
+                subject=f"lent to {borrower}",
+                attempt=name,
+                keyed=False,
+                prompt_tokens=spare,
+                output_tokens=0,
+                parts=[],
+            ),
+            now,
+        )
+        return spare
+
+    def on_borrowed(self, budget: str, tokens: int, now: float) -> None:
+        """Takes tokens that another entry has billed."""
+        account = self._account_of(budget, now)
+        self._borrowed += 1
+        grant = _account.Grant(
+            id=f"{self.holder}/borrowed/{self._borrowed}",
+            amount=tokens,
+            now=now,
+            witnesses=[],
+            borrowed=True,
+        )
+        account.grants[grant.id] = grant
+
     def _account_of(self, budget: str, now: float) -> _account.Account:
         account = self.accounts.get(budget)
         if account is None:
@@ -356,7 +413,7 @@
         account = self.accounts.get(budget)
         commands: list[wire.ShrinkGrant] = []
         for grant in account.grants.values() if account else ():
-            if grant.unspent <= 0:
+            if grant.unspent <= 0 or grant.borrowed:
                 continue
             if grant.reserved or grant.unsettled:
                 commands.append(self._shrink(grant))
@@ -374,8 +431,10 @@
     def recall_all(self) -> None:
         """Stops spending altogether; for a shutdown."""
         for account in self.accounts.values():
-            for grant in account.grants.values():
+            for grant in list(account.grants.values()):
                 grant.closing = True
+                if grant.borrowed and not grant.reserved:
+                    del account.grants[grant.id]
 
     def close_grants(self, now: float) -> list[wire.CloseGrant]:
         """Returns commands that give back used-up and idle grants."""
@@ -393,6 +452,8 @@
     def _should_close(self, grant: _account.Grant, now: float) -> bool:
         if grant.reserved or grant.unsettled or grant.sent_close:
             return False
+        if grant.borrowed:
+            return False
         idle = now - grant.last_used >= self.policy.idle
         return grant.closing or idle or grant.used >= grant.amount
 
@@ -443,5 +504,12 @@
         return not held and not self.bills.is_waiting
 
 
-def _has_no_witness(grant: _account.Grant) -> bool:
-    return not grant.limits
+def _order(grant: _account.Grant) -> int:
+    """Returns when a grant's turn comes to be spent.
+
+    What is borrowed goes first, for it can't be given back.  What has no
+    witnesses goes last, for it serves when no witness answers.
+    """
+    if grant.borrowed:
+        return 0
+    return 1 if grant.limits else 2
--- a/galenashed/budget/_ports.py
+++ b/galenashed/budget/_ports.py
@@ -15,6 +15,21 @@
         """Returns the committed reply; raises if control is not there."""
 
 
+class Lenders(typing.Protocol):
+    """Reaches entries that may lend tokens."""
+
+    async def borrow(self, budget_name: str, need: int) -> int:
+        """Returns how many tokens others have given, 0 if none."""
+
+
+class NoLenders:
+    """Nobody lends."""
+
+    async def borrow(self, budget_name: str, need: int) -> int:
+        """See :class:`Lenders`."""
+        return 0
+
+
 class Witnesses(typing.Protocol):
     """Reaches the entries that remember what this one may spend."""
 
--- a/galenashed/budget/tests/test_announcer.py
+++ b/galenashed/budget/tests/test_announcer.py
@@ -177,6 +177,7 @@
             if escrow.hold(TEAM, tokens, self.now):
                 holder.announcer.hasten()
             self.open(place, tokens)
+            self.borrow(place, tokens)
         if holder.running and self.rng.random() < 0.6:
             done, used = holder.running.pop(0)
             escrow.bill(done, _bill(used), self.now)
@@ -193,6 +194,15 @@
                 sure=True,
             )
 
+    def borrow(self, place, need):
+        """Asks another holder; what it gives may be lost on the way."""
+        other = self.rng.choice([p for p in self.holders if p != place])
+        lender = self.holders[other].escrow
+        borrower = self.holders[place].escrow
+        given = lender.lend(TEAM, need, borrower.holder, self.now)
+        if given and self.rng.random() < 0.9:
+            borrower.on_borrowed(TEAM, given, self.now)
+
     def open(self, place, need):
         escrow = self.holders[place].escrow
         command = escrow.open_grant(
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -62,14 +62,10 @@
     ----------
     desk : BudgetDesk
         Holds this entry's grants.
-    is_cut_off : callable
-        Returns whether control is out of reach, so that what is not held
-        here can't be had in time.
     """
 
-    def __init__(self, *, desk: budget.BudgetDesk, is_cut_off):
+    def __init__(self, *, desk: budget.BudgetDesk):
         self.desk = desk
-        self.is_cut_off = is_cut_off
 
     async def open(
         self,
@@ -83,9 +79,8 @@
         need = request.usage.prompt + request.usage.max_output
         if need > team.prepaid:
             raise _exhausted(team, need, team.prepaid)
-        wait = 0.0 if self.is_cut_off() else objective * WAIT_SHARE
         try:
-            async with asyncio.timeout(wait):
+            async with asyncio.timeout(objective * WAIT_SHARE):
                 reservation = await self.desk.reserve(team.name, need)
         except TimeoutError:
             raise _not_now("tokens did not come in time") from None
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -20,6 +20,7 @@
 from galenashed.entry import spreading
 from galenashed.node import _entries
 from galenashed.node import _keeper
+from galenashed.node import _lenders
 from galenashed.node import _replica
 from galenashed.node import _settings
 from galenashed.protocol import control as wire
@@ -122,6 +123,12 @@
             rng=rng,
             max_age=REPLICA_MAX_AGE_SECONDS,
         )
+        self._lenders = _lenders.Lenders(
+            name=cfg.name,
+            directory=self.directory,
+            key=cfg.peer_key,
+            rng=rng,
+        )
         self.desk = budget.BudgetDesk(
             escrow=budget.Escrow(
                 holder=self.holder, policy=budget.POLICIES["cut-tolerant"]
@@ -130,13 +137,13 @@
             witnesses=_NoWitnesses(),
             unavailable=control.ControlUnavailableError,
             in_contact=lambda: not self.is_cut_off,
+            lenders=self._lenders,
         )
+        self._lenders.attach(self.desk)
         self._pool = engines.ConnectionPool(connect_timeout=CONNECT_SECONDS)
         self.gateway = gateway.Gateway(
             targets=self.targets,
-            prepaid=gateway.Prepaid(
-                desk=self.desk, is_cut_off=lambda: self.is_cut_off
-            ),
+            prepaid=gateway.Prepaid(desk=self.desk),
             pool=self._pool,
             dialect=dialect,
             retries=routing.RetryBudget(
@@ -158,7 +165,10 @@
         self._peers = rpc.Server(
             address=cfg.peers_address,
             keys={"peer": rpc.hash_key(cfg.peer_key)},
-            handlers=[(methods.SPREAD, self._receive_spread)],
+            handlers=[
+                (methods.SPREAD, self._receive_spread),
+                (methods.LEND, self._lenders.serve),
+            ],
         )
 
     def _make_keeper(self) -> _keeper.ReplicaKeeper | None:
@@ -230,6 +240,7 @@
         await self._follow.close()
         await self.proposer.close()
         await self._pool.close()
+        await self._lenders.close()
         await self._peers.close()
         if self.replica is not None:
             await self.replica.close()
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -2,6 +2,7 @@
 
 from galenashed.protocol import consensus
 from galenashed.protocol import control
+from galenashed.protocol import lending
 from galenashed.protocol import rpc
 from galenashed.protocol import spread
 from galenashed.protocol import witness
@@ -58,6 +59,12 @@
     request=witness.Notes,
     reply=witness.Noted,
 )
+LEND = rpc.Method(
+    path="/galenashed.Entry/Lend",
+    kind="unary",
+    request=lending.Loan,
+    reply=lending.Lent,
+)
 SPREAD = rpc.Method(
     path="/galenashed.Entry/Spread",
     kind="client_stream",
