--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -342,6 +342,9 @@
             )
         if answer.not_run:
             job.trouble = f"rejected with status {head.status}"
+            self.targets.eject(
+                target, time.monotonic(), _targets.REJECTED_SECONDS
+            )
             return _attempts.Ending.REJECTED
         job.account.ran = True
         return await relay.take(head, conn)
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -7,6 +7,8 @@
 
 EJECT_AFTER_FAILURES = 3
 EJECT_SECONDS = 2.0
+# A target that says it is full is left alone for about one short request.
+REJECTED_SECONDS = 0.2
 # Below this share of usable targets the path to them is taken to be at
 # fault, and all that have not left are used.
 MIN_USABLE_SHARE = 0.5
@@ -83,7 +85,10 @@
         self._ejected: set[str] = set()
 
     def update(self, announced: wire.Target) -> None:
-        """Takes a newer announcement."""
+        """Takes a newer announcement, of a target that is alive by it."""
+        if announced.name not in self._alive:
+            self._alive |= {announced.name}
+            self._rings.clear()
         held = self._known.get(announced.name)
         if held is None or (
             held.announced.incarnation != announced.incarnation
@@ -201,9 +206,11 @@
             target.failures = 0
             self.eject(target, now)
 
-    def eject(self, target: KnownTarget, now: float) -> None:
+    def eject(
+        self, target: KnownTarget, now: float, seconds: float = EJECT_SECONDS
+    ) -> None:
         """Gives a target no work for a while."""
-        target.ejected_until = now + EJECT_SECONDS
+        target.ejected_until = max(target.ejected_until, now + seconds)
         self._ejected.add(target.name)
         self._rings.clear()
 
--- /dev/null
+++ b/galenashed/gateway/tests/test_table.py
@@ -0,0 +1,103 @@
+"""Look-ups in a routing table, and what keeps one out of force."""
+
+import collections
+
+import testtools
+
+from galenashed.gateway import _table
+from galenashed.protocol import routes as wire
+
+
+def route(name, prefix, *, host="depot.example", shares=(("app", 1),)):
+    return wire.Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=wire.Kind.IDEMPOTENT,
+        shares=[wire.Share(service=s, weight=w) for s, w in shares],
+        time_limit=1.0,
+    )
+
+
+def table(*routes, teams=(), services=("app", "other")):
+    return wire.RoutingTable(
+        version=1,
+        routes=list(routes),
+        services=[wire.RoutedService(name=name) for name in services],
+        teams=list(teams),
+    )
+
+
+class TestRouting(testtools.TestCase):
+    """Routes by host and longest prefix."""
+
+    def match(self, routing, path, host="depot.example"):
+        found = routing.match(host, path)
+        return None if found is None else found.name
+
+    def test_longest_prefix_wins(self):
+        routing = _table.Routing(
+            table=table(
+                route("all", "/"), route("a", "/a/"), route("ab", "/a/b/")
+            )
+        )
+        self.assertEqual("ab", self.match(routing, "/a/b/c"))
+        self.assertEqual("a", self.match(routing, "/a/bc"))
+        self.assertEqual("a", self.match(routing, "/a/"))
+        self.assertEqual("all", self.match(routing, "/a"))
+        self.assertIsNone(self.match(routing, "/a/b/c", host="x.example"))
+
+    def test_no_route(self):
+        routing = _table.Routing(table=table(route("a", "/a/")))
+        self.assertIsNone(self.match(routing, "/b/"))
+        self.assertIsNone(self.match(routing, "a"))
+
+    def test_shares_follow_the_weights(self):
+        split = route("r", "/", shares=(("app", 90), ("other", 10)))
+        counts = collections.Counter(
+            _table.pick_share(split, f"request-{n}") for n in range(5000)
+        )
+        self.assertTrue(400 < counts["other"] < 600, counts)
+
+    def test_service_of_weight_zero_gets_nothing(self):
+        split = route("r", "/", shares=(("app", 0), ("other", 1)))
+        found = {_table.pick_share(split, str(n)) for n in range(100)}
+        self.assertEqual({"other"}, found)
+
+    def test_team_by_key(self):
+        team = wire.KeyedTeam(
+            name="rounds", key_hashes=[_table.hash_key("k1")]
+        )
+        routing = _table.Routing(table=table(teams=[team]))
+        self.assertEqual(team, routing.team_of("k1"))
+        self.assertIsNone(routing.team_of("k2"))
+
+
+class TestFaults(testtools.TestCase):
+    """Each fault is found, all of them at once."""
+
+    def faults(self, *routes, teams=()):
+        return wire.find_faults(table(*routes, teams=teams))
+
+    def test_whole_table(self):
+        self.assertEqual([], self.faults(route("a", "/a/")))
+
+    def test_all_faults_are_named_together(self):
+        bad = wire.Route(
+            name="b",
+            host="depot.example",
+            prefix="/a/",
+            kind=wire.Kind.STREAM,
+            shares=[wire.Share(service="none", weight=0)],
+            time_limit=0.0,
+        )
+        found = " ".join(self.faults(route("a", "/a/"), bad))
+        for word in ("unknown service", "weights", "time limit", "prefix"):
+            self.assertIn(word, found)
+
+    def test_shared_key(self):
+        teams = [
+            wire.KeyedTeam(name=name, key_hashes=["same"])
+            for name in ("rounds", "roster")
+        ]
+        self.assertIn("shares a key", self.faults(teams=teams)[0])
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -42,8 +42,8 @@
 # Seconds that an operator's change may take before it is left open.
 COMMIT_SECONDS = 2.0
 READ_SECONDS = 0.9
-# Of the shared allowance of retries, what this node saves up at most.
-MOST_SAVED_RETRIES = 3.0
+# What a node may save up of the shared allowance of retries at least.
+LEAST_SAVED_RETRIES = 2.0
 # Of a team's prepaid total, what all entries together take before there is
 # any demand, so that a team's first request can be served in a partition.
 PREFETCH_SHARE = 0.3
@@ -147,7 +147,7 @@
             pool=self._pool,
             dialect=dialect,
             retries=routing.RetryBudget(
-                share=cfg.retry_share, most_saved=MOST_SAVED_RETRIES
+                share=cfg.retry_share, most_saved=LEAST_SAVED_RETRIES
             ),
             log=log,
             metrics=metrics,
@@ -425,6 +425,10 @@
                 self.announced.names(),
                 now,
             )
+            nodes = max(1, len(self.directory.alive(now)))
+            self.gateway.retries.most_saved = max(
+                LEAST_SAVED_RETRIES, self.cfg.retry_slack / nodes
+            )
             self._note_contact()
 
     def _note_contact(self) -> None:
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -37,6 +37,8 @@
     retry_share : float
         Sendings beyond the first that all nodes together may add, as a
         share of the first ones.
+    retry_slack : float
+        How many more all nodes together may add at once.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "peers_address",
         "replicas",
         "retry_share",
+        "retry_slack",
         "seeds",
         "stop_within",
         "target_lease",
@@ -75,6 +78,7 @@
         answer_age: float,
         stop_within: float,
         retry_share: float,
+        retry_slack: float,
     ):
         self.name = name
         self.domain = domain
@@ -91,3 +95,4 @@
         self.answer_age = answer_age
         self.stop_within = stop_within
         self.retry_share = retry_share
+        self.retry_slack = retry_slack
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -52,6 +52,7 @@
 
     grace_s: float = 8.0
     retry_ratio: float = 0.2
+    retry_slack: float = 0.0
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5.0)
 
 
@@ -123,6 +124,7 @@
         answer_age=min(ANSWER_AGE_SECONDS, cfg.bounds.ttl_max_s),
         stop_within=cfg.bounds.grace_s,
         retry_share=RETRY_PART * cfg.bounds.retry_ratio,
+        retry_slack=RETRY_PART * cfg.bounds.retry_slack,
     )
 
 
--- /dev/null
+++ b/galenashed/platform/tests/_site.py
@@ -0,0 +1,392 @@
+"""Nodes as real processes on loopback addresses, and targets beside them."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import shutil
+import tempfile
+import threading
+import time
+
+from galenashed.tests import _fleet
+
+HOST = "depot.example"
+KEY = "key-of-the-rounds-team"
+SERVICES = ("engines", "app")
+
+
+class Target:
+    """A target on the platform: one service, its own id, counted runs."""
+
+    def __init__(self, *, service, address, target_id):
+        self.service = service
+        self.address = address
+        self.id = target_id
+        self.born = int(time.time() * 1000)
+        self.seq = 0
+        self.state = "ready"
+        self.runs = []
+        self.cut_after = None
+        self.cancelled = 0
+        self.reject = False
+        self.pause = 0.0
+        self.server = None
+
+    async def start(self):
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+
+    async def serve(self, reader, writer):
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+    async def serve_one(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        line, *rest = head.strip().split("\r\n")
+        method, path, _ = line.split(" ")
+        headers = dict(
+            (name.lower(), value.strip())
+            for name, _, value in (item.partition(":") for item in rest)
+        )
+        size = int(headers.get("content-length", 0))
+        body = await reader.readexactly(size)
+        if headers.get("x-expect-instance") != self.id:
+            await self.answer(writer, 421, headers, b"", not_run=True)
+            return True
+        if self.reject:
+            await self.answer(writer, 503, headers, b"", not_run=True)
+            return True
+        self.runs.append((method, path, headers, body))
+        if self.service == "engines":
+            return await self.stream(writer, headers)
+        await asyncio.sleep(self.pause)
+        await self.answer(writer, 200, headers, b"ran:" + body)
+        return True
+
+    def head(self, status, headers):
+        return (
+            f"HTTP/1.1 {status} Status\r\n"
+            f"X-Attempt-Id: {headers.get('x-attempt-id', '')}\r\n"
+            f"X-Instance-Seal: seal-of-{self.id}\r\n"
+            "X-Instance-Load: 0,0,8\r\n"
+        )
+
+    async def answer(self, writer, status, headers, body, *, not_run=False):
+        head = self.head(status, headers)
+        if not_run:
+            head += "X-Not-Executed: 1\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        await writer.drain()
+
+    async def stream(self, writer, headers):
+        """Sends ten numbered events, from after the caller's last one on."""
+        first = int(headers.get("last-event-id", 0)) + 1
+        head = self.head(200, headers)
+        head += "Content-Type: text/event-stream\r\n"
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        for number in range(first, 11):
+            if self.cut_after is not None and number > self.cut_after:
+                writer.write(b"8\r\nid: 99\nd\r\n")
+                writer.transport.abort()
+                return False
+            event = b"id: %d\ndata: token\n\n" % number
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            try:
+                await writer.drain()
+                await asyncio.sleep(self.pause)
+            except ConnectionError:
+                self.cancelled += 1
+                raise
+            if writer.transport.is_closing():
+                self.cancelled += 1
+                return False
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    def beat(self):
+        """Returns the next announcement."""
+        self.seq += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "east",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self.seq,
+            "born": self.born,
+        }
+
+
+class Site:
+    """A small deployment, not one of those that the pages describe."""
+
+    def __init__(self, *, nodes=4, stores=3, prepaid=100_000):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="site-"))
+        self.prepaid = prepaid
+        self.ports = [_fleet.free_port() for _ in range(6)]
+        self.ips = [f"127.0.0.{10 + n}" for n in range(nodes)]
+        self.stores = stores
+        self.version = 0
+        self.processes = [self._process(n) for n in range(nodes)]
+        self.targets = []
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.beating = threading.Thread(target=self.keep_announcing)
+        self.closing = threading.Event()
+
+    def _process(self, number):
+        path = self.write_settings(number, bootstrap=True)
+        return _fleet.Process(
+            f"node-{number}",
+            [],
+            self.folder,
+            module="galenashed.platform",
+            env={"GALENASHED_BOOT": str(path)},
+        )
+
+    def data_folder(self, number):
+        return self.folder / f"data-{number}"
+
+    def write_settings(self, number, *, bootstrap):
+        front, ready, control, directory, low, high = self.ports
+        ip = self.ips[number]
+        seeds = [f"{seed}:{control}" for seed in self.ips[: self.stores]]
+        stores = number < self.stores
+        zone = ("east", "west")[number % 2]
+        text = f"""
+nodeName = "node-{number}"
+role = "node"
+ip = "{ip}"
+zone = "{zone}"
+region = "north"
+portRange = [{min(low, high)},{max(low, high)}]
+seeds = {json.dumps(seeds)}
+bootstrap = {json.dumps(bootstrap)}
+countsAsLoss = {json.dumps(stores)}
+dataDir = "{self.data_folder(number) if stores else ""}"
+heartbeatMs = 300
+[listen]
+front = "{ip}:{front}"
+readiness = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
+[tolerance]
+machines = 1
+[bounds]
+graceS = 6
+retryRatio = 2.0
+retrySlack = 60
+ttl_max_s = 4
+somethingNew = 3
+"""
+        path = self.folder / f"settings-{number}.toml"
+        path.write_text(text)
+        return path
+
+    # Addresses
+
+    def front(self, number):
+        return f"{self.ips[number]}:{self.ports[0]}"
+
+    def readiness(self, number):
+        return f"{self.ips[number]}:{self.ports[1]}"
+
+    def control(self, number):
+        return f"{self.ips[number]}:{self.ports[2]}"
+
+    def directory(self, number):
+        return f"{self.ips[number]}:{self.ports[3]}"
+
+    # Life
+
+    def __enter__(self):
+        self.thread.start()
+        self.beating.start()
+        for process in self.processes:
+            process.start()
+        try:
+            _fleet.wait_for(
+                lambda: self.put_configuration() == 200, "a configuration"
+            )
+            for number in range(len(self.processes)):
+                self.wait_ready(number)
+                self.wait_told(number)
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *args):
+        self.close()
+
+    def close(self):
+        self.closing.set()
+        self.beating.join()
+        for process in self.processes:
+            if process.popen is not None and process.popen.poll() is None:
+                process.kill()
+        for target in self.targets:
+            self.loop.call_soon_threadsafe(target.server.close)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def wait_ready(self, number):
+        _fleet.wait_for(
+            lambda: self.try_fetch(self.readiness(number), "/readyz") == 200,
+            f"node {number}",
+        )
+
+    def wait_told(self, number):
+        _fleet.wait_for(lambda: self.told(number), "entries for callers")
+
+    def told(self, number, zone=""):
+        """Returns the entries that a node names to callers; none if none."""
+        answer = _fleet.fetch(
+            self.directory(number), f"/resolve?name=x&zone={zone}", key=""
+        )
+        return set(answer.json().get("addresses", ()))
+
+    def try_fetch(self, address, path, **options):
+        """Returns the status; None if there is no connection."""
+        try:
+            return _fleet.fetch(address, path, key="", **options).status
+        except OSError:
+            return None
+
+    # Operators
+
+    def configuration(self, **changes):
+        cfg = {
+            "version": self.version,
+            "routes": [
+                self.route("generate", "/g/", "streaming", "engines"),
+                self.route("note", "/n/", "streaming", "engines"),
+                self.route("order", "/o/", "unsafe", "app"),
+                self.route("look", "/l/", "safe", "app"),
+            ],
+            "services": [
+                {
+                    "name": "engines",
+                    "healthPath": "/healthz",
+                    "maxConns": 100,
+                    "engine": {"slots": 8, "kvCapacity": 9000, "stride": 4},
+                },
+                {"name": "app", "healthPath": "/healthz", "maxConns": 100},
+            ],
+            "limits": {
+                "maxHeaderBytes": 8192,
+                "maxBodyBytes": 1000,
+                "headerTimeoutMs": 2000,
+                "idleTimeoutMs": 5000,
+            },
+            "tenants": [
+                {"name": "rounds", "apiKeys": [KEY], "prepaid": self.prepaid}
+            ],
+        }
+        cfg["routes"][0]["resumable"] = True
+        cfg.update(changes)
+        return cfg
+
+    def route(self, name, prefix, kind, service):
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": prefix,
+            "routeKind": kind,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+            "anonymous": False,
+            "sticky": kind == "streaming",
+            "resumable": False,
+            "maxGapMs": 500,
+        }
+
+    def put_configuration(self, number=0, **changes):
+        """Sends the next configuration; returns the status."""
+        self.version += 3
+        return self.try_fetch(
+            self.control(number),
+            "/Configuration.Replace",
+            method="POST",
+            body=self.configuration(**changes),
+        )
+
+    # Targets
+
+    def add_target(self, service, node=0):
+        """Starts a target that announces itself to one node."""
+        number = len(self.targets)
+        target = Target(
+            service=service,
+            address=f"127.0.0.1:{_fleet.free_port()}",
+            target_id=f"target-{number}",
+        )
+        starting = asyncio.run_coroutine_threadsafe(target.start(), self.loop)
+        starting.result(10)
+        self.announce(target, node)
+        self.targets.append(target)
+        return target
+
+    def keep_announcing(self):
+        """Has each target call some node now and then."""
+        while not self.closing.wait(0.3):
+            for target in self.targets:
+                for number in range(len(self.ips)):
+                    with contextlib.suppress(OSError):
+                        self.announce(target, number)
+                        break
+
+    def announce(self, target, node=0):
+        answer = _fleet.fetch(
+            self.control(node),
+            f"/Instances.Heartbeat/{target.id}",
+            method="POST",
+            body=target.beat(),
+            key="",
+        )
+        assert answer.status == 200, answer.body
+
+    # Callers
+
+    def call(self, path, *, node=0, method="POST", body=b"x", **headers):
+        """Sends a caller's request to a node."""
+        sent = {
+            "Host": HOST,
+            "X-Attempt-Id": f"id-{time.monotonic_ns()}",
+            "X-Deadline-Ms": "3000",
+            "Api-Key": KEY,
+        }
+        for name, value in headers.items():
+            sent[name.replace("_", "-")] = value
+        return _fleet.fetch(
+            self.front(node),
+            path,
+            method=method,
+            body=body,
+            key="",
+            headers={n: v for n, v in sent.items() if v is not None},
+        )
+
+    def generate(self, path="/g/x", *, node=0, tokens="100,40", **headers):
+        return self.call(
+            path,
+            node=node,
+            X_Model="m",
+            X_Token_Usage=tokens,
+            **{"X_Prefix_Hash": "aa:60,bb:30,cc:10", **headers},
+        )
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -165,9 +165,18 @@
 class Process:
     """One process of the fleet, its log in a file."""
 
-    def __init__(self, name: str, args: list[str], folder: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        args: list[str],
+        folder: pathlib.Path,
+        module: str = "galenashed",
+        env: dict[str, str] | None = None,
+    ):
         self.name = name
         self.args = args
+        self.module = module
+        self.env = {**os.environ, **(env or {})}
         self.log = folder / f"{name}.log"
         self.popen: subprocess.Popen | None = None
 
@@ -175,7 +184,8 @@
         """Starts it."""
         with open(self.log, "ab") as out:
             self.popen = subprocess.Popen(
-                [sys.executable, "-m", "galenashed", *self.args, *extra],
+                [sys.executable, "-m", self.module, *self.args, *extra],
+                env=self.env,
                 stdout=out,
                 stderr=out,
             )
