--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -20,9 +20,9 @@
 from galenashed.entry import _models
 from galenashed.entry import _reservations
 from galenashed.entry import _runs
-from galenashed.entry import _spreader
 from galenashed.entry import _suspects
 from galenashed.entry import _witnesses
+from galenashed import gossip
 from galenashed import membership
 from galenashed.protocol import control as control_wire
 from galenashed.protocol import methods
@@ -140,7 +140,7 @@
             max_queue=cfg.max_queue,
             max_wait=MAX_QUEUE_SECONDS,
         )
-        self._spreader = _spreader.Spreader(
+        self._spreader = gossip.Spreader(
             instances=self.directory,
             targets=self.targets,
             describe=self.describe,
--- a/galenashed/entry/spreading.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Spreading announcements between entries, for programs that embed it."""
-
-from galenashed.entry._spreader import Spreader
-
-__all__ = ["Spreader"]
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -223,9 +223,7 @@
                 return
             ending = await self._send(job, target, relay)
             if ending is None:
-                self.metrics.duration(
-                    f"gateway.{job.route.kind.value}", _since(job.request)
-                )
+                self._note_answer(job, relay)
                 return
             job.progress.note(ending)
             self.log.write(
@@ -249,6 +247,24 @@
                 return
             raise self._given_up(job)
 
+    def _note_answer(self, job: Job, relay: _relay.Relay) -> None:
+        self.metrics.duration(
+            f"gateway.{job.route.kind.value}", _since(job.request)
+        )
+        first = None
+        if relay.first_at is not None:
+            first = round(relay.first_at - job.request.arrived, 4)
+            self.metrics.duration("gateway.first_event", first)
+        self.log.write(
+            "answered",
+            request=job.request.id,
+            target=job.sent_to[-1],
+            status=relay.status,
+            first_event=first,
+            events=relay.events,
+            after=_since(job.request),
+        )
+
     def _choose(self, job: Job) -> _targets.KnownTarget | None:
         now = time.monotonic()
         target = self.targets.choose(
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -1,5 +1,7 @@
 """Passing an answer on to the caller, from one target after another."""
 
+import time
+
 from galenashed import engines
 from galenashed.gateway import _attempts
 from galenashed.gateway import _events
@@ -22,12 +24,23 @@
         Takes the answer.
     """
 
-    __slots__ = ("_cutter", "_kept", "job", "sink", "started")
+    __slots__ = (
+        "_cutter",
+        "_kept",
+        "first_at",
+        "job",
+        "sink",
+        "started",
+        "status",
+    )
 
     def __init__(self, *, job, sink):
         self.job = job
         self.sink = sink
         self.started = False
+        self.status = 0
+        # When the first event was passed on, on the monotonic clock.
+        self.first_at: float | None = None
         self._cutter = _events.EventCutter()
         self._kept: tuple[engines.AnswerHead, bytes] | None = None
 
@@ -85,13 +98,14 @@
         resumed = self.started
         if not self.started:
             resumable = self.job.route.resumable
-            self.started = True
-            await self.sink.start(head, framed=not resumable)
+            await self._start(head, framed=not resumable)
         if resumed:
             self._cutter.drop_rest()
         while data := await conn.read():
             events = self._cutter.feed(data)
             if events:
+                if self.first_at is None:
+                    self.first_at = time.monotonic()
                 await self.sink.write(events)
         rest = self._cutter.rest()
         if rest and resumed:
@@ -100,11 +114,15 @@
             await self.sink.write(rest)
 
     async def _pass_bytes(self, head, conn) -> None:
-        self.started = True
-        await self.sink.start(head, framed=True)
+        await self._start(head, framed=True)
         while data := await conn.read():
             await self.sink.write(data)
 
+    async def _start(self, head: engines.AnswerHead, *, framed: bool) -> None:
+        self.started = True
+        self.status = head.status
+        await self.sink.start(head, framed=framed)
+
     async def give_up(self) -> bool:
         """Ends the answer as well as it can be; whether anything was sent.
 
@@ -116,8 +134,7 @@
         if self._kept is None:
             return False
         head, body = self._kept
-        self.started = True
-        await self.sink.start(head, framed=True)
+        await self._start(head, framed=True)
         await self.sink.write(body)
         await self.sink.finish()
         return True
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -19,8 +19,7 @@
 def choose(
     alive: list[wire.Instance], domain: str, rng: random.Random
 ) -> list[str]:
-    """Returns callers' addresses of serving entries, near ones only if
-    those are enough."""
+    """Returns addresses for callers, far ones only if near ones are few."""
     serving = [entry for entry in alive if entry.state == "serving"]
     near = [entry for entry in serving if entry.failure_domain == domain]
     far = [entry for entry in serving if entry.failure_domain != domain]
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -16,8 +16,8 @@
 from galenashed import control
 from galenashed import engines
 from galenashed import gateway
+from galenashed import gossip
 from galenashed import membership
-from galenashed.entry import spreading
 from galenashed.node import _entries
 from galenashed.node import _keeper
 from galenashed.node import _lenders
@@ -153,7 +153,7 @@
             metrics=metrics,
             rng=rng,
         )
-        self._spreader = spreading.Spreader(
+        self._spreader = gossip.Spreader(
             instances=self.directory,
             targets=self.announced,
             describe=self.describe,
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -31,9 +31,12 @@
 
 
 class Listen(msgspec.Struct, frozen=True, rename="camel"):
-    """Addresses, ``ip:port``: ``front`` is for callers, ``control`` for
-    operators and targets, ``directory`` for callers who look for entries,
-    ``readiness`` for the platform's own checks."""
+    """Addresses, each ``ip:port``.
+
+    ``front`` is for callers, ``control`` for operators and targets,
+    ``directory`` for callers who look for entries, ``readiness`` for the
+    platform's own checks.
+    """
 
     front: str
     readiness: str
--- /dev/null
+++ b/galenashed/platform/tests/test_decoding.py
@@ -0,0 +1,347 @@
+"""The platform's messages, decoded into the project's types."""
+
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from galenashed import engines
+from galenashed import gateway
+from galenashed.platform import _announcements
+from galenashed.platform import _headers
+from galenashed.platform import _ingress
+from galenashed.platform import _operators
+from galenashed.platform import _settings
+from galenashed.platform import _targets
+from galenashed.protocol import routes as wire
+from galenashed.protocol import spread as spread_wire
+from galenashed import web
+
+SETTINGS = """
+nodeName = "edge-7"
+ip = "10.9.8.7"
+zone = "hill"
+region = "north"
+portRange = [5100,5120]
+seeds = ["10.9.8.7:4000","10.9.8.9:4000"]
+bootstrap = true
+countsAsLoss = true
+dataDir = "/data/x"
+heartbeatMs = 700
+[listen]
+front = "10.9.8.7:4001"
+readiness = "10.9.8.7:4002"
+control = "10.9.8.7:4000"
+directory = "10.9.8.7:4003"
+[tolerance]
+machines = 2
+[bounds]
+graceS = 5
+retryRatio = 0.4
+retrySlack = 30
+ttl_max_s = 1
+"""
+
+ROUTE = {
+    "name": "r",
+    "host": "Depot.Example",
+    "pathPrefix": "/a/",
+    "routeKind": "streaming",
+    "timeoutMs": 6000,
+    "targetLatencyMs": 800,
+    "priority": 1,
+    "split": [
+        {"service": "s1", "weight": 90},
+        {"service": "s2", "weight": 10},
+    ],
+    "maxAttempts": 2,
+    "anonymous": False,
+    "sticky": True,
+    "resumable": True,
+    "maxGapMs": 500,
+}
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "s1", "engine": {"slots": 96, "stride": 4}},
+        {"name": "s2", "protocol": "h1", "tls": False},
+    ],
+    "tenants": [
+        {"name": "t", "apiKeys": ["k1", "k2"], "priority": 0, "prepaid": 500}
+    ],
+}
+
+BEAT = {
+    "service": "s1",
+    "address": "10.1.2.3:8080",
+    "zone": "hill",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "both",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1_700_000_000_123,
+}
+
+
+class TestSettings(testtools.TestCase):
+    """A deployment of which no page tells."""
+
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_text(text)
+            return _settings.read_settings(path)
+
+    def test_node_is_derived_from_settings_alone(self):
+        cfg = _settings.node_settings(self.read(SETTINGS))
+        self.assertEqual("hill", cfg.domain)
+        self.assertEqual("10.9.8.7:4001", cfg.callers_address)
+        self.assertEqual("10.9.8.7:5100", cfg.peers_address)
+        self.assertEqual("10.9.8.7:5101", cfg.control_address)
+        self.assertEqual(["10.9.8.7:5100", "10.9.8.9:5100"], cfg.seeds)
+        self.assertEqual(5, cfg.voters)
+        self.assertEqual(1.0, cfg.answer_age)
+        self.assertEqual(5.0, cfg.stop_within)
+        self.assertAlmostEqual(3.5, cfg.target_lease)
+        self.assertEqual(pathlib.Path("/data/x"), cfg.data_folder)
+
+    def test_no_replica_where_the_loss_does_not_count(self):
+        text = SETTINGS.replace("countsAsLoss = true", "countsAsLoss = false")
+        self.assertIsNone(_settings.node_settings(self.read(text)).data_folder)
+
+    def test_unknown_fields_are_ignored(self):
+        self.read("later = 3\n" + SETTINGS)
+
+    def test_faults_name_the_file_and_the_field(self):
+        for text in ("nodeName = 3", "= =", SETTINGS.replace("5120", '"x"')):
+            exc = self.assertRaises(_settings.SettingsError, self.read, text)
+            self.assertIn("settings.toml", str(exc))
+
+
+class TestConfiguration(testtools.TestCase):
+    """Operators' configurations."""
+
+    def read(self, **changes):
+        document = json.dumps({**CONFIGURATION, **changes}).encode()
+        return _operators.read_table(document)
+
+    def refused(self, **changes):
+        return self.assertRaises(
+            _operators.ConfigurationError, self.read, **changes
+        ).findings
+
+    def test_all_that_a_table_says(self):
+        table = self.read()
+        (route,) = table.routes
+        self.assertEqual("depot.example", route.host)
+        self.assertEqual(wire.Kind.STREAM, route.kind)
+        self.assertEqual(
+            (6.0, 0.8, 0.5),
+            (route.time_limit, route.objective, route.max_pause),
+        )
+        self.assertEqual([90, 10], [share.weight for share in route.shares])
+        self.assertTrue(route.repeatable)
+        self.assertEqual(4, table.services[0].engine.tokens_per_event)
+        self.assertIsNone(table.services[1].engine)
+        self.assertEqual(500, table.teams[0].prepaid)
+        self.assertNotIn("k1", repr(table))
+
+    def test_single_service_stands_for_all_the_weight(self):
+        route = {**ROUTE, "service": "s2"}
+        del route["split"]
+        (read,) = self.read(routes=[route]).routes
+        self.assertEqual("s2", read.shares[0].service)
+
+    def test_invalid_content(self):
+        def changed(**fields):
+            return [{**ROUTE, **fields}]
+
+        self.refused(version="7")
+        self.refused(version=0)
+        self.refused(routes=changed(timeoutMs=0))
+        self.refused(routes=changed(routeKind="odd"))
+        self.refused(routes=changed(split=[]))
+        self.refused(routes=changed(split=[{"service": "s1", "weight": 0}]))
+        self.refused(routes=changed(split=[{"service": "no", "weight": 1}]))
+        self.refused(routes=[ROUTE, ROUTE])
+        self.refused(
+            tenants=[{"name": n, "apiKeys": ["k"]} for n in ("a", "b")]
+        )
+
+    def test_document_that_is_cut_short(self):
+        document = json.dumps(CONFIGURATION).encode()
+        for size in range(0, len(document), 40):
+            self.assertRaises(
+                _operators.ConfigurationError,
+                _operators.read_table,
+                document[:size],
+            )
+
+
+class TestAnnouncements(testtools.TestCase):
+    """Status reports of targets."""
+
+    def read(self, **changes):
+        fields = {**BEAT, **changes}
+        body = json.dumps(
+            {name: v for name, v in fields.items() if v is not ...}
+        ).encode()
+        return _announcements.read_heartbeat("i-1", body)
+
+    def test_fields(self):
+        target = self.read()
+        self.assertEqual("1700000000123", target.incarnation)
+        self.assertEqual(1_700_000_000.123, target.started)
+        self.assertEqual(
+            (4, 96, "ready"), (target.sequence, target.slots, target.state)
+        )
+        self.assertEqual("leaving", self.read(state="draining").state)
+
+    def test_reports_that_name_no_target(self):
+        for changes in (
+            {"seq": "4"},
+            {"seq": -1},
+            {"born": 1.5},
+            {"state": "gone"},
+            {"address": "10.1.2.3"},
+            {"address": "10.1.2.300:1"},
+            {"address": "10.1.2.3:0"},
+            {"address": 5},
+            {"service": ...},
+            {"slots": "many"},
+        ):
+            self.assertRaises(
+                _announcements.AnnouncementError, self.read, **changes
+            )
+
+    def test_last_word(self):
+        self.assertIsNone(_announcements.read_leaving(b""))
+        self.assertEqual(2.0, _announcements.read_leaving(b'{"born":2000}'))
+        self.assertRaises(
+            _announcements.AnnouncementError,
+            _announcements.read_leaving,
+            b"{",
+        )
+
+
+class TestDialect(testtools.TestCase):
+    """Requests to targets and the heads of their answers."""
+
+    def encode(self, **changes):
+        options = {
+            "id": "1",
+            "method": "POST",
+            "host": "h",
+            "path": "/p",
+            "target": "/p?q",
+            "headers": [("host", "h"), ("x-own", "1")],
+            "body": b"abc",
+            "arrived": 0.0,
+            **changes,
+        }
+        sending = gateway.Sending(
+            request=gateway.Request(**options),
+            target=spread_wire.Target(
+                name="i-1",
+                incarnation="a",
+                started=0.0,
+                sequence=1,
+                service="s",
+                address="10.0.0.1:1",
+                failure_domain="hill",
+            ),
+            team=None,
+            priority=12,
+            time_left=1.2345,
+            resume_after="7",
+        )
+        return _targets.PlatformDialect().encode(sending).decode()
+
+    def test_request(self):
+        head, _, body = self.encode().partition("\r\n\r\n")
+        lines = head.split("\r\n")
+        self.assertEqual("POST /p?q HTTP/1.1", lines[0])
+        self.assertIn("x-deadline-ms: 1234", lines)
+        self.assertIn("x-expect-instance: i-1", lines)
+        self.assertIn("last-event-id: 7", lines)
+        self.assertIn("x-request-priority: 9", lines)
+        self.assertIn("content-length: 3", lines)
+        self.assertEqual("abc", body)
+
+    def test_no_length_without_a_body(self):
+        text = self.encode(method="GET", body=b"")
+        self.assertNotIn("content-length", text)
+
+    def decode(self, status, **headers):
+        head = engines.AnswerHead(
+            status=status,
+            headers=[(n.replace("_", "-"), v) for n, v in headers.items()],
+        )
+        return _targets.PlatformDialect().decode(head)
+
+    def test_answers(self):
+        shed = self.decode(503, x_not_executed="1")
+        self.assertTrue(shed.not_run)
+        self.assertFalse(self.decode(503).not_run)
+        self.assertTrue(self.decode(421).elsewhere)
+        loaded = self.decode(200, x_instance_load="3,2,8")
+        self.assertEqual((3, 2), (loaded.load.running, loaded.load.waiting))
+        self.assertIsNone(self.decode(200, x_instance_load="x,2").load)
+
+
+class TestIngress(testtools.TestCase):
+    """Callers' headers."""
+
+    def decode(self, *headers):
+        scope = {
+            "method": "POST",
+            "query_string": b"",
+            "raw_path": b"/p",
+        }
+        return _ingress._decode(
+            scope, list(headers), "h", "/p", "k", b"", arrived=0.0
+        )
+
+    def test_headers_of_one_connection_stay_behind(self):
+        req = self.decode(
+            (_headers.REQUEST_ID, "1"),
+            ("connection", "keep-alive, X-Mine"),
+            ("x-mine", "1"),
+            ("x-yours", "1"),
+            ("te", "trailers"),
+        )
+        self.assertEqual(
+            [(_headers.REQUEST_ID, "1"), ("x-yours", "1")], req.headers
+        )
+
+    def test_prompt_and_usage(self):
+        req = self.decode(
+            (_headers.REQUEST_ID, "1"),
+            (_headers.USAGE, "1460,80"),
+            (_headers.PROMPT_PARTS, "5c1e:800,91bd:410"),
+            (_headers.TIME_LEFT, "2500"),
+        )
+        self.assertEqual((1460, 80), tuple(req.usage))
+        self.assertEqual(("91bd", 410), tuple(req.prompt[1]))
+        self.assertEqual(2.5, req.wait_limit)
+
+    def test_malformed_headers(self):
+        for name, value in (
+            (_headers.USAGE, "1,x"),
+            (_headers.PROMPT_PARTS, "a"),
+            (_headers.TIME_LEFT, "-1"),
+            (_headers.REQUEST_ID, "x" * 300),
+        ):
+            exc = self.assertRaises(
+                web.ApiError,
+                self.decode,
+                (name, value),
+                (_headers.REQUEST_ID, "1"),
+            )
+            self.assertEqual(400, exc.status)
