--- a/galenashed/budget/_account.py
+++ b/galenashed/budget/_account.py
@@ -85,7 +85,7 @@
 class Account:
     """What this entry holds of one budget."""
 
-    __slots__ = ("grants", "largest", "opening", "rate", "rate_at", "short")
+    __slots__ = ("grants", "opening", "rate", "rate_at", "short")
 
     def __init__(self, *, now: float):
         self.grants: dict[str, Grant] = {}
@@ -94,9 +94,6 @@
         # Tokens a second, decaying exponentially.
         self.rate = 0.0
         self.rate_at = now
-        # The most that one request has reserved, which is the unit in which
-        # demand comes.
-        self.largest = 0
 
     @property
     def free(self) -> int:
@@ -118,7 +115,6 @@
         """Counts a reservation towards the demand."""
         self.rate = self.demand(now) + tokens / RATE_WINDOW_SECONDS
         self.rate_at = now
-        self.largest = max(self.largest, tokens)
 
     def demand(self, now: float) -> float:
         """Returns the present demand in tokens a second."""
--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -276,8 +276,7 @@
             self.escrow.lower_limits(now)
         command = wire.Holding(
             holder=self.escrow.holder,
-            boot_at=time.clock_gettime(time.CLOCK_BOOTTIME),
-            wall_at=time.time(),
+            sent_at=time.time(),
             limits=self.escrow.limits(),
         )
         self.announcer.on_sent(now=now)
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -265,8 +265,6 @@
         """Returns what witnesses must hear for ``missing`` more tokens."""
         account = self._account_of(budget, now)
         ahead = int(account.demand(now) * self.policy.hold_ahead)
-        if self.policy.announces and account.rate:
-            ahead += account.largest
         wanted = max(missing, ahead - account.free)
         notes: list[ToWitness] = []
         for grant in account.grants.values():
--- a/galenashed/budget/_policy.py
+++ b/galenashed/budget/_policy.py
@@ -64,7 +64,7 @@
     # For entries without witnesses that are cut off for ten seconds and more:
     # what is held must last for that long, and is kept while it is idle.
     "cut-tolerant": Policy(
-        horizon=15.0,
+        horizon=6.0,
         idle=3600.0,
         min_slice=10_000,
         recall_wait=0.5,
--- a/galenashed/budget/tests/test_announcer.py
+++ b/galenashed/budget/tests/test_announcer.py
@@ -94,8 +94,7 @@
             wire.SucceedHolder(
                 place=holder.place,
                 holder=holder.escrow.holder,
-                boot_at=self.now,
-                wall_at=self.wall(place),
+                started_at=self.wall(place),
             ),
             lambda reply: None,
             sure=True,
@@ -142,8 +141,7 @@
             escrow.lower_limits(self.now)
         command = wire.Holding(
             holder=escrow.holder,
-            boot_at=self.now,
-            wall_at=self.wall(place),
+            sent_at=self.wall(place),
             limits=escrow.limits(),
         )
         announcer.on_sent(now=self.now)
@@ -231,8 +229,9 @@
         if roll < 0.01:
             self.cut[place] = self.now + self.rng.uniform(1.0, 9.0)
         elif roll < 0.015:
+            # Away from the true time, or back to it.
             jump = self.rng.uniform(-CLOCK_JUMP_SECONDS, CLOCK_JUMP_SECONDS)
-            self.clock[place] = jump
+            self.clock[place] = 0.0 if self.clock[place] else jump
         elif roll < 0.02:
             number = self.holders[place].escrow.holder.rpartition("/")[2]
             self.now += self.rng.choice([0.0, 0.3, 1.0])
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -234,54 +234,56 @@
         grant = state.budgets[budget].grants[name]
         if grant.holder == cmd.holder and grant.limit is not None:
             grant.limit = max(grant.limit, limit)
-    if holder.heard_boot is None or cmd.boot_at > holder.heard_boot:
-        holder.heard_boot = cmd.boot_at
-        holder.heard_wall = cmd.wall_at
+    if holder.heard_at is None or cmd.sent_at > holder.heard_at:
+        holder.heard_at = cmd.sent_at
     holder.at = state.now
 
 
 def succeed(
     state: _state.ControlState, cmd: wire.SucceedHolder, grants: dict[str, str]
-) -> int:
-    """Frees what holders that are gone can't have spent; returns tokens.
+) -> wire.Succession:
+    """Frees what holders that are gone can't have spent.
 
     What they may have spent and not billed counts as spent.
     """
-    freed = 0
+    freed = lost = 0
+    longest: float | None = None
     for name, budget in list(grants.items()):
         held = state.budgets[budget]
         grant = held.grants[name]
         place = grant.holder.rpartition("/")[0]
         if place != cmd.place or grant.holder == cmd.holder:
             continue
-        if _was_heard_lately(state, grant, cmd):
+        silent = _silence(state, grant, cmd)
+        if silent is not None:
+            longest = max(silent, longest or 0.0)
+        if silent is not None and silent <= SUCCESSION_SECONDS:
             before = grant.amount
             _shrink(held, grant, min(grant.amount, grant.limit or 0))
             freed += before - grant.amount
         spent = grant.amount - grant.settled
         held.outstanding -= spent
         held.settled += spent
+        held.lost += spent
+        lost += spent
         del held.grants[name]
         del grants[name]
-    return freed
+    return wire.Succession(freed=freed, lost=lost, silent=longest)
 
 
-def _was_heard_lately(state, grant, cmd: wire.SucceedHolder) -> bool:
-    """Whether a dead holder kept to what it had announced.
+def _silence(state, grant, cmd: wire.SucceedHolder) -> float | None:
+    """Returns the seconds from a dead holder's last word to its successor.
 
-    It did if it had said so shortly before its successor started.  The time
-    since boot starts again when the machine loses power; the time of day
-    may jump.  The longer of the two counts.
+    None if it never gave any, or if the machine's time of day has been set
+    back by more than the silence.  The time since boot would not jump, but
+    means nothing once the machine has lost power.
     """
     holder = state.holders.get(grant.holder)
     if grant.limit is None or holder is None:
-        return False
-    if holder.heard_boot is None or holder.heard_wall is None:
-        return False
-    silent = max(
-        cmd.boot_at - holder.heard_boot, cmd.wall_at - holder.heard_wall
-    )
-    return silent <= SUCCESSION_SECONDS
+        return None
+    if holder.heard_at is None or holder.heard_at > cmd.started_at:
+        return None
+    return cmd.started_at - holder.heard_at
 
 
 def _is_witnessed(grant: _state.GrantState, cmd: wire.RecoverHolder) -> bool:
@@ -304,6 +306,7 @@
         tokens = grant.amount - grant.settled
         held.outstanding -= tokens
         held.settled += tokens
+        held.lost += tokens
         del held.grants[name]
         found.append(WrittenOff(grant=name, budget=budget, tokens=tokens))
     return found
@@ -366,6 +369,17 @@
         del records[first]
 
 
+def totals(state: _state.ControlState) -> dict[str, int]:
+    """Returns the sums over all budgets, in tokens, by their names."""
+    budgets = state.budgets.values()
+    return {
+        "prepaid": sum(held.prepaid for held in budgets),
+        "settled": sum(held.settled for held in budgets),
+        "outstanding": sum(held.outstanding for held in budgets),
+        "lost": sum(held.lost for held in budgets),
+    }
+
+
 def balance(held: _state.BudgetState) -> wire.Balance:
     """Returns what a budget stands at."""
     return wire.Balance(
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -6,7 +6,7 @@
 from galenashed.control import _machine
 from galenashed.protocol import control as wire
 
-SIGN_OF_LIFE_SECONDS = 0.5
+SIGN_OF_LIFE_SECONDS = 0.3
 FORGET_FOLLOWER_SECONDS = 300.0
 
 
--- a/galenashed/control/_machine.py
+++ b/galenashed/control/_machine.py
@@ -149,6 +149,10 @@
         """Returns suspected requests and how many targets they cost."""
         return _suspects.listed(self.state)
 
+    def budget_totals(self) -> dict[str, int]:
+        """Returns what all budgets together stand at, in tokens."""
+        return _budgets.totals(self.state)
+
     def check_invariant(self) -> None:
         """Raises AssertionError if a budget's books don't balance."""
         for held in self.state.budgets.values():
@@ -317,17 +321,17 @@
         return wire.Done(index=index)
 
     def _succeed(self, index: int, cmd: wire.SucceedHolder) -> wire.Reply:
-        freed = _budgets.succeed(self.state, cmd, self._grants)
-        if freed:
+        reply = _budgets.succeed(self.state, cmd, self._grants)
+        if reply.freed or reply.lost:
             self._audit(
                 index,
                 actor=cmd.holder,
                 action="succeed",
                 subject=cmd.place,
                 digest="",
-                result=f"{freed} tokens freed",
+                result=f"{reply.freed} tokens freed, {reply.lost} lost",
             )
-        return wire.Done(index=index)
+        return reply
 
     def _claim(self, index: int, cmd: wire.ClaimCall) -> wire.Reply:
         return _calls.claim(self.state, cmd)
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -29,6 +29,8 @@
     ``settled + outstanding <= prepaid`` holds in every reachable state.
     ``pending_cut`` is what a note has taken that is not yet free.
     ``routed`` is set for the prepaid total of a team of the routing table.
+    ``lost`` is the part of ``settled`` for which there is no bill: what
+    holders that are gone may have spent.
     """
 
     name: str
@@ -40,6 +42,7 @@
     top_ups: dict[str, int] = {}
     grants: dict[str, GrantState] = {}
     routed: bool = False
+    lost: int = 0
 
     @property
     def free(self) -> int:
@@ -51,9 +54,8 @@
 
     ``sequence`` is that of the last batch of bills, ``billed`` the number
     of the last bill in it, ``recovered`` later ones that a witness brought.
-    ``opened`` is the highest number of a grant.  ``heard_boot`` and
-    ``heard_wall`` are when it sent its last :class:`wire.Holding`, by the
-    clocks of its machine.
+    ``opened`` is the highest number of a grant.  ``heard_at`` is
+    when it sent its last :class:`wire.Holding`, by its machine's clock.
     """
 
     sequence: int = 0
@@ -62,8 +64,7 @@
     opened: int = 0
     duplicates: list[str] = []
     at: float = 0.0
-    heard_boot: float | None = None
-    heard_wall: float | None = None
+    heard_at: float | None = None
 
 
 class CallRecord(msgspec.Struct, kw_only=True):
--- a/galenashed/node/_lenders.py
+++ b/galenashed/node/_lenders.py
@@ -16,6 +16,7 @@
 
 # Asked at a time: enough to find one with tokens, few at any size.
 ASKED = 3
+LENDING = ("serving", "cut-off")
 # Seconds; ten round trips between failure domains of one region.
 TIMEOUT_SECONDS = 0.1
 
@@ -68,7 +69,7 @@
         alive = [
             peer.peer_address
             for peer in self.directory.alive(time.monotonic())
-            if peer.name != self.name and peer.state == "serving"
+            if peer.name != self.name and peer.state in LENDING
         ]
         asked = self.rng.sample(alive, min(ASKED, len(alive)))
         loan = wire.Loan(borrower=self.name, budget=budget_name, need=need)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -36,8 +36,8 @@
 INSTANCE_LEASE_SECONDS = 2.5
 REPLICA_MAX_AGE_SECONDS = 2.0
 # Without a sign of life from control for this long an entry takes itself
-# for cut off: two signs of life and the slack of a busy process.
-CUT_OFF_SECONDS = 1.5
+# for cut off: three signs of life and the slack of a busy process.
+CUT_OFF_SECONDS = 1.0
 TARGETS_SECONDS = 0.25
 # Seconds that an operator's change may take before it is left open.
 COMMIT_SECONDS = 2.0
@@ -46,8 +46,10 @@
 LEAST_SAVED_RETRIES = 2.0
 # Of a team's prepaid total, what all entries together take before there is
 # any demand, so that a team's first request can be served in a partition.
-PREFETCH_SHARE = 0.3
+PREFETCH_SHARE = 0.15
 CONNECT_SECONDS = 0.5
+# Between two lines on what all budgets stand at.
+BUDGETS_SECONDS = 2.0
 # After its start a node knows too few others to tell callers of entries.
 LEARN_SECONDS = 2.0
 # What it takes until the other entries know that this one drains.
@@ -101,10 +103,10 @@
         # proves that the ones before it are gone.
         self.holder = f"{cfg.callers_address}/{self.incarnation}"
         self.started = time.time()
-        self._booted = time.clock_gettime(time.CLOCK_BOOTTIME)
         self.draining = False
         self._sequence = 0
         self._fresh_at = 0.0
+        self._budgets_at = 0.0
         self._caught_up = False
         self._known_cut_off = False
         self._tasks: list[asyncio.Task] = []
@@ -367,16 +369,21 @@
         """Returns where callers of a failure domain should connect."""
         if time.time() - self.started < LEARN_SECONDS:
             return []
+        own = self.describe()
+        if self.is_cut_off:
+            return _entries.choose_cut_off(own, self.directory.all(), self.rng)
         alive = self.directory.alive(time.monotonic())
         others = [entry for entry in alive if entry.name != self.cfg.name]
         return _entries.choose(
-            [*others, self.describe()], domain or self.cfg.domain, self.rng
+            [*others, own], domain or self.cfg.domain, self.rng
         )
 
     def describe(self) -> spread_wire.Instance:
         """Returns this node's announcement, newer at each call."""
         self._sequence += 1
         state = "serving" if self.ready else "starting"
+        if self.ready and self.is_cut_off:
+            state = "cut-off"
         if self.draining:
             state = "draining"
         replica = self.replica
@@ -405,15 +412,23 @@
         command = wire.SucceedHolder(
             place=self.cfg.callers_address,
             holder=self.holder,
-            boot_at=self._booted,
-            wall_at=self.started,
+            started_at=self.started,
         )
         while True:
             try:
-                await self.proposer.propose(command, timeout=COMMIT_SECONDS)
+                reply = await self.proposer.propose(
+                    command, timeout=COMMIT_SECONDS
+                )
             except control.ControlUnavailableError as exc:
                 LOG.warning("succession is not committed yet: {}", exc)
                 continue
+            assert isinstance(reply, wire.Succession)
+            self.log.write(
+                "succession",
+                freed=reply.freed,
+                lost=reply.lost,
+                silent=reply.silent,
+            )
             return
 
     async def _watch(self) -> None:
@@ -430,6 +445,15 @@
                 LEAST_SAVED_RETRIES, self.cfg.retry_slack / nodes
             )
             self._note_contact()
+            self._note_budgets(now)
+
+    def _note_budgets(self, now: float) -> None:
+        """Logs now and then what all budgets stand at, if this leads."""
+        if self.replica is None or not self.replica.node.is_leader:
+            return
+        if now >= self._budgets_at:
+            self._budgets_at = now + BUDGETS_SECONDS
+            self.log.write("budgets", **self.replica.machine.budget_totals())
 
     def _note_contact(self) -> None:
         """Logs a lost or regained control, and looks for it elsewhere."""
--- a/galenashed/node/tests/test_entries.py
+++ b/galenashed/node/tests/test_entries.py
@@ -8,7 +8,7 @@
 from galenashed.protocol import spread as wire
 
 
-def entry(name, domain, state="serving"):
+def entry(name, domain, state="serving", replica=""):
     return wire.Instance(
         name=name,
         incarnation="a",
@@ -18,6 +18,7 @@
         peer_address=f"{name}:2",
         failure_domain=domain,
         state=state,
+        replica=replica,
     )
 
 
@@ -47,3 +48,22 @@
             ]
         )
         self.assertEqual(["c:1"], found)
+
+    def test_entries_cut_off_from_control_only_where_all_are(self):
+        cut = [entry("a", "east", "cut-off"), entry("b", "east", "cut-off")]
+        self.assertEqual(["c:1"], self.choose([*cut, entry("c", "west")]))
+        self.assertEqual(["a:1", "b:1"], self.choose(cut))
+
+
+class TestChooseCutOff(testtools.TestCase):
+    """The answer of an entry that control can't reach."""
+
+    def test_entries_with_a_replica_though_silent_and_itself(self):
+        own = entry("a", "east", "cut-off")
+        remembered = [
+            entry("b", "east", "cut-off"),
+            entry("c", "west", replica="c"),
+            entry("d", "west", "draining", replica="d"),
+        ]
+        found = _entries.choose_cut_off(own, remembered, random.Random(1))
+        self.assertEqual(["a:1", "c:1"], sorted(found))
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -22,8 +22,9 @@
 # Announcements that may be missed before a target counts as gone; they
 # arrive seconds late at times.
 MISSED_ANNOUNCEMENTS = 5
-# Seconds for which a caller may keep an answer of where to connect.
-ANSWER_AGE_SECONDS = 2.0
+# Seconds for which a caller may keep an answer of where to connect; short,
+# as callers of an entry that is cut off are told of others by the next one.
+ANSWER_AGE_SECONDS = 1.0
 # Of the platform's shared allowance of retries, what the nodes use.
 RETRY_PART = 0.5
 LEAST_VOTERS = 3
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -238,13 +238,11 @@
 class Holding(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Says how far its holder may spend its grants, before it does.
 
-    ``boot_at`` and ``wall_at`` are when the holder sent this, in seconds of
-    its machine's time since boot and of its time of day.
+    ``sent_at`` is when the holder sent this, by its machine's time of day.
     """
 
     holder: str
-    boot_at: float
-    wall_at: float
+    sent_at: float
     limits: dict[str, int]
 
 
@@ -252,13 +250,12 @@
     """Says that ``holder`` runs where others of its ``place`` ran before.
 
     Only one process can run at a place, so the others are gone for good.
-    The times are those at which this process started.
+    ``started_at`` is when this process started, by the same clock.
     """
 
     place: str
     holder: str
-    boot_at: float
-    wall_at: float
+    started_at: float
 
 
 class ClaimCall(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -410,6 +407,19 @@
     answer: Answer | None = None
 
 
+class Succession(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """What became of the tokens of holders that are gone.
+
+    ``freed`` came back, ``lost`` counts as spent, for it may have been;
+    ``silent`` is the longest silence of one of them before its successor
+    started, in seconds, None where that is not known.
+    """
+
+    freed: int
+    lost: int
+    silent: float | None = None
+
+
 class Crashes(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """How many targets died running the request, as of ``index``."""
 
@@ -436,6 +446,7 @@
     | Short
     | Settled
     | CallState
+    | Succession
     | Crashes
     | Trial
 )
--- a/galenashed/protocol/spread.py
+++ b/galenashed/protocol/spread.py
@@ -36,7 +36,8 @@
 class Instance(msgspec.Struct, frozen=True, kw_only=True):
     """An entry's announcement to the other entries.
 
-    ``state`` is ``serving`` or ``draining``; ``in_flight`` counts requests.
+    ``state`` is ``starting``, ``serving``, ``cut-off`` from control or
+    ``draining``; ``in_flight`` counts requests.
     ``replica`` and ``replica_address`` name the control replica of the same
     process, if it has one, whether that takes part yet or not.
     """
