--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -262,6 +262,7 @@
             status=relay.status,
             first_event=first,
             events=relay.events,
+            reserved=job.account.tokens,
             after=_since(job.request),
         )
 
@@ -283,6 +284,7 @@
             "sent",
             request=job.request.id,
             route=job.route.name,
+            team=job.team.name if job.team else None,
             target=target.name,
             running=target.running,
             waiting=target.waiting,
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -31,6 +31,11 @@
         self.ran = False
         self.events = 0
 
+    @property
+    def tokens(self) -> int:
+        """What is set aside now."""
+        return 0 if self._reservation is None else self._reservation.tokens
+
     def close(self, request: _request.Request, per_event: int) -> None:
         """Bills what was used; a request that did not run costs nothing."""
         reservation, self._reservation = self._reservation, None
--- a/galenashed/node/_lenders.py
+++ b/galenashed/node/_lenders.py
@@ -11,6 +11,7 @@
 from galenashed.protocol import lending as wire
 from galenashed.protocol import methods
 from galenashed.protocol import rpc
+from galenashed import telemetry
 
 LOG = loguru.logger
 
@@ -38,6 +39,8 @@
         The peers' key.
     rng : random.Random
         Draws whom to ask.
+    log : DecisionLog
+        Takes a line for each loan.
     """
 
     def __init__(
@@ -47,7 +50,9 @@
         directory: membership.Directory,
         key: str,
         rng: random.Random,
+        log: telemetry.DecisionLog | telemetry.NullDecisionLog,
     ):
+        self.log = log
         self.name = name
         self.directory = directory
         self.key = key
@@ -95,4 +100,12 @@
         """Lends what this entry can spare."""
         assert self.desk is not None
         tokens = self.desk.lend(loan.budget, loan.need, loan.borrower)
+        if tokens:
+            self.log.write(
+                "tokens lent",
+                budget=loan.budget,
+                tokens=tokens,
+                need=loan.need,
+                borrower=loan.borrower,
+            )
         return wire.Lent(tokens=tokens)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -130,6 +130,7 @@
             directory=self.directory,
             key=cfg.peer_key,
             rng=rng,
+            log=log,
         )
         self.desk = budget.BudgetDesk(
             escrow=budget.Escrow(
