--- a/galenashed/gossip/_spreader.py
+++ b/galenashed/gossip/_spreader.py
@@ -62,6 +62,7 @@
         self.rng = rng
         self._instance_news = membership.Rumors()
         self._target_news = membership.Rumors()
+        self._name = ""
         self._links: dict[str, links.StreamLink] = {}
         self._wanted: dict[str, float] = {}
         self._partners: list[str] = []
@@ -73,6 +74,7 @@
 
     async def start(self) -> None:
         """Starts the task."""
+        self._name = self.describe().name
         self._task = telemetry.start_task(self._run(), "spreader")
 
     async def close(self) -> None:
@@ -95,7 +97,9 @@
         """Takes what another entry knows."""
         now = time.monotonic()
         for instance in (message.sender, *message.instances):
-            self._take_instance(instance, now)
+            # Of itself an entry knows best.
+            if instance.name != self._name:
+                self._take_instance(instance, now)
         for target in message.targets:
             self._take_target(target, now, direct=False)
 
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -13,6 +13,7 @@
 import loguru
 
 from galenashed import budget
+from galenashed import consensus
 from galenashed import control
 from galenashed import engines
 from galenashed import gateway
@@ -48,6 +49,8 @@
 # any demand, so that a team's first request can be served in a partition.
 PREFETCH_SHARE = 0.15
 CONNECT_SECONDS = 0.5
+# Between two tries to start a replica whose disk has failed.
+MEND_SECONDS = 0.5
 # Between two lines on what all budgets stand at.
 BUDGETS_SECONDS = 2.0
 # After its start a node knows too few others to tell callers of entries.
@@ -195,6 +198,9 @@
         await self._spreader.start()
         if self.keeper is not None:
             await self.keeper.start()
+            self._tasks.append(
+                telemetry.start_task(self._mend_replica(), "replica")
+            )
         self._tasks.append(
             telemetry.start_task(self._watch(), "watch of targets")
         )
@@ -212,11 +218,36 @@
         self.proposer.add_replicas({item: item for item in cfg.replicas})
 
     async def wait_failed(self) -> None:
-        """Raises the disk's error when the replica has stopped over it."""
-        if self.replica is None:
-            await asyncio.Event().wait()
-        else:
-            await self.replica.wait_failed()
+        """Never returns: a replica that fails is started again."""
+        await asyncio.Event().wait()
+
+    async def _mend_replica(self) -> None:
+        """Starts the replica again when its disk has failed it.
+
+        The entry goes on meanwhile, on the other replicas' word.
+        """
+        while self.replica is not None:
+            try:
+                await self.replica.wait_failed()
+            except consensus.StorageError as exc:
+                self.log.write("replica stopped", reason=str(exc))
+            await self.replica.close()
+            self.replica = await self._restart_replica()
+            if self.keeper is not None:
+                self.keeper.server = self.replica
+            self.log.write("replica started again", replica=self.replica.name)
+
+    async def _restart_replica(self) -> control.ControlServer:
+        while True:
+            await asyncio.sleep(MEND_SECONDS)
+            try:
+                replica = _replica.make_replica(self.cfg, self.rng)
+                assert replica is not None
+                await replica.start()
+            except (consensus.StorageError, OSError) as exc:
+                LOG.warning("replica can't start yet: {}", exc)
+                continue
+            return replica
 
     def begin_drain(self) -> None:
         """Has callers and other nodes told that this one stops."""
