--- a/galenashed/gossip/_spreader.py
+++ b/galenashed/gossip/_spreader.py
@@ -186,8 +186,9 @@
         stale = not alive.issuperset(self._partners)
         if now >= self._redraw_at or stale or len(self._partners) < PARTNERS:
             self._redraw_at = now + REDRAW_SECONDS
-            few = min(PARTNERS, len(alive))
-            self._partners = self.rng.sample(sorted(alive), few)
+            self._partners = membership.choose_partners(
+                own.peer_address, alive, PARTNERS, self.rng
+            )
         if lost:
             return [*self._partners, self.rng.choice(sorted(lost))]
         return self._partners
