--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -81,7 +81,6 @@
         self._known: dict[str, KnownTarget] = {}
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.Ring] = {}
-        self._dirty: set[str] = set()
         self._ejected: set[str] = set()
 
     def update(self, announced: wire.Target) -> None:
@@ -131,14 +130,6 @@
                 del self._known[name]
                 self._rings.clear()
 
-    def get(self, name: str) -> KnownTarget | None:
-        """Returns what is known of a target."""
-        return self._known.get(name)
-
-    def of_service(self, service: str) -> list[KnownTarget]:
-        """Returns the targets of a service that may get work."""
-        return self._ring(service, -1.0).candidates
-
     def _ring(self, service: str, now: float) -> _placement.Ring:
         if any(
             self._known[name].ejected_until <= now
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -55,8 +55,6 @@
 BUDGETS_SECONDS = 2.0
 # After its start a node knows too few others to tell callers of entries.
 LEARN_SECONDS = 2.0
-# What it takes until the other entries know that this one drains.
-SPREAD_SLACK_SECONDS = 0.5
 # Seconds kept back from the time to stop, for the answers to arrive.
 STOP_MARGIN_SECONDS = 0.5
 
@@ -118,6 +116,26 @@
         self.targets = gateway.Targets(domain=cfg.domain)
         self.replica = _replica.make_replica(cfg, rng)
         self.keeper = self._make_keeper()
+        self._make_control_client()
+        self._make_desk()
+        self._pool = engines.ConnectionPool(connect_timeout=CONNECT_SECONDS)
+        self.gateway = gateway.Gateway(
+            targets=self.targets,
+            prepaid=gateway.Prepaid(desk=self.desk),
+            pool=self._pool,
+            dialect=dialect,
+            retries=routing.RetryBudget(
+                share=cfg.retry_share, most_saved=LEAST_SAVED_RETRIES
+            ),
+            log=log,
+            metrics=metrics,
+            rng=rng,
+        )
+        self._make_peers()
+
+    def _make_control_client(self) -> None:
+        """Makes what reaches the control replicas and follows them."""
+        cfg = self.cfg
         self.proposer = control.ControlClient(
             replicas={item: item for item in cfg.replicas}, key=cfg.peer_key
         )
@@ -125,15 +143,18 @@
             client=self.proposer,
             report=self._report,
             on_event=self._on_event,
-            rng=rng,
+            rng=self.rng,
             max_age=REPLICA_MAX_AGE_SECONDS,
         )
+
+    def _make_desk(self) -> None:
+        """Makes the holder of prepaid tokens, and whom it borrows from."""
         self._lenders = _lenders.Lenders(
-            name=cfg.name,
+            name=self.cfg.name,
             directory=self.directory,
-            key=cfg.peer_key,
-            rng=rng,
-            log=log,
+            key=self.cfg.peer_key,
+            rng=self.rng,
+            log=self.log,
         )
         self.desk = budget.BudgetDesk(
             escrow=budget.Escrow(
@@ -146,19 +167,10 @@
             lenders=self._lenders,
         )
         self._lenders.attach(self.desk)
-        self._pool = engines.ConnectionPool(connect_timeout=CONNECT_SECONDS)
-        self.gateway = gateway.Gateway(
-            targets=self.targets,
-            prepaid=gateway.Prepaid(desk=self.desk),
-            pool=self._pool,
-            dialect=dialect,
-            retries=routing.RetryBudget(
-                share=cfg.retry_share, most_saved=LEAST_SAVED_RETRIES
-            ),
-            log=log,
-            metrics=metrics,
-            rng=rng,
-        )
+
+    def _make_peers(self) -> None:
+        """Makes what other nodes reach, and what tells them news."""
+        cfg = self.cfg
         self._spreader = gossip.Spreader(
             instances=self.directory,
             targets=self.announced,
@@ -166,7 +178,7 @@
             seeds=cfg.seeds,
             key=cfg.peer_key,
             on_change=self.targets.update,
-            rng=rng,
+            rng=self.rng,
         )
         self._peers = rpc.Server(
             address=cfg.peers_address,
