Place prompts by the tokens a target must read first

The placement weighed the size of the batch, which hardly slows an engine down, and knew nothing of the prompts that wait to be read.

Change: an entry counts the prompt tokens that it has sent to a target and that have led to no event yet, and which shared parts a target has read for it; a token that must be read counts double, as it delays all after it. Emulated engines, entries and load in one process (galenashed emulate) play the same decision parts, with baselines.

--- /dev/null
+++ b/galenashed/cli/_emulate.py
@@ -0,0 +1,46 @@
+"""The ``emulate`` command."""
+
+import pathlib
+import sys
+import typing
+
+import cyclopts
+
+from galenashed.cli import _output
+from galenashed import emulator
+
+
+def emulate(
+    experiment: pathlib.Path,
+    *,
+    json: bool = False,
+    plot: typing.Annotated[
+        pathlib.Path | None, cyclopts.Parameter(name="--plot")
+    ] = None,
+) -> int:
+    """Plays an experiment against emulated engines.
+
+    Parameters
+    ----------
+    experiment
+        TOML file; see examples/experiments.
+    json
+        Prints JSON instead of a table.
+    plot
+        PNG file for worth over time; needs matplotlib.
+    """
+    try:
+        results = emulator.run(emulator.read(experiment))
+    except emulator.ExperimentError as exc:
+        print(exc, file=sys.stderr)
+        return _output.EXIT_BAD_INPUT
+    if json:
+        _output.print_json(results)
+    else:
+        _output.print_rows(*emulator.table(results))
+    if plot is not None:
+        # Drawing needs a library that serving does not.
+        from galenashed.emulator import _plots
+
+        _plots.draw(results, plot)
+    return _output.EXIT_OK
--- a/galenashed/cli/main.py
+++ b/galenashed/cli/main.py
@@ -10,6 +10,7 @@
 import loguru
 
 import galenashed
+from galenashed.cli import _emulate
 from galenashed.cli import _operator
 from galenashed.cli import _output
 from galenashed.cli import _programs
@@ -45,6 +46,7 @@
 APP.command(_operator.show_status, name="status")
 APP.command(_standins.STANDIN)
 APP.command(_quickstart.quickstart, name="quickstart")
+APP.command(_emulate.emulate, name="emulate")
 
 ConfigPath = typing.Annotated[
     pathlib.Path, cyclopts.Parameter(name="--config")
--- /dev/null
+++ b/galenashed/emulator/_plots.py
@@ -0,0 +1,20 @@
+"""Plots of experiments; needs matplotlib."""
+
+import pathlib
+
+import matplotlib.figure
+
+from galenashed.emulator import _experiment
+
+
+def draw(results: list[_experiment.Result], path: pathlib.Path) -> None:
+    """Draws the worth earned in each second of arrival, a line a case."""
+    figure = matplotlib.figure.Figure(figsize=(9, 5))
+    axes = figure.add_subplot()
+    for result in results:
+        axes.plot(result.by_second, label=result.case)
+    axes.set_xlabel("second of arrival")
+    axes.set_ylabel("worth earned, part of what could be")
+    axes.set_ylim(0, 1.02)
+    axes.legend()
+    figure.savefig(path)
--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -17,11 +17,13 @@
 from galenashed.gateway._request import Usage
 from galenashed.gateway._table import hash_key
 from galenashed.gateway._table import Routing
+from galenashed.gateway._targets import KnownTarget
 from galenashed.gateway._targets import Targets
 
 __all__ = [
     "Dialect",
     "Gateway",
+    "KnownTarget",
     "Part",
     "Prepaid",
     "Request",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -293,7 +293,7 @@
             version=self.routing.version if self.routing else 0,
             after=_since(job.request),
         )
-        self.targets.begin(target)
+        self.targets.begin(target, job.request.id, job.request.prompt)
         failed = True
         try:
             ending = await self._exchange(job, target, relay)
@@ -308,7 +308,9 @@
             failed = False
             raise
         finally:
-            self.targets.end(target, failed=failed, now=time.monotonic())
+            self.targets.end(
+                target, job.request.id, failed=failed, now=time.monotonic()
+            )
 
     async def _exchange(self, job, target, relay):
         fresh = not job.route.repeatable
--- a/galenashed/gateway/_placement.py
+++ b/galenashed/gateway/_placement.py
@@ -1,9 +1,11 @@
 """Which target runs a request: pure decisions over what this entry knows.
 
-Two load patterns shape them.  Prompts share long parts, which a target that
+Three load patterns shape them.  Prompts share long parts, which a target that
 has read them need not read again; so requests of one session meet at one
-target.  And reports of load lag while many entries read the same ones; so an
-entry adds what it has sent since, and looks at few targets only.
+target.  Long prompts come in clumps, and each waits for those before it; so a
+target's time is predicted from the tokens that it must read first.  And
+reports of load lag while many entries read the same ones; so an entry counts
+what it and others have sent since, and looks at few targets only.
 """
 
 import bisect
@@ -17,10 +19,18 @@
 # Tokens of prompts that an engine reads in a second; trial figure of the
 # emulated engines.
 PREFILL_TOKENS_PER_SECOND = 40_000.0
-# Seconds that a full batch adds to the first event, and each request that
-# waits before it; trial figures of the emulated engines.
+# Seconds that a full batch adds to an answer, and each request that waits
+# before it; trial figures of the emulated targets.
 FULL_BATCH_SECONDS = 0.3
 WAITING_SECONDS = 0.05
+# The same for an engine's first event, whose batch hardly slows it down.
+FULL_ENGINE_SECONDS = 0.05
+# How much more a token counts that must be read than one that is read anyway:
+# it also delays all prompts after it.  From experiments with the emulator.
+MISSING_WEIGHT = 2.0
+# Of a session that may have been read at its home for another entry, the
+# part of its tokens that is expected to be missing there.
+HOME_SHARE = 0.5
 # Seconds that a target in another failure domain costs: a round trip.
 FAR_SECONDS = 0.003
 # Of many targets this many are looked at beside the home of the session.
@@ -45,6 +55,12 @@
     @property
     def waiting(self) -> int: ...
 
+    def unread(self, now: float) -> int:
+        """Prompt tokens that it must read before those of a new request."""
+
+    def missing(self, prompt: tuple[_request.Part, ...]) -> int:
+        """Tokens of a prompt that it is not known to have read."""
+
 
 C = typing.TypeVar("C", bound=Candidate)
 
@@ -96,40 +112,59 @@
     return prompt[-2].id if len(prompt) >= 2 else None
 
 
+def home_of(
+    ring: Ring[C],
+    prompt: tuple[_request.Part, ...],
+    avoid: typing.Collection[str],
+) -> C | None:
+    """Returns the home of a prompt's session; None without a session."""
+    session = session_of(prompt)
+    return None if session is None else ring.home(session, avoid)
+
+
 def choose(
     ring: Ring[C],
     prompt: tuple[_request.Part, ...],
     avoid: typing.Collection[str],
+    now: float,
     rng: random.Random,
 ) -> C | None:
     """Returns the target with the earliest predicted first event."""
-    session = session_of(prompt)
-    home = None if session is None else ring.home(session, avoid)
+    home = home_of(ring, prompt, avoid)
     looked_at = _sample(ring.candidates, avoid, rng)
     if home is not None and home not in looked_at:
         looked_at.append(home)
     if not looked_at:
         return None
-    again = sum(part.tokens for part in prompt[1:-1])
     return min(
         looked_at,
         key=lambda one: (
-            predicted_wait(one, 0 if one is home else again),
+            predicted_wait(one, prompt, now, is_home=one is home),
             rng.random(),
         ),
     )
 
 
-def predicted_wait(candidate: Candidate, tokens: int) -> float:
-    """Returns the seconds until the first event, beyond the least.
-
-    ``tokens`` are those of shared parts that must be read again.
-    """
+def predicted_wait(
+    candidate: Candidate,
+    prompt: tuple[_request.Part, ...],
+    now: float,
+    *,
+    is_home: bool = False,
+) -> float:
+    """Returns the seconds until the first event, beyond the least."""
     slots = max(1, candidate.slots)
-    wait = FULL_BATCH_SECONDS * min(1.0, candidate.running / slots)
+    full = FULL_ENGINE_SECONDS if prompt else FULL_BATCH_SECONDS
+    wait = full * min(1.0, candidate.running / slots)
     over = max(0, candidate.running - slots) + candidate.waiting
     wait += WAITING_SECONDS * over
-    wait += tokens / PREFILL_TOKENS_PER_SECOND
+    if prompt:
+        missing = candidate.missing(prompt)
+        if is_home:
+            own = prompt[-1].tokens
+            missing = own + int((missing - own) * HOME_SHARE)
+        tokens = candidate.unread(now) + missing * MISSING_WEIGHT
+        wait += tokens / PREFILL_TOKENS_PER_SECOND
     return wait if candidate.near else wait + FAR_SECONDS
 
 
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -3,6 +3,8 @@
 import typing
 
 from galenashed.gateway import _placement
+from galenashed.gateway import _prompts
+from galenashed.gateway import _request
 from galenashed.protocol import spread as wire
 
 EJECT_AFTER_FAILURES = 3
@@ -14,6 +16,9 @@
 MIN_USABLE_SHARE = 0.5
 # A target that answered this lately is there, whatever its announcements.
 ANSWERED_SECONDS = 3.0
+# Tokens of shared parts that a target is taken to keep; about half of the
+# memory of the emulated engines, the rest is for running requests.
+KEPT_TOKENS = 120_000
 
 
 class KnownTarget:
@@ -26,6 +31,8 @@
         "failures",
         "in_flight",
         "near",
+        "parts",
+        "prompts",
         "report",
         "reported_at",
         "since_report",
@@ -42,6 +49,8 @@
         self.in_flight = 0
         self.failures = 0
         self.ejected_until = 0.0
+        self.prompts = _prompts.Unread()
+        self.parts = _prompts.Parts(room=KEPT_TOKENS)
 
     @property
     def name(self) -> str:
@@ -60,6 +69,14 @@
     def waiting(self) -> int:
         return self.report.waiting
 
+    def unread(self, now: float) -> int:
+        """Prompt tokens sent there that have not been read yet."""
+        return self.prompts.total(now)
+
+    def missing(self, prompt: tuple[_request.Part, ...]) -> int:
+        """Tokens of a prompt that it is not known to have read."""
+        return self.parts.missing(prompt)
+
     def report_age(self, now: float) -> float | None:
         """Returns the seconds since the last report; None before one."""
         if self.reported_at is None:
@@ -82,6 +99,8 @@
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.Ring] = {}
         self._ejected: set[str] = set()
+        # Peers, with the targets that they last named.
+        self._heard: dict[str, frozenset[str]] = {}
 
     def update(self, announced: wire.Target) -> None:
         """Takes a newer announcement, of a target that is alive by it."""
@@ -145,11 +164,12 @@
             self._rings.clear()
         ring = self._rings.get(service)
         if ring is None:
-            ring = _placement.Ring(candidates=self._usable(service))
+            ring = _placement.Ring(candidates=self.usable(service))
             self._rings[service] = ring
         return ring
 
-    def _usable(self, service: str) -> list[KnownTarget]:
+    def usable(self, service: str) -> list[KnownTarget]:
+        """Returns the targets of a service that may be given work."""
         holders: dict[str, KnownTarget] = {}
         for target in self._known.values():
             held = holders.get(target.announced.address)
@@ -176,17 +196,59 @@
 
     def choose(self, service: str, prompt, avoid, now: float, rng):
         """Returns the target for a request; None if there is none."""
-        return _placement.choose(self._ring(service, now), prompt, avoid, rng)
+        ring = self._ring(service, now)
+        return _placement.choose(ring, prompt, avoid, now, rng)
+
+    def home(self, service: str, prompt, now: float) -> KnownTarget | None:
+        """Returns the target at which the requests of a session meet."""
+        return _placement.home_of(self._ring(service, now), prompt, ())
+
+    def get(self, name: str) -> KnownTarget:
+        """Returns a known target; raises KeyError."""
+        return self._known[name]
+
+    # What entries tell each other
+
+    def sent(self) -> dict[str, int]:
+        """Returns what this entry has sent to each target, in tokens.
+
+        Only of prompts that have not led to an event yet; targets without
+        any are left out.
+        """
+        return {
+            name: target.prompts.own
+            for name, target in self._known.items()
+            if target.prompts.own
+        }
+
+    def hear(self, peer: str, sent: dict[str, int], now: float) -> None:
+        """Takes what another entry has sent to each target."""
+        before = self._heard.get(peer, frozenset())
+        for name in before.union(sent):
+            target = self._known.get(name)
+            if target is not None:
+                target.prompts.tell(peer, sent.get(name, 0), now)
+        self._heard[peer] = frozenset(sent)
 
     # Requests
 
-    def begin(self, target: KnownTarget) -> None:
+    def begin(
+        self,
+        target: KnownTarget,
+        request: str,
+        prompt: tuple[_request.Part, ...],
+    ) -> None:
         """Counts a request that is sent."""
         target.in_flight += 1
         target.since_report += 1
+        target.prompts.begin(request, target.missing(prompt))
+        target.parts.note(prompt)
 
-    def end(self, target: KnownTarget, *, failed: bool, now: float) -> None:
+    def end(
+        self, target: KnownTarget, request: str, *, failed: bool, now: float
+    ) -> None:
         """Counts a request that has ended."""
+        target.prompts.end(request)
         target.in_flight -= 1
         target.since_report = max(0, target.since_report - 1)
         if not failed:
--- a/galenashed/gateway/tests/test_placement.py
+++ b/galenashed/gateway/tests/test_placement.py
@@ -18,6 +18,14 @@
         self.near = near
         self.running = 0
         self.waiting = 0
+        self.unread_tokens = 0
+        self.read = set()
+
+    def unread(self, now):
+        return self.unread_tokens
+
+    def missing(self, prompt):
+        return sum(part.tokens for part in prompt if part.id not in self.read)
 
 
 def targets(count):
@@ -40,7 +48,7 @@
         self.rng = random.Random(7)
 
     def choose(self, ring, parts, avoid=()):
-        return _placement.choose(ring, parts, avoid, self.rng)
+        return _placement.choose(ring, parts, avoid, 0.0, self.rng)
 
     def test_requests_of_a_session_meet_at_one_target(self):
         ring = _placement.Ring(candidates=targets(6))
@@ -72,6 +80,26 @@
         home.running = 10
         self.assertEqual(home, self.choose(ring, prompt("s")))
 
+    def test_a_clump_of_long_prompts_is_spread(self):
+        all_targets = targets(6)
+        ring = _placement.Ring(candidates=all_targets)
+        for n in range(24):
+            parts = prompt(f"session-{n}")
+            chosen = self.choose(ring, parts)
+            chosen.unread_tokens += chosen.missing(parts)
+        unread = [target.unread_tokens for target in all_targets]
+        self.assertLess(max(unread), 2 * sum(unread) / len(unread))
+
+    def test_parts_that_were_read_draw_their_session(self):
+        all_targets = targets(6)
+        ring = _placement.Ring(candidates=all_targets)
+        parts = prompt("s")
+        home = self.choose(ring, parts)
+        other = next(one for one in all_targets if one is not home)
+        other.read = {part.id for part in parts[:-1]}
+        home.unread_tokens = 4000
+        self.assertIs(other, self.choose(ring, parts))
+
     def test_small_prompts_go_where_there_is_room(self):
         all_targets = targets(6)
         ring = _placement.Ring(candidates=all_targets)
