Tell callers of entries with a control replica while they have room

Change: entries with a replica carry the callers of their region; others join when the named ones' processors, as each measures and announces them, would be used by more than 40%. Entries without a replica give idle tokens back (policy 'standby') and take none ahead. One that is cut off and short of tokens leaves itself out, and has the caller come back at once, for another entry can serve it; a caller who waits for a recall comes back after 0.5 s. What callers are told is logged when it changes.

--- a/galenashed/budget/_policy.py
+++ b/galenashed/budget/_policy.py
@@ -73,6 +73,18 @@
         announces=True,
         hold_ahead=4.5,
     ),
+    # The same for entries that callers are sent to only now and then: idle
+    # tokens go back, for nobody can recall them in a cut.
+    "standby": Policy(
+        horizon=6.0,
+        idle=5.0,
+        min_slice=10_000,
+        recall_wait=0.5,
+        serve_when_stale=True,
+        emergency=0,
+        announces=True,
+        hold_ahead=4.5,
+    ),
     "refusals-first": Policy(
         horizon=60.0,
         idle=60.0,
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -1,6 +1,7 @@
 """Prepaid tokens of one request: set aside before it runs, billed after."""
 
 import asyncio
+import time
 
 from galenashed import budget
 from galenashed import control
@@ -13,7 +14,10 @@
 # may wait for tokens that other entries give back: a recall and a grant take
 # 150 to 200 ms, the shortest objectives of the pages are 400 to 600 ms.
 WAIT_SHARE = 0.4
-RETRY_SECONDS = 1.0
+# When a refused caller should come back: at once if this entry alone is cut
+# off, for another one serves it; otherwise once a recall has had its time.
+ELSEWHERE_SECONDS = 0.1
+RETRY_SECONDS = 0.5
 
 
 class Account:
@@ -71,6 +75,9 @@
 
     def __init__(self, *, desk: budget.BudgetDesk):
         self.desk = desk
+        # When a request was last refused for want of tokens that may come,
+        # on the monotonic clock.
+        self.short_at = float("-inf")
 
     async def open(
         self,
@@ -88,16 +95,29 @@
             async with asyncio.timeout(objective * WAIT_SHARE):
                 reservation = await self.desk.reserve(team.name, need)
         except TimeoutError:
-            raise _not_now("tokens did not come in time") from None
+            raise self._not_now(
+                "tokens did not come in time", RETRY_SECONDS
+            ) from None
         except control.ControlUnavailableError as exc:
-            raise _not_now(str(exc)) from None
+            raise self._not_now(str(exc), ELSEWHERE_SECONDS) from None
         except budget.BudgetExhaustedError as exc:
             if exc.available + exc.elsewhere >= need:
-                raise _not_now("other entries hold the tokens") from None
+                raise self._not_now(
+                    "other entries hold the tokens", RETRY_SECONDS
+                ) from None
             left = exc.available + exc.elsewhere
             raise _exhausted(team, need, left) from None
         return Account(desk=self.desk, reservation=reservation, team=team.name)
 
+    def _not_now(self, reason: str, retry_after: float) -> web.ApiError:
+        self.short_at = time.monotonic()
+        return web.ApiError(
+            status=503,
+            code="tokens_unavailable",
+            message=f"tokens can't be set aside now: {reason}",
+            retry_after=retry_after,
+        )
+
 
 def _exhausted(team, need: int, left: int) -> web.ApiError:
     return web.ApiError(
@@ -106,12 +126,3 @@
         message=f"team {team.name!r}: the request may take {need} tokens;"
         f" {left} are left",
     )
-
-
-def _not_now(reason: str) -> web.ApiError:
-    return web.ApiError(
-        status=503,
-        code="tokens_unavailable",
-        message=f"tokens can't be set aside now: {reason}",
-        retry_after=RETRY_SECONDS,
-    )
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -45,9 +45,12 @@
 READ_SECONDS = 0.9
 # What a node may save up of the shared allowance of retries at least.
 LEAST_SAVED_RETRIES = 2.0
-# Of a team's prepaid total, what all entries together take before there is
-# any demand, so that a team's first request can be served in a partition.
+# Of a team's prepaid total, what the entries with a replica together take
+# before there is any demand, so that a team's first request finds some.
 PREFETCH_SHARE = 0.15
+# An entry that is cut off and has refused a request for want of tokens is not
+# named to callers for this long; several times as long as answers are kept.
+SHORT_SECONDS = 5.0
 CONNECT_SECONDS = 0.5
 # Between two tries to start a replica whose disk has failed.
 MEND_SECONDS = 0.5
@@ -106,6 +109,9 @@
         self.started = time.time()
         self.draining = False
         self._sequence = 0
+        # What callers of each failure domain were told last, for the log.
+        self._named: dict[str, set[str]] = {}
+        self._meter = telemetry.ProcessorMeter()
         self._fresh_at = 0.0
         self._budgets_at = 0.0
         self._caught_up = False
@@ -156,9 +162,10 @@
             rng=self.rng,
             log=self.log,
         )
+        policy = "standby" if self.replica is None else "cut-tolerant"
         self.desk = budget.BudgetDesk(
             escrow=budget.Escrow(
-                holder=self.holder, policy=budget.POLICIES["cut-tolerant"]
+                holder=self.holder, policy=budget.POLICIES[policy]
             ),
             control=self.proposer,
             witnesses=_NoWitnesses(),
@@ -364,11 +371,19 @@
             age=round(age, 3),
         )
         self._follow.notify()
-        entries = max(1, len(self.directory.alive(time.monotonic())))
+        if self.replica is not None:
+            self._prefetch(table)
+
+    def _prefetch(self, table: routes_wire.RoutingTable) -> None:
+        """Takes some tokens of each team; callers are sent here first."""
+        replicas = sum(
+            bool(entry.replica)
+            for entry in self.directory.alive(time.monotonic())
+        )
         for team in table.teams:
             if team.prepaid is not None:
-                share = int(team.prepaid * PREFETCH_SHARE / entries)
-                self.desk.prefetch(team.name, share)
+                share = team.prepaid * PREFETCH_SHARE / max(1, replicas)
+                self.desk.prefetch(team.name, int(share))
 
     # Targets and other nodes
 
@@ -410,17 +425,41 @@
         self.announce(gone)
         return True
 
-    def entries_for(self, domain: str) -> list[str]:
-        """Returns where callers of a failure domain should connect."""
+    def entries_for(self, domain: str, region: str) -> list[str]:
+        """Returns where callers of a failure domain should connect.
+
+        What a caller does not tell is taken to be as it is here.
+        """
+        named = self._choose_entries(domain, region)
+        if self._named.get(domain) != set(named):
+            self._named[domain] = set(named)
+            self.log.write(
+                "entries named",
+                domain=domain,
+                entries=sorted(named),
+                cut_off=self.is_cut_off,
+            )
+        return named
+
+    def _choose_entries(self, domain: str, region: str) -> list[str]:
         if time.time() - self.started < LEARN_SECONDS:
             return []
         own = self.describe()
         if self.is_cut_off:
-            return _entries.choose_cut_off(own, self.directory.all(), self.rng)
+            short_at = self.gateway.prepaid.short_at
+            return _entries.choose_cut_off(
+                own,
+                self.directory.all(),
+                self.rng,
+                short=time.monotonic() - short_at < SHORT_SECONDS,
+            )
         alive = self.directory.alive(time.monotonic())
         others = [entry for entry in alive if entry.name != self.cfg.name]
         return _entries.choose(
-            [*others, own], domain or self.cfg.domain, self.rng
+            [*others, own],
+            domain or self.cfg.domain,
+            region or self.cfg.region,
+            self.rng,
         )
 
     def describe(self) -> spread_wire.Instance:
@@ -440,8 +479,11 @@
             address=self.cfg.callers_address,
             peer_address=self.cfg.peers_address,
             failure_domain=self.cfg.domain,
+            region=self.cfg.region,
             state=state,
             in_flight=self.gateway.in_flight,
+            cores=self.cfg.cores,
+            cores_used=self._meter.used(now=time.monotonic()),
             replica=replica.name if replica else "",
             replica_address=self.cfg.control_address if replica else "",
         )
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -10,8 +10,10 @@
     ----------
     name : str
         The instance's name.
-    domain : str
-        Its failure domain.
+    domain, region : str
+        Its failure domain, and the region that lies in.
+    cores : float
+        Seconds of processor time a second that it may use.
     callers_address : str
         ``ip:port`` that callers connect to.
     peers_address, control_address : str
@@ -45,12 +47,14 @@
         "answer_age",
         "callers_address",
         "control_address",
+        "cores",
         "data_folder",
         "domain",
         "founding",
         "name",
         "peer_key",
         "peers_address",
+        "region",
         "replicas",
         "retry_share",
         "retry_slack",
@@ -65,6 +69,8 @@
         *,
         name: str,
         domain: str,
+        region: str,
+        cores: float,
         callers_address: str,
         peers_address: str,
         control_address: str,
@@ -82,6 +88,8 @@
     ):
         self.name = name
         self.domain = domain
+        self.region = region
+        self.cores = cores
         self.callers_address = callers_address
         self.peers_address = peers_address
         self.control_address = control_address
--- a/galenashed/node/tests/test_node.py
+++ b/galenashed/node/tests/test_node.py
@@ -27,6 +27,8 @@
         cfg=node.NodeSettings(
             name="node-1",
             domain="east",
+            region="north",
+            cores=1.0,
             callers_address=f"127.0.0.1:{_fleet.free_port()}",
             peers_address=peers,
             control_address=replicas,
--- a/galenashed/platform/_interfaces.py
+++ b/galenashed/platform/_interfaces.py
@@ -89,7 +89,9 @@
         fields = dict(
             item.partition("=")[::2] for item in query.split("&") if item
         )
-        addresses = self.served.entries_for(fields.get("zone", ""))
+        addresses = self.served.entries_for(
+            fields.get("zone", ""), fields.get("region", "")
+        )
         if not addresses:
             return _unavailable("no entry is ready")
         answer = {"addresses": addresses, "ttlS": self.answer_age}
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -60,6 +60,17 @@
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5.0)
 
 
+class Limits(msgspec.Struct, frozen=True, rename="camel"):
+    """What a process may use.
+
+    ``cpu_share`` is a part of one of the machine's cores, which is ``cores``
+    times as fast as the platform's unit of processor time.
+    """
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class Settings(msgspec.Struct, frozen=True, rename="camel"):
     """The file.
 
@@ -80,6 +91,7 @@
     counts_as_loss: bool = False
     data_dir: str = ""
     heartbeat_ms: float = 1000.0
+    limits: Limits = Limits()
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
 
@@ -115,6 +127,8 @@
     return node.NodeSettings(
         name=cfg.node_name,
         domain=cfg.zone,
+        region=cfg.region,
+        cores=cfg.limits.cpu_share * cfg.limits.cores,
         callers_address=cfg.listen.front,
         peers_address=_inner(cfg.ip, ports, PEERS_PORT),
         control_address=_inner(cfg.ip, ports, CONTROL_PORT),
--- a/galenashed/protocol/spread.py
+++ b/galenashed/protocol/spread.py
@@ -38,6 +38,8 @@
 
     ``state`` is ``starting``, ``serving``, ``cut-off`` from control or
     ``draining``; ``in_flight`` counts requests.
+    ``cores`` is the processor time a second that it may use, ``cores_used``
+    what it uses.
     ``replica`` and ``replica_address`` name the control replica of the same
     process, if it has one, whether that takes part yet or not.
     """
@@ -49,8 +51,11 @@
     address: str
     peer_address: str
     failure_domain: str
+    region: str = ""
     state: str = "serving"
     in_flight: int = 0
+    cores: float = 1.0
+    cores_used: float = 0.0
     replica: str = ""
     replica_address: str = ""
 
--- a/galenashed/telemetry/__init__.py
+++ b/galenashed/telemetry/__init__.py
@@ -6,6 +6,8 @@
 from galenashed.telemetry._metrics import Metrics
 from galenashed.telemetry._metrics import NullMetrics
 from galenashed.telemetry._metrics import open_metrics
+from galenashed.telemetry._processor import processor_seconds
+from galenashed.telemetry._processor import ProcessorMeter
 from galenashed.telemetry._served import ServedMetrics
 from galenashed.telemetry._tasks import start_task
 
@@ -14,8 +16,10 @@
     "Metrics",
     "NullDecisionLog",
     "NullMetrics",
+    "ProcessorMeter",
     "ServedMetrics",
     "open_metrics",
+    "processor_seconds",
     "set_up_logs",
     "start_task",
 ]
