Keep what lies ready beside a grant that is in use

A standby entry gave back every grant that was not drawn on for 5 s, also the reserve beside the one in use.

Change: a grant is idle only once the entry's callers have not asked for the budget either. test_an_entry_in_use_keeps_what_lies_ready fails without it.

--- a/galenashed/budget/_desk.py
+++ b/galenashed/budget/_desk.py
@@ -185,8 +185,14 @@
             self._serve(waiter.budget)
         elif not self.in_contact():
             # Neither control nor the entries within reach have any.
+            held = self.escrow.unspent(waiter.budget)
+            free = self.escrow.free(waiter.budget)
             self._fail(
-                waiter.budget, self.unavailable("control is out of reach")
+                waiter.budget,
+                self.unavailable(
+                    f"control is out of reach; of {held} tokens held,"
+                    f" {free} are announced, {waiter.tokens} are needed"
+                ),
             )
         for other in self._waiters:
             if given and other.budget == waiter.budget:
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -439,7 +439,7 @@
         commands = []
         for account in self.accounts.values():
             for grant in account.grants.values():
-                if self._should_close(grant, now):
+                if self._should_close(account, grant, now):
                     grant.closing = True
                     grant.sent_close = True
                     commands.append(
@@ -447,12 +447,16 @@
                     )
         return commands
 
-    def _should_close(self, grant: _account.Grant, now: float) -> bool:
+    def _should_close(
+        self, account: _account.Account, grant: _account.Grant, now: float
+    ) -> bool:
         if grant.reserved or grant.unsettled or grant.sent_close:
             return False
         if grant.borrowed:
             return False
-        idle = now - grant.last_used >= self.policy.idle
+        # What lies ready beside a grant in use is not idle.
+        used = max(grant.last_used, account.rate_at)
+        idle = now - used >= self.policy.idle
         return grant.closing or idle or grant.used >= grant.amount
 
     def on_closed(self, command: wire.CloseGrant) -> list[ToWitness]:
--- /dev/null
+++ b/galenashed/budget/tests/test_cuts.py
@@ -0,0 +1,171 @@
+"""A team whose callers keep to one entry, which is cut off from control.
+
+The load: a dozen requests a second of a few thousand tokens each, in clumps,
+for ten seconds before the cut and through it.
+"""
+
+import random
+
+import msgspec
+import testtools
+
+from galenashed import budget
+from galenashed.budget import _announcer
+from galenashed import control
+from galenashed.protocol import control as wire
+from galenashed.protocol import routes
+
+TEAM = "rounds"
+STEP_SECONDS = 0.02
+RATE = 12.0
+PREPAID = 3_000_000
+ANSWER_SECONDS = 0.8
+# Of control, in both directions.
+DELAY_SECONDS = 0.02
+
+
+class Entry:
+    """One entry before one control state; ``until`` is in seconds."""
+
+    def __init__(self, seed, policy):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.index = 0
+        self.cut_at = float("inf")
+        self.rate = RATE
+        # Tokens that were given back unspent.
+        self.returned = 0
+        self.machine = control.ControlMachine()
+        self.escrow = budget.Escrow(holder="a/1", policy=policy)
+        self.announcer = _announcer.Announcer()
+        self.running = []
+        self.mail = []
+        self.asked = self.refused = 0
+        table = routes.RoutingTable(
+            version=1,
+            teams=[
+                routes.KeyedTeam(name=TEAM, key_hashes=[], prepaid=PREPAID)
+            ],
+        )
+        self.commit(wire.ReplaceRoutes(table=table, source=b""))
+
+    def commit(self, command):
+        self.index += 1
+        stamped = wire.Stamped(at=self.now, command=command)
+        reply = self.machine.apply(self.index, msgspec.msgpack.encode(stamped))
+        self.machine.check_invariant()
+        return reply
+
+    def send(self, command, on_reply):
+        if self.now < self.cut_at:
+            self.mail.append((self.now + DELAY_SECONDS, command, on_reply))
+
+    def open(self, need):
+        command = self.escrow.open_grant(
+            TEAM, need=need, missing=need, now=self.now, witnesses=[]
+        )
+        if command is not None:
+            self.send(
+                command,
+                lambda reply: self.escrow.on_opened(command, reply, self.now),
+            )
+
+    def announce(self):
+        in_contact = self.now < self.cut_at + 1.0
+        announcer, escrow = self.announcer, self.escrow
+        if announcer.may_lift(now=self.now, in_contact=in_contact):
+            announcer.lifted = True
+            escrow.lift_limits()
+        if not escrow.limits() or not announcer.is_due(
+            now=self.now, in_contact=in_contact
+        ):
+            return
+        command = wire.Holding(
+            holder=escrow.holder, sent_at=self.now, limits=escrow.limits()
+        )
+        announcer.on_sent(now=self.now)
+
+        def on_reply(reply):
+            announcer.on_answer(now=self.now, heard=True)
+            escrow.on_announced(command.limits)
+
+        self.send(command, on_reply)
+
+    def close_idle(self):
+        held = self.escrow.unspent(TEAM)
+        commands = self.escrow.close_grants(self.now)
+        self.returned += held - self.escrow.unspent(TEAM)
+        for command in commands:
+            self.send(
+                command,
+                lambda reply, sent=command: self.escrow.on_closed(sent),
+            )
+
+    def arrive(self):
+        tokens = self.rng.choice([700, 2500, 2500, 9000])
+        self.asked += 1
+        reservation = self.escrow.reserve(TEAM, tokens, self.now)
+        if reservation is None:
+            self.refused += 1
+            if self.escrow.hold(TEAM, tokens, self.now):
+                self.announcer.hasten()
+            self.open(tokens)
+        else:
+            ends = self.now + ANSWER_SECONDS
+            self.running.append((ends, reservation, tokens))
+        if self.escrow.wants_more(TEAM, self.now):
+            self.open(1)
+
+    def step(self):
+        self.now += STEP_SECONDS
+        due = [item for item in self.mail if item[0] <= self.now]
+        self.mail = [item for item in self.mail if item[0] > self.now]
+        for _, command, on_reply in due:
+            on_reply(self.commit(command))
+        if self.rng.random() < self.rate / 3 * STEP_SECONDS:
+            for _ in range(3):
+                self.arrive()
+        for item in [item for item in self.running if item[0] <= self.now]:
+            self.running.remove(item)
+            self.escrow.bill(item[1], _bill(item[2]), self.now)
+        batch = self.escrow.settle()
+        if batch is not None:
+            self.send(batch, self.escrow.on_settled)
+        self.close_idle()
+        self.announce()
+
+    def run(self, until):
+        while self.now < until:
+            self.step()
+
+
+def _bill(tokens):
+    return wire.Bill(
+        id="r",
+        team=TEAM,
+        budget=TEAM,
+        subject="/",
+        attempt="r",
+        keyed=False,
+        prompt_tokens=tokens,
+        output_tokens=0,
+        parts=[],
+    )
+
+
+class TestCuts(testtools.TestCase):
+    """What is refused while control can't be reached."""
+
+    def test_an_entry_in_use_keeps_what_lies_ready(self):
+        for seed in range(5):
+            entry = Entry(seed, budget.POLICIES["standby"])
+            entry.run(30.0)
+            self.assertEqual(0, entry.returned)
+
+    def test_an_entry_without_callers_gives_all_back(self):
+        entry = Entry(1, budget.POLICIES["standby"])
+        entry.run(10.0)
+        self.assertGreater(entry.escrow.unspent(TEAM), 0)
+        entry.rate = 0.0
+        entry.run(20.0)
+        self.assertEqual(0, entry.escrow.unspent(TEAM))
--- a/galenashed/budget/tests/test_escrow_property.py
+++ b/galenashed/budget/tests/test_escrow_property.py
@@ -389,7 +389,7 @@
 class ForgetsReservations(budget.Escrow):
     """Closes idle grants that open reservations still draw on."""
 
-    def _should_close(self, grant, now):
+    def _should_close(self, account, grant, now):
         idle = now - grant.last_used >= self.policy.idle
         return (idle or grant.closing) and not grant.sent_close
 
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -124,5 +124,5 @@
         status=402,
         code="prepaid_exhausted",
         message=f"team {team.name!r}: the request may take {need} tokens;"
-        f" {left} are left",
+        f" {left} of {team.prepaid} are left",
     )
