Log what callers are told at most once a second for each failure domain

Entries without a replica are drawn anew for each answer, so that the set changed with each of them while they were named.

--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -52,6 +52,9 @@
 # named to callers for this long; several times as long as answers are kept.
 SHORT_SECONDS = 5.0
 CONNECT_SECONDS = 0.5
+# Between two log lines of what callers are told; entries that have no replica
+# are drawn anew for each answer.
+NAMED_LOG_SECONDS = 1.0
 # Between two tries to start a replica whose disk has failed.
 MEND_SECONDS = 0.5
 # Between two lines on what all budgets stand at.
@@ -109,8 +112,9 @@
         self.started = time.time()
         self.draining = False
         self._sequence = 0
-        # What callers of each failure domain were told last, for the log.
-        self._named: dict[str, set[str]] = {}
+        # What callers of each failure domain were told, and when that was
+        # logged last.
+        self._named: dict[str, tuple[set[str], float]] = {}
         self._meter = telemetry.ProcessorMeter()
         self._fresh_at = 0.0
         self._budgets_at = 0.0
@@ -431,8 +435,10 @@
         What a caller does not tell is taken to be as it is here.
         """
         named = self._choose_entries(domain, region)
-        if self._named.get(domain) != set(named):
-            self._named[domain] = set(named)
+        before, logged_at = self._named.get(domain, (None, float("-inf")))
+        now = time.monotonic()
+        if before != set(named) and now - logged_at >= NAMED_LOG_SECONDS:
+            self._named[domain] = (set(named), now)
             self.log.write(
                 "entries named",
                 domain=domain,
