Have all near entries carry the callers once the replicas have no room

Now they are named alone while they have room for all, and otherwise all near entries share the callers as before.

--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -5,8 +5,9 @@
 others, in which only the former can get tokens; and engines that are chosen
 by what an entry has sent itself, so that few entries choose better than many.
 
-So entries with a control replica carry the callers of their region as long
-as their processors have room, and others join them when they have not.
+So the entries with a control replica carry the callers of their region as long
+as their processors have room for all.  Otherwise all near entries do, for a
+few replicas before a large fleet can carry a small part only.
 """
 
 import random
@@ -32,39 +33,21 @@
     serving = [entry for entry in alive if entry.state == "serving"]
     if not serving:
         serving = [entry for entry in alive if entry.state == "cut-off"]
-    carrying, others = _by_preference(serving, domain, region, rng)
-    used = sum(entry.cores_used for entry in serving)
-    room = sum(entry.cores for entry in carrying)
-    chosen = carrying
-    for entry in others:
-        if len(chosen) >= LEAST_ENTRIES and room * USED_SHARE >= used:
-            break
-        chosen.append(entry)
-        room += entry.cores
+    rng.shuffle(serving)
+    local = [entry for entry in serving if entry.region == region]
+    replicas = [entry for entry in local if entry.replica]
+    used = sum(entry.cores_used for entry in local)
+    room = USED_SHARE * sum(entry.cores for entry in replicas)
+    chosen = replicas
+    if used > room or len(replicas) < LEAST_ENTRIES:
+        chosen = [one for one in serving if one.failure_domain == domain]
+    if len(chosen) < LEAST_ENTRIES:
+        others = [one for one in serving if one not in chosen]
+        others.sort(key=lambda one: one.region != region)
+        chosen = chosen + others
     return [entry.address for entry in chosen[:MOST_ENTRIES]]
 
 
-def _by_preference(
-    serving: list[wire.Instance], domain: str, region: str, rng: random.Random
-) -> tuple[list[wire.Instance], list[wire.Instance]]:
-    """Returns those that carry the callers, and the others, near ones first.
-
-    Each answer has them in another order.
-    """
-    serving = rng.sample(serving, len(serving))
-    carrying = [
-        entry for entry in serving if entry.replica and entry.region == region
-    ]
-    others = [entry for entry in serving if entry not in carrying]
-    others.sort(
-        key=lambda entry: (
-            entry.failure_domain != domain,
-            entry.region != region,
-        )
-    )
-    return carrying, others
-
-
 def choose_cut_off(
     own: wire.Instance,
     remembered: list[wire.Instance],
