Log what an engine had to read first, and write placement down

The decision to place a request rests on the prompt tokens that a target has not read yet and on those of the request that it lacks: both stand in the 'sent' line now. The two policies that announce limits share their figures, and so do tests of budgets their bills.

--- a/galenashed/budget/_policy.py
+++ b/galenashed/budget/_policy.py
@@ -49,6 +49,23 @@
         self.serve_when_stale = serve_when_stale
 
 
+def _announcing(*, idle: float) -> Policy:
+    """Returns the policy of entries without witnesses.
+
+    They are cut off for ten seconds and more, and what they hold must last.
+    """
+    return Policy(
+        horizon=6.0,
+        idle=idle,
+        min_slice=10_000,
+        recall_wait=0.5,
+        serve_when_stale=True,
+        emergency=0,
+        announces=True,
+        hold_ahead=4.5,
+    )
+
+
 # Neither may overspend.  The first strands few tokens when an entry is lost
 # and stops serving on old configuration; the second holds more ahead and
 # goes on through a partition.
@@ -61,30 +78,10 @@
         serve_when_stale=False,
         emergency=0,
     ),
-    # For entries without witnesses that are cut off for ten seconds and more:
-    # what is held must last for that long, and is kept while it is idle.
-    "cut-tolerant": Policy(
-        horizon=6.0,
-        idle=3600.0,
-        min_slice=10_000,
-        recall_wait=0.5,
-        serve_when_stale=True,
-        emergency=0,
-        announces=True,
-        hold_ahead=4.5,
-    ),
-    # The same for entries that callers are sent to only now and then: idle
-    # tokens go back, for nobody can recall them in a cut.
-    "standby": Policy(
-        horizon=6.0,
-        idle=5.0,
-        min_slice=10_000,
-        recall_wait=0.5,
-        serve_when_stale=True,
-        emergency=0,
-        announces=True,
-        hold_ahead=4.5,
-    ),
+    "cut-tolerant": _announcing(idle=3600.0),
+    # For entries that callers are sent to only now and then: idle tokens go
+    # back, for nobody can recall them in a cut.
+    "standby": _announcing(idle=5.0),
     "refusals-first": Policy(
         horizon=60.0,
         idle=60.0,
--- a/galenashed/budget/tests/test_announcer.py
+++ b/galenashed/budget/tests/test_announcer.py
@@ -14,6 +14,7 @@
 
 from galenashed import budget
 from galenashed.budget import _announcer
+from galenashed.budget.tests import _bills
 from galenashed import control
 from galenashed.control import _budgets
 from galenashed.protocol import control as wire
@@ -178,7 +179,7 @@
             self.borrow(place, tokens)
         if holder.running and self.rng.random() < 0.6:
             done, used = holder.running.pop(0)
-            escrow.bill(done, _bill(used), self.now)
+            escrow.bill(done, _bills.make_bill(TEAM, used), self.now)
         batch = escrow.settle()
         if batch is not None:
             self.send(
@@ -244,20 +245,6 @@
                 return
 
 
-def _bill(tokens):
-    return wire.Bill(
-        id="r",
-        team=TEAM,
-        budget=TEAM,
-        subject="/",
-        attempt="r",
-        keyed=False,
-        prompt_tokens=tokens,
-        output_tokens=0,
-        parts=[],
-    )
-
-
 class TestAnnouncedLimits(testtools.TestCase):
     """Spend stays within what is prepaid."""
 
--- a/galenashed/budget/tests/test_cuts.py
+++ b/galenashed/budget/tests/test_cuts.py
@@ -11,6 +11,7 @@
 
 from galenashed import budget
 from galenashed.budget import _announcer
+from galenashed.budget.tests import _bills
 from galenashed import control
 from galenashed.protocol import control as wire
 from galenashed.protocol import routes
@@ -127,7 +128,9 @@
                 self.arrive()
         for item in [item for item in self.running if item[0] <= self.now]:
             self.running.remove(item)
-            self.escrow.bill(item[1], _bill(item[2]), self.now)
+            self.escrow.bill(
+                item[1], _bills.make_bill(TEAM, item[2]), self.now
+            )
         batch = self.escrow.settle()
         if batch is not None:
             self.send(batch, self.escrow.on_settled)
@@ -139,20 +142,6 @@
             self.step()
 
 
-def _bill(tokens):
-    return wire.Bill(
-        id="r",
-        team=TEAM,
-        budget=TEAM,
-        subject="/",
-        attempt="r",
-        keyed=False,
-        prompt_tokens=tokens,
-        output_tokens=0,
-        parts=[],
-    )
-
-
 class TestCuts(testtools.TestCase):
     """What is refused while control can't be reached."""
 
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -280,6 +280,7 @@
     ) -> _attempts.Ending | None:
         """Sends the request to a target; None once the answer is whole."""
         job.sent_to.append(target.name)
+        now = time.monotonic()
         self.log.write(
             "sent",
             request=job.request.id,
@@ -288,7 +289,9 @@
             target=target.name,
             running=target.running,
             waiting=target.waiting,
-            report_age=target.report_age(time.monotonic()),
+            report_age=target.report_age(now),
+            unread=target.unread(now),
+            missing=target.missing(job.request.prompt),
             sending=len(job.sent_to),
             version=self.routing.version if self.routing else 0,
             after=_since(job.request),
