Count a prompt as read at its first event, not at the end of its answer

The gateway dropped a prompt from a target's unread ones only when the whole answer had ended, so that long answers looked like long prompts; the emulator did it at the first event, as meant. test_handler.py fails without the change.

--- a/galenashed/emulator/_fleet.py
+++ b/galenashed/emulator/_fleet.py
@@ -21,12 +21,10 @@
 class FleetSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Entries before the engines.
 
-    ``share_ms`` is how often entries tell each other what they have sent; 0
-    for never.  ``slow`` engines take ``slow_pace`` times as long.
+    ``slow`` of the engines take ``slow_pace`` times as long.
     """
 
     entries: int = 3
-    share_ms: float = 0.0
     slow: int = 0
     slow_pace: float = 4.0
 
@@ -180,8 +178,6 @@
         """Plays a load to its end; returns what became of each request."""
         for number, arrival in enumerate(arrivals):
             self._at(arrival.at, self._arrive, f"request-{number}", arrival)
-        if self.cfg.share_ms and arrivals:
-            self._at(0.0, self._share, arrivals[-1].at)
         while self._events:
             self.now, _, call = heapq.heappop(self._events)
             call()
@@ -253,19 +249,3 @@
                 whole=self.now - arrival.at,
             )
         )
-
-    def _share(self, until: float) -> None:
-        for number, targets in enumerate(self.entries):
-            told = targets.sent()
-            for other in self.entries:
-                if other is not targets:
-                    self._at(
-                        self.now + HOP_SECONDS,
-                        other.hear,
-                        f"entry-{number}",
-                        told,
-                        self.now + HOP_SECONDS,
-                    )
-        if self.now < until:
-            later = self.now + self.cfg.share_ms / 1000.0
-            self._at(later, self._share, until)
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -290,7 +290,7 @@
             running=target.running,
             waiting=target.waiting,
             report_age=target.report_age(now),
-            unread=target.unread(now),
+            unread=target.unread,
             missing=target.missing(job.request.prompt),
             sending=len(job.sent_to),
             version=self.routing.version if self.routing else 0,
@@ -370,7 +370,9 @@
             )
             return _attempts.Ending.REJECTED
         job.account.ran = True
-        return await relay.take(head, conn)
+        return await relay.take(
+            head, conn, lambda: target.prompts.end(job.request.id)
+        )
 
     def _timed_out(self, job: Job) -> web.ApiError:
         if not job.sent_to:
--- a/galenashed/gateway/_placement.py
+++ b/galenashed/gateway/_placement.py
@@ -5,7 +5,7 @@
 target.  Long prompts come in clumps, and each waits for those before it; so a
 target's time is predicted from the tokens that it must read first.  And
 reports of load lag while many entries read the same ones; so an entry counts
-what it and others have sent since, and looks at few targets only.
+what it has sent since, and looks at few targets only.
 """
 
 import bisect
@@ -55,7 +55,8 @@
     @property
     def waiting(self) -> int: ...
 
-    def unread(self, now: float) -> int:
+    @property
+    def unread(self) -> int:
         """Prompt tokens that it must read before those of a new request."""
 
     def missing(self, prompt: tuple[_request.Part, ...]) -> int:
@@ -126,7 +127,6 @@
     ring: Ring[C],
     prompt: tuple[_request.Part, ...],
     avoid: typing.Collection[str],
-    now: float,
     rng: random.Random,
 ) -> C | None:
     """Returns the target with the earliest predicted first event."""
@@ -139,7 +139,7 @@
     return min(
         looked_at,
         key=lambda one: (
-            predicted_wait(one, prompt, now, is_home=one is home),
+            predicted_wait(one, prompt, is_home=one is home),
             rng.random(),
         ),
     )
@@ -148,7 +148,6 @@
 def predicted_wait(
     candidate: Candidate,
     prompt: tuple[_request.Part, ...],
-    now: float,
     *,
     is_home: bool = False,
 ) -> float:
@@ -163,7 +162,7 @@
         if is_home:
             own = prompt[-1].tokens
             missing = own + int((missing - own) * HOME_SHARE)
-        tokens = candidate.unread(now) + missing * MISSING_WEIGHT
+        tokens = candidate.unread + missing * MISSING_WEIGHT
         wait += tokens / PREFILL_TOKENS_PER_SECOND
     return wait if candidate.near else wait + FAR_SECONDS
 
--- a/galenashed/gateway/_prompts.py
+++ b/galenashed/gateway/_prompts.py
@@ -3,18 +3,14 @@
 Load pattern: long prompts that arrive in clumps.  An engine reads one after
 the other, so that the next first event waits for all of them; the load that
 targets report comes too late to see a clump, and does not tell how long the
-prompts are.  So an entry counts the prompt tokens that it has sent and that
-have not led to an event yet, and other entries tell it theirs.
+prompts are.  So an entry counts the prompt tokens that it has sent
+and that have not led to an event yet.
 """
 
 import collections
 
 from galenashed.gateway import _request
 
-# Seconds for which the word of another entry counts; it is told several
-# times as often while it changes.
-PEER_SECONDS = 1.0
-
 
 class Unread:
     """Prompt tokens that a target was sent and has not read yet.
@@ -23,45 +19,26 @@
 
         unread = Unread()
         unread.begin("request-1", 4000)
-        unread.tell("entry-2", 1000, now=0.0)
-        assert unread.total(now=0.1) == 5000
+        assert unread.tokens == 4000
         unread.end("request-1")
     """
 
-    __slots__ = ("_peers", "_requests", "own")
+    __slots__ = ("_requests", "tokens")
 
     def __init__(self) -> None:
-        self.own = 0
+        self.tokens = 0
         self._requests: dict[str, int] = {}
-        self._peers: dict[str, tuple[int, float]] = {}
 
     def begin(self, request: str, tokens: int) -> None:
         """Counts a prompt that is sent."""
         self.end(request)
         if tokens > 0:
             self._requests[request] = tokens
-            self.own += tokens
+            self.tokens += tokens
 
     def end(self, request: str) -> None:
         """Counts a prompt as read; once its first event has come."""
-        self.own -= self._requests.pop(request, 0)
-
-    def tell(self, peer: str, tokens: int, now: float) -> None:
-        """Takes what another entry has sent there."""
-        if tokens > 0:
-            self._peers[peer] = (tokens, now)
-        else:
-            self._peers.pop(peer, None)
-
-    def total(self, now: float) -> int:
-        """Returns the tokens that all entries have sent, as far as known."""
-        tokens = self.own
-        for peer, (told, at) in list(self._peers.items()):
-            if now - at > PEER_SECONDS:
-                del self._peers[peer]
-            else:
-                tokens += told
-        return tokens
+        self.tokens -= self._requests.pop(request, 0)
 
 
 class Parts:
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -1,6 +1,7 @@
 """Passing an answer on to the caller, from one target after another."""
 
 import time
+import typing
 
 from galenashed import engines
 from galenashed.gateway import _attempts
@@ -55,11 +56,15 @@
         return self._cutter.count
 
     async def take(
-        self, head: engines.AnswerHead, conn: engines.Connection
+        self,
+        head: engines.AnswerHead,
+        conn: engines.Connection,
+        on_event: typing.Callable[[], None],
     ) -> _attempts.Ending | None:
         """Passes an answer on; None once it is whole.
 
-        Raises TargetLostError if it breaks off.
+        ``on_event`` is called when events of this target come.  Raises
+        TargetLostError if the answer breaks off.
         """
         if head.status >= SERVER_ERROR and self._tries_others():
             return await self._keep(head, conn)
@@ -68,7 +73,7 @@
             self.job.trouble = f"resumption answered {head.status}"
             return _attempts.Ending.FAILED
         if _is_events(head):
-            await self._pass_events(head, conn)
+            await self._pass_events(head, conn, on_event)
         else:
             await self._pass_bytes(head, conn)
         await self.sink.finish()
@@ -94,7 +99,7 @@
         self.job.trouble = f"failed with status {head.status}"
         return _attempts.Ending.FAILED
 
-    async def _pass_events(self, head, conn) -> None:
+    async def _pass_events(self, head, conn, on_event) -> None:
         resumed = self.started
         if not self.started:
             resumable = self.job.route.resumable
@@ -104,6 +109,7 @@
         while data := await conn.read():
             events = self._cutter.feed(data)
             if events:
+                on_event()
                 if self.first_at is None:
                     self.first_at = time.monotonic()
                 await self.sink.write(events)
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -69,9 +69,10 @@
     def waiting(self) -> int:
         return self.report.waiting
 
-    def unread(self, now: float) -> int:
+    @property
+    def unread(self) -> int:
         """Prompt tokens sent there that have not been read yet."""
-        return self.prompts.total(now)
+        return self.prompts.tokens
 
     def missing(self, prompt: tuple[_request.Part, ...]) -> int:
         """Tokens of a prompt that it is not known to have read."""
@@ -99,8 +100,6 @@
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.Ring] = {}
         self._ejected: set[str] = set()
-        # Peers, with the targets that they last named.
-        self._heard: dict[str, frozenset[str]] = {}
 
     def update(self, announced: wire.Target) -> None:
         """Takes a newer announcement, of a target that is alive by it."""
@@ -197,7 +196,7 @@
     def choose(self, service: str, prompt, avoid, now: float, rng):
         """Returns the target for a request; None if there is none."""
         ring = self._ring(service, now)
-        return _placement.choose(ring, prompt, avoid, now, rng)
+        return _placement.choose(ring, prompt, avoid, rng)
 
     def home(self, service: str, prompt, now: float) -> KnownTarget | None:
         """Returns the target at which the requests of a session meet."""
@@ -207,29 +206,6 @@
         """Returns a known target; raises KeyError."""
         return self._known[name]
 
-    # What entries tell each other
-
-    def sent(self) -> dict[str, int]:
-        """Returns what this entry has sent to each target, in tokens.
-
-        Only of prompts that have not led to an event yet; targets without
-        any are left out.
-        """
-        return {
-            name: target.prompts.own
-            for name, target in self._known.items()
-            if target.prompts.own
-        }
-
-    def hear(self, peer: str, sent: dict[str, int], now: float) -> None:
-        """Takes what another entry has sent to each target."""
-        before = self._heard.get(peer, frozenset())
-        for name in before.union(sent):
-            target = self._known.get(name)
-            if target is not None:
-                target.prompts.tell(peer, sent.get(name, 0), now)
-        self._heard[peer] = frozenset(sent)
-
     # Requests
 
     def begin(
--- /dev/null
+++ b/galenashed/gateway/tests/test_handler.py
@@ -0,0 +1,175 @@
+"""What an entry learns of a target while an answer comes."""
+
+import asyncio
+import random
+import time
+
+import testtools
+
+from galenashed import engines
+from galenashed import gateway
+from galenashed.protocol import routes
+from galenashed.protocol import spread
+from galenashed import routing
+from galenashed import telemetry
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+    b"content-length: 24\r\n\r\n"
+)
+EVENT = b"id: %d\ndata: x\n\n"
+PROMPT = (gateway.Part("common", 2000), gateway.Part("own", 500))
+
+
+class Engine:
+    """Answers with a head, and two events when it is told to."""
+
+    def __init__(self):
+        self.steps = [asyncio.Event() for _ in range(3)]
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for step, data in zip(
+            self.steps, (HEAD, EVENT % 1, EVENT % 2), strict=True
+        ):
+            await step.wait()
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
+class Dialect:
+    """Writes a bare request."""
+
+    def encode(self, sending):
+        return b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+
+    def decode(self, head):
+        return gateway.TargetAnswer(
+            echoed=None, not_run=False, elsewhere=False, load=None
+        )
+
+
+class Account:
+    """A request that needs no tokens."""
+
+    tokens = 0
+    events = 0
+    ran = False
+
+    def close(self, request, per_event):
+        pass
+
+
+class Prepaid:
+    async def open(self, request, team, objective):
+        return Account()
+
+
+class Sink:
+    def __init__(self):
+        self.body = b""
+
+    async def start(self, head, *, framed):
+        pass
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        pass
+
+    def abort(self):
+        pass
+
+
+def route():
+    return routes.Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=routes.Kind.STREAM,
+        shares=[routes.Share(service="s", weight=1)],
+        time_limit=5.0,
+    )
+
+
+class TestUnreadPrompts(testtools.TestCase):
+    """A prompt counts as unread until its first event."""
+
+    def test_the_first_event_and_not_the_end_counts(self):
+        asyncio.run(self.run_stream())
+
+    async def until(self, check):
+        async with asyncio.timeout(5.0):
+            while not check():
+                await asyncio.sleep(0.01)
+
+    async def run_stream(self):
+        engine = Engine()
+        address = await engine.start()
+        targets = gateway.Targets(domain="east")
+        targets.update(
+            spread.Target(
+                name="t",
+                incarnation="1",
+                started=0.0,
+                sequence=1,
+                service="s",
+                address=address,
+                failure_domain="east",
+                state="ready",
+                slots=8,
+            )
+        )
+        pool = engines.ConnectionPool(connect_timeout=1.0)
+        gate = gateway.Gateway(
+            targets=targets,
+            prepaid=Prepaid(),
+            pool=pool,
+            dialect=Dialect(),
+            retries=routing.RetryBudget(share=0.1, most_saved=1.0),
+            log=telemetry.NullDecisionLog(),
+            metrics=telemetry.NullMetrics(),
+            rng=random.Random(1),
+        )
+        gate.adopt(
+            routes.RoutingTable(
+                version=1,
+                routes=[route()],
+                services=[routes.RoutedService(name="s")],
+            )
+        )
+        request = gateway.Request(
+            id="r1",
+            method="GET",
+            host="h",
+            path="/",
+            target="/",
+            headers=[],
+            body=b"",
+            arrived=time.monotonic(),
+            prompt=PROMPT,
+        )
+        sink = Sink()
+        fut = asyncio.ensure_future(gate.handle(request, route(), None, sink))
+        target = targets.get("t")
+        await self.until(lambda: target.in_flight == 1)
+        self.assertEqual(2500, target.unread)
+        engine.steps[0].set()
+        engine.steps[1].set()
+        await self.until(lambda: b"id: 1" in sink.body)
+        self.assertEqual(0, target.unread)
+        self.assertEqual(1, target.in_flight)
+        self.assertEqual(500, target.missing(PROMPT))
+        engine.steps[2].set()
+        await fut
+        self.assertEqual(0, target.in_flight)
+        await pool.close()
+        engine.server.close()
--- a/galenashed/gateway/tests/test_placement.py
+++ b/galenashed/gateway/tests/test_placement.py
@@ -18,12 +18,9 @@
         self.near = near
         self.running = 0
         self.waiting = 0
-        self.unread_tokens = 0
+        self.unread = 0
         self.read = set()
 
-    def unread(self, now):
-        return self.unread_tokens
-
     def missing(self, prompt):
         return sum(part.tokens for part in prompt if part.id not in self.read)
 
@@ -48,7 +45,7 @@
         self.rng = random.Random(7)
 
     def choose(self, ring, parts, avoid=()):
-        return _placement.choose(ring, parts, avoid, 0.0, self.rng)
+        return _placement.choose(ring, parts, avoid, self.rng)
 
     def test_requests_of_a_session_meet_at_one_target(self):
         ring = _placement.Ring(candidates=targets(6))
@@ -86,8 +83,8 @@
         for n in range(24):
             parts = prompt(f"session-{n}")
             chosen = self.choose(ring, parts)
-            chosen.unread_tokens += chosen.missing(parts)
-        unread = [target.unread_tokens for target in all_targets]
+            chosen.unread += chosen.missing(parts)
+        unread = [target.unread for target in all_targets]
         self.assertLess(max(unread), 2 * sum(unread) / len(unread))
 
     def test_parts_that_were_read_draw_their_session(self):
@@ -97,7 +94,7 @@
         home = self.choose(ring, parts)
         other = next(one for one in all_targets if one is not home)
         other.read = {part.id for part in parts[:-1]}
-        home.unread_tokens = 4000
+        home.unread = 4000
         self.assertIs(other, self.choose(ring, parts))
 
     def test_small_prompts_go_where_there_is_room(self):
--- a/galenashed/gateway/tests/test_prompts.py
+++ b/galenashed/gateway/tests/test_prompts.py
@@ -17,16 +17,16 @@
         unread = _prompts.Unread()
         unread.begin("a", 4000)
         unread.begin("b", 1000)
-        self.assertEqual(5000, unread.own)
+        self.assertEqual(5000, unread.tokens)
         unread.end("a")
         unread.end("a")
-        self.assertEqual(1000, unread.own)
+        self.assertEqual(1000, unread.tokens)
 
     def test_a_request_that_is_sent_again_counts_once(self):
         unread = _prompts.Unread()
         unread.begin("a", 4000)
         unread.begin("a", 3000)
-        self.assertEqual(3000, unread.own)
+        self.assertEqual(3000, unread.tokens)
 
 
 class TestParts(testtools.TestCase):
