Bound what is remembered of the answers to callers

Callers may name any failure domain when they ask where to connect; each was remembered for the log of changed answers.

--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -55,6 +55,9 @@
 # Between two log lines of what callers are told; entries that have no replica
 # are drawn anew for each answer.
 NAMED_LOG_SECONDS = 1.0
+# Failure domains that are remembered for it; several times the seven of the
+# size in two years.
+MOST_DOMAINS = 64
 # Between two tries to start a replica whose disk has failed.
 MEND_SECONDS = 0.5
 # Between two lines on what all budgets stand at.
@@ -438,6 +441,9 @@
         before, logged_at = self._named.get(domain, (None, float("-inf")))
         now = time.monotonic()
         if before != set(named) and now - logged_at >= NAMED_LOG_SECONDS:
+            if len(self._named) >= MOST_DOMAINS:
+                # Callers may name any; those in use come back at once.
+                self._named.clear()
             self._named[domain] = (set(named), now)
             self.log.write(
                 "entries named",
--- a/galenashed/node/tests/test_node.py
+++ b/galenashed/node/tests/test_node.py
@@ -112,3 +112,25 @@
 
         storage.__class__ = Full
         return seen
+
+
+class TestEntriesForCallers(testtools.TestCase):
+    """What is remembered of the answers to callers."""
+
+    def setUp(self):
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="node-"))
+        self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
+
+    def test_any_number_of_domains_may_be_asked_for(self):
+        async def run():
+            served = make_node(self.folder / "data")
+            await served.start()
+            try:
+                for number in range(10_000):
+                    served.entries_for(f"domain-{number}", "")
+                return len(served._named)
+            finally:
+                await served.close()
+
+        self.assertLessEqual(asyncio.run(run()), 64)
