Readmit a removed replica that runs again with its disk

Operators saw, in the decision log of the leader, every 0.3 s and without end:

replicas changed action=add replica=127.0.0.12:13005 result="name: '127.0.0.12:13005' took part once; allowed: a new name"

and no further voter was ever replaced.

Cause: a voter that is silent for over 2 s is removed and a spare replica votes in its place. When it runs again it announces itself under its old name, as its disk is as it was. The plan took it for an unused candidate and proposed to add it; control refuses names that were removed; the plan proposed the same again and never got to another candidate. A deployment with one spare replica repaired itself once. The next disks that were lost were never replaced, and as many as are tolerated, lost after that, left no majority: all that was acknowledged was gone. Class: a refusal that can't change is retried, and blocks what is queued behind it.

A name must not be used again because an empty disk could vote a second time under it. Here the disk is not empty: a replica that lost its disk gets a name that was never used, and a learner is promoted only after it has replied under its own name. The leader now readmits it, as a learner; adding it stays refused, and so does readmitting a name that was never removed. A name that is removed twice is listed once.

--- a/galenashed/control/_replicas.py
+++ b/galenashed/control/_replicas.py
@@ -20,11 +20,17 @@
 ) -> typing.Callable[[consensus.Members], consensus.Members]:
     """Returns a function that applies the command to a membership.
 
-    ``retired`` returns the names of removed replicas, which can't be used
-    again.  Both this function and the returned one raise MembershipError if
-    the command is not allowed.
+    ``retired`` returns the names of removed replicas.  They can't be added
+    again, only readmitted: a replica that has lost its disk must not take
+    part under a name that it has voted under.  Both this function and the
+    returned one raise MembershipError if the command is not allowed.
     """
-    changes = {"add": _add, "promote": _promote, "remove": _remove}
+    changes = {
+        "add": _add,
+        "readmit": _add,
+        "promote": _promote,
+        "remove": _remove,
+    }
     change = changes.get(command.action)
     if change is None:
         raise consensus.MembershipError(
@@ -32,7 +38,13 @@
         )
 
     def checked_change(members: consensus.Members) -> consensus.Members:
-        if command.name in retired():
+        is_retired = command.name in retired()
+        if command.action == "readmit" and not is_retired:
+            raise consensus.MembershipError(
+                f"name: {command.name!r} was never removed; allowed:"
+                " a replica that took part once"
+            )
+        if command.action == "add" and is_retired:
             # Votes of the removed replica may still be in transit.
             raise consensus.MembershipError(
                 f"name: {command.name!r} took part once; allowed: a new name"
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -385,8 +385,9 @@
         self, index: int, cmd: wire.ChangeReplicas
     ) -> wire.Reply:
         # The log has already changed the membership; only record it here.
-        if cmd.action == "remove":
-            self.state.retired_replicas.append(cmd.name)
+        retired = self.state.retired_replicas
+        if cmd.action == "remove" and cmd.name not in retired:
+            retired.append(cmd.name)
         self._audit(
             index,
             actor=cmd.actor,
--- a/galenashed/node/_replica_manager.py
+++ b/galenashed/node/_replica_manager.py
@@ -109,4 +109,7 @@
             caught_up=frozenset(caught_up),
             candidates=candidates,
             desired_voters=self.desired_voters,
+            retired=frozenset(
+                self.server.state_machine.state.retired_replicas
+            ),
         )
--- a/galenashed/node/_voters.py
+++ b/galenashed/node/_voters.py
@@ -29,7 +29,10 @@
     """What the leader knows of the replicas.
 
     ``silent_seconds`` maps members to the seconds since their last reply;
-    ``caught_up`` names the learners that have all committed entries.
+    ``caught_up`` names the learners that have all committed entries, and
+    ``retired`` the replicas that were removed at some time.  A candidate may
+    be among the latter: it has kept its disk, since one that lost its disk
+    has a new name.
     """
 
     members: consensus.Members
@@ -38,6 +41,7 @@
     caught_up: frozenset[str]
     candidates: list[Candidate]
     desired_voters: int
+    retired: frozenset[str] = frozenset()
 
 
 def plan_change(view: ClusterView) -> wire.ChangeReplicas | None:
@@ -74,7 +78,10 @@
     if missing > len(learners):
         for candidate in view.candidates:
             if candidate.name not in members:
-                return _change("add", candidate.name, candidate.address)
+                action = "add"
+                if candidate.name in view.retired:
+                    action = "readmit"
+                return _change(action, candidate.name, candidate.address)
     for learner in learners:
         silent = (
             view.silent_seconds.get(learner.name, 0.0) > GONE_AFTER_SECONDS
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -321,7 +321,8 @@
     """Changes the membership of the control replicas.
 
     ``action`` is ``add``, which adds a replica as a non-voting learner,
-    ``promote``, which makes a learner a voter, or ``remove``.
+    ``readmit``, which does the same with one that was removed before and has
+    kept its disk, ``promote``, which makes a learner a voter, or ``remove``.
     """
 
     action: str
