--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -6,6 +6,17 @@
 followed by the MessagePack payload.  Data counts as stored only once it is
 synced.
 
+The first record of a log file holds the whole state that is not in the
+snapshot: the hard state and all entries after the snapshot.  Each start and
+each snapshot, whether taken or installed, begin a new file once the snapshot
+is stored, and remove the earlier files once the new one is.  Only the last
+file with a complete first record is read; earlier ones may reappear after a
+power loss.
+
+If a crash comes between snapshot and new log file, the log is older than the
+snapshot: it may end before the snapshot does, or hold entries that the
+snapshot replaces.
+
 A record truncated by the end of the last file stems from a crash during a
 write that was never acknowledged; it is dropped.  Corruption anywhere else is
 an error, as the replica would otherwise lose entries it has acknowledged.
@@ -64,10 +75,13 @@
 def _write_file(path: pathlib.Path, payload: bytes) -> None:
     """Writes a file of one record atomically."""
     partial = path.with_suffix(".partial")
-    with open(partial, "wb") as out:
-        out.write(_encode_record(payload))
-        out.flush()
-        os.fsync(out.fileno())
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+    fd = os.open(partial, flags, 0o666)
+    try:
+        _write(fd, _encode_record(payload))
+        os.fsync(fd)
+    finally:
+        os.close(fd)
     os.replace(partial, path)
     _sync_directory(path.parent)
 
@@ -100,13 +114,21 @@
         restored = storage.open()
     """
 
-    __slots__ = ("_fd", "_sequence", "cluster", "directory", "name")
+    __slots__ = (
+        "_fd",
+        "_hard_state",
+        "_sequence",
+        "cluster",
+        "directory",
+        "name",
+    )
 
     def __init__(self, *, directory: pathlib.Path, cluster: str, name: str):
         self.directory = pathlib.Path(directory)
         self.cluster = cluster
         self.name = name
         self._fd = -1
+        self._hard_state = wire.HardState()
         self._sequence = 0
 
     def create(self, members: tuple[wire.Member, ...]) -> None:
@@ -134,29 +156,15 @@
         """Reads the stored state and opens a new log file for appending."""
         self._check_identity()
         snapshot = self._read_snapshot()
+        hard_state, entries = self._read_log(snapshot.meta)
         paths = self._wal_paths()
-        hard_state = wire.HardState()
-        entries: list[wire.Entry] = []
-        for path in paths:
-            last = path == paths[-1]
-            for record in self._read_wal(path, last=last):
-                hard_state = record.hard_state or hard_state
-                _merge_entries(entries, record.entries, path)
-        kept = [e for e in entries if e.index > snapshot.meta.index]
-        if kept and kept[0].index != snapshot.meta.index + 1:
-            raise StorageError(
-                f"{self.directory}: entries {snapshot.meta.index + 1} to"
-                f" {kept[0].index - 1} are missing"
-            )
         self._sequence = _wal_sequence(paths[-1]) if paths else 0
-        self._open_wal(hard_state, kept)
-        for path in paths:
-            path.unlink()
+        self._start_log(hard_state, entries)
         return _state.Restored(
             hard_state=hard_state,
             snapshot=snapshot.meta,
             snapshot_data=snapshot.data,
-            entries=kept,
+            entries=entries,
         )
 
     def save(self, ready: _state.Ready) -> None:
@@ -164,9 +172,13 @@
         try:
             if ready.snapshot is not None:
                 self._write_snapshot(ready.snapshot, ready.snapshot_data)
-            if ready.hard_state or ready.entries:
+                self._start_log(
+                    ready.hard_state or self._hard_state, ready.entries
+                )
+            elif ready.hard_state or ready.entries:
                 record = WalRecord(ready.hard_state, ready.entries)
-                self._append(record)
+                _append(self._fd, record)
+                self._hard_state = ready.hard_state or self._hard_state
         except OSError as exc:
             raise StorageError(f"{self.directory}: {exc}") from exc
 
@@ -180,11 +192,7 @@
         """Stores a snapshot and starts a log file with the later entries."""
         try:
             self._write_snapshot(meta, data)
-            old = self._wal_paths()
-            os.close(self._fd)
-            self._open_wal(hard_state, entries)
-            for path in old:
-                path.unlink()
+            self._start_log(hard_state, entries)
         except OSError as exc:
             raise StorageError(f"{self.directory}: {exc}") from exc
 
@@ -217,21 +225,24 @@
     def _wal_paths(self) -> list[pathlib.Path]:
         return sorted(self.directory.glob("wal-*.log"))
 
-    def _open_wal(self, hard_state, entries) -> None:
+    def _start_log(self, hard_state, entries) -> None:
+        """Starts a log file that replaces all earlier ones."""
+        old = self._wal_paths()
         self._sequence += 1
         path = self.directory / f"wal-{self._sequence:012d}.log"
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
-        self._fd = os.open(path, flags, 0o600)
-        self._append(WalRecord(hard_state, entries))
-        _sync_directory(self.directory)
-
-    def _append(self, record: WalRecord) -> None:
-        data = _encode_record(msgspec.msgpack.encode(record))
-        view = memoryview(data)
-        while view:
-            written = os.write(self._fd, view)
-            view = view[written:]
-        os.fdatasync(self._fd)
+        fd = os.open(path, flags, 0o600)
+        try:
+            _append(fd, WalRecord(hard_state, entries))
+            _sync_directory(self.directory)
+        except OSError:
+            os.close(fd)
+            raise
+        self.close()
+        self._fd = fd
+        self._hard_state = hard_state
+        for path in old:
+            path.unlink()
 
     def _write_snapshot(self, meta: wire.SnapshotMeta, data: bytes) -> None:
         payload = msgspec.msgpack.encode(SnapshotFile(meta, data))
@@ -248,29 +259,34 @@
         payload = _read_file(paths[-1])
         return msgspec.msgpack.decode(payload, type=SnapshotFile)
 
-    def _read_wal(self, path: pathlib.Path, *, last: bool) -> list[WalRecord]:
-        raw = path.read_bytes()
-        records = []
-        offset = 0
-        while offset < len(raw):
-            payload = _read_record(raw, offset)
-            if payload is None:
-                if last and _is_torn(raw, offset):
-                    # Truncated on disk as well: at the next start this may
-                    # not be the last file, and the torn record would be
-                    # taken for corruption.
-                    _truncate(path, offset)
-                    break
-                raise StorageError(f"{path}: damaged at byte {offset}")
-            records.append(msgspec.msgpack.decode(payload, type=WalRecord))
-            offset += RECORD_HEADER.size + len(payload)
-        return records
-
-
-def _truncate(path: pathlib.Path, size: int) -> None:
-    with open(path, "r+b") as out:
-        out.truncate(size)
-        os.fsync(out.fileno())
+    def _read_log(
+        self, snapshot: wire.SnapshotMeta
+    ) -> tuple[wire.HardState, list[wire.Entry]]:
+        """Returns the stored hard state and the entries after a snapshot."""
+        hard_state = wire.HardState()
+        entries: list[wire.Entry] = []
+        for path in reversed(self._wal_paths()):
+            records = _read_wal(path)
+            if not records:
+                # Not in use yet, so the file before it still counts.
+                continue
+            for record in records:
+                hard_state = record.hard_state or hard_state
+                _merge_entries(entries, record.entries, snapshot.index, path)
+            break
+        return hard_state, _drop_replaced(entries, snapshot)
+
+
+def _append(fd: int, record: WalRecord) -> None:
+    _write(fd, _encode_record(msgspec.msgpack.encode(record)))
+    os.fdatasync(fd)
+
+
+def _write(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.write(fd, view)
+        view = view[written:]
 
 
 def read_identity(directory: pathlib.Path) -> Identity:
@@ -279,6 +295,21 @@
     return msgspec.msgpack.decode(content, type=Identity)
 
 
+def _read_wal(path: pathlib.Path) -> list[WalRecord]:
+    raw = path.read_bytes()
+    records = []
+    offset = 0
+    while offset < len(raw):
+        payload = _read_record(raw, offset)
+        if payload is None:
+            if _is_torn(raw, offset):
+                break
+            raise StorageError(f"{path}: damaged at byte {offset}")
+        records.append(msgspec.msgpack.decode(payload, type=WalRecord))
+        offset += RECORD_HEADER.size + len(payload)
+    return records
+
+
 def _read_record(raw: bytes, offset: int) -> bytes | None:
     start = offset + RECORD_HEADER.size
     if start > len(raw):
@@ -302,18 +333,38 @@
     return end >= len(raw) or not any(raw[offset:])
 
 
-def _merge_entries(entries, new_entries, path) -> None:
-    """Appends new entries, replacing any from the same index on."""
+def _merge_entries(entries, new_entries, snapshot_index, path) -> None:
+    """Appends new entries, replacing any from the same index on.
+
+    Entries up to ``snapshot_index`` are left out, and may be missing.
+    """
     for entry in new_entries:
-        if entries and entry.index <= entries[-1].index:
-            keep = max(0, entry.index - entries[0].index)
-            del entries[keep:]
-        if entries and entry.index != entries[-1].index + 1:
+        if entry.index <= snapshot_index:
+            entries.clear()
+            continue
+        position = entry.index - snapshot_index - 1
+        if position > len(entries):
             raise StorageError(
-                f"{path}: entries before {entry.index} are missing"
+                f"{path}: entries {snapshot_index + len(entries) + 1} to"
+                f" {entry.index - 1} are missing"
             )
+        del entries[position:]
         entries.append(entry)
 
 
+def _drop_replaced(
+    entries: list[wire.Entry], snapshot: wire.SnapshotMeta
+) -> list[wire.Entry]:
+    """Returns the entries before the first of a term before the snapshot's.
+
+    Terms never decrease along a log, so that entry and those after it belong
+    to a log that the snapshot has replaced.
+    """
+    for position, entry in enumerate(entries):
+        if entry.term < snapshot.term:
+            return entries[:position]
+    return entries
+
+
 def _wal_sequence(path: pathlib.Path) -> int:
     return int(path.stem.removeprefix("wal-"))
--- a/galenashed/consensus/tests/_simulation.py
+++ b/galenashed/consensus/tests/_simulation.py
@@ -1,8 +1,13 @@
 """Simulates replicas under seeded disk and network faults."""
 
+import pathlib
 import random
+import shutil
+import tempfile
+import weakref
 
 from galenashed import consensus
+from galenashed.consensus.tests import _filesystem
 from galenashed.protocol import consensus as wire
 
 ELECTION_TIMEOUT = 1.0
@@ -10,42 +15,74 @@
 STEP_SECONDS = 0.05
 
 
+MAX_STEPS_OF_SAVE = 12
+
+
 class Disk:
-    """State that a replica has synced to disk."""
+    """Data directory of a replica, which may lose what is not synced."""
 
-    def __init__(self, members: consensus.Members):
-        self.hard_state = wire.HardState()
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        name: str,
+        members: consensus.Members,
+        storage_class=consensus.Storage,
+    ):
         self.snapshot = wire.SnapshotMeta(members=members)
-        self.snapshot_data = b""
-        self.entries: list[wire.Entry] = []
+        self.files = _filesystem.FileSystem(directory)
+        self.storage = storage_class(
+            directory=directory, cluster="simulation", name=name
+        )
+        with self.files.installed():
+            self.storage.create(members)
 
     def save(self, ready: consensus.Ready) -> None:
+        with self.files.installed():
+            self.storage.save(ready)
         if ready.snapshot is not None:
             self.snapshot = ready.snapshot
-            self.snapshot_data = ready.snapshot_data
-            self.entries = []
-        if ready.hard_state is not None:
-            self.hard_state = ready.hard_state
-        for entry in ready.entries:
-            first = self.entries[0].index if self.entries else entry.index
-            del self.entries[max(0, entry.index - first) :]
-            self.entries.append(entry)
 
-    def restored(self) -> consensus.Restored:
-        return consensus.Restored(
-            hard_state=self.hard_state,
-            snapshot=self.snapshot,
-            snapshot_data=self.snapshot_data,
-            entries=list(self.entries),
+    def save_snapshot(
+        self, meta: wire.SnapshotMeta, data: bytes, core: consensus.Core
+    ) -> None:
+        hard_state = wire.HardState(
+            term=core.term, voted_for=core.voted_for, commit=core.commit
+        )
+        entries = core.log.between(meta.index, core.durable_index)
+        with self.files.installed():
+            self.storage.save_snapshot(meta, data, hard_state, entries)
+        self.snapshot = meta
+
+    def fail_after(self, steps: int) -> None:
+        """Raises Crash in place of the step that comes after ``steps``."""
+        self.files.before_step = _filesystem.StepLimit(
+            steps, _filesystem.Crash()
         )
 
+    def crash(self, rng: random.Random) -> None:
+        """Ends the process; in half of the cases, power is lost as well."""
+        self.files.before_step = lambda: None
+        with self.files.installed():
+            self.storage.close()
+        if rng.random() < 0.5:
+            state = self.files.choose_power_loss_state(rng)
+        else:
+            state = self.files.current_state()
+        self.files.restore(state)
+
+    def restored(self) -> consensus.Restored:
+        with self.files.installed():
+            restored = self.storage.open()
+        self.snapshot = restored.snapshot
+        return restored
+
 
 class Replica:
     """A replica's core, its disk and the commands it has applied."""
 
-    def __init__(self, name: str, members: consensus.Members):
+    def __init__(self, name: str, disk: Disk):
         self.name = name
-        self.disk = Disk(members)
+        self.disk = disk
         self.core: consensus.Core | None = None
         self.applied: list[tuple[int, bytes]] = []
 
@@ -54,20 +91,31 @@
     """Replicas under injected faults.
 
     ``check`` raises AssertionError if an invariant is violated.
-    ``core_class`` may be a deliberately faulty variant, to show that the
-    checks detect it.
+    ``core_class`` and ``storage_class`` may be deliberately faulty variants,
+    to show that the checks detect them.
     """
 
     def __init__(
-        self, *, seed: int, replicas: int = 3, core_class=consensus.Core
+        self,
+        *,
+        seed: int,
+        replicas: int = 3,
+        core_class=consensus.Core,
+        storage_class=consensus.Storage,
     ):
         self.rng = random.Random(seed)
+        self.disk_rng = random.Random(seed)
         self.core_class = core_class
+        self.storage_class = storage_class
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="simulation-"))
+        self.installs = 0
+        self._disks: list[Disk] = []
+        weakref.finalize(self, _remove_directory, self.directory, self._disks)
         self.now = 0.0
         self.names = [f"r{n}" for n in range(replicas)]
         self.members = tuple(consensus.Member(name) for name in self.names)
         self.replicas = {
-            name: Replica(name, self.members) for name in self.names
+            name: self.make_replica(name, self.members) for name in self.names
         }
         self.messages_in_flight: list[
             tuple[float, str, str, wire.Message]
@@ -81,24 +129,31 @@
         for name in self.names:
             self.start(name)
 
+    def make_replica(self, name: str, members: consensus.Members) -> Replica:
+        """Returns a replica with an empty disk."""
+        directory = self.directory / str(len(self._disks))
+        disk = Disk(directory, name, members, self.storage_class)
+        self._disks.append(disk)
+        return Replica(name, disk)
+
     def start(self, name: str) -> None:
         replica = self.replicas[name]
+        restored = replica.disk.restored()
         replica.core = self.core_class(
             name=name,
             election_timeout=ELECTION_TIMEOUT,
             heartbeat=HEARTBEAT,
             rng=random.Random(self.rng.random()),
-            restored=replica.disk.restored(),
+            restored=restored,
             now=self.now,
         )
-        replica.applied = [
-            item
-            for item in replica.applied
-            if item[0] <= replica.disk.snapshot.index
-        ]
+        replica.applied = eval(restored.snapshot_data or b"[]")
 
     def crash(self, name: str) -> None:
-        self.replicas[name].core = None
+        replica = self.replicas[name]
+        if replica.core is not None:
+            replica.core = None
+            replica.disk.crash(self.disk_rng)
 
     # Simulation steps
 
@@ -162,9 +217,13 @@
             members=core.membership.members_at(core.applied),
         )
         data = repr(replica.applied).encode()
-        replica.disk.snapshot = meta
-        replica.disk.snapshot_data = data
-        replica.disk.entries = core.log.between(meta.index, core.durable_index)
+        if self.faults and self.disk_rng.random() < 0.2:
+            replica.disk.fail_after(self.disk_rng.randrange(MAX_STEPS_OF_SAVE))
+        try:
+            replica.disk.save_snapshot(meta, data, core)
+        except _filesystem.Crash:
+            self.crash(replica.name)
+            return
         core.compact(meta, data, keep=0)
 
     def _deliver(self) -> None:
@@ -197,11 +256,21 @@
         core = replica.core
         while core is not None and core.has_ready():
             ready = core.take_ready()
-            if self.faults and self.rng.random() < 0.002:
-                # Power fails between the write and the sync.
+            fails = self.faults and self.rng.random() < 0.002
+            if ready.snapshot is not None:
+                self.installs += 1
+                fails = self.faults and self.disk_rng.random() < 0.2
+            if fails:
+                replica.disk.fail_after(
+                    self.disk_rng.randrange(MAX_STEPS_OF_SAVE)
+                )
+            try:
+                replica.disk.save(ready)
+            except _filesystem.Crash:
+                fails = True
+            if fails:
                 self.crash(replica.name)
                 return
-            replica.disk.save(ready)
             core.on_persisted(ready, self.now)
             for target, message in ready.messages:
                 self._enqueue(replica.name, target, message)
@@ -243,3 +312,9 @@
             assert final.get(index) == data, (
                 f"acknowledged entry {index} was lost"
             )
+
+
+def _remove_directory(directory: pathlib.Path, disks: list[Disk]) -> None:
+    for disk in disks:
+        disk.files.restore({})
+    shutil.rmtree(directory)
--- a/galenashed/consensus/tests/test_core.py
+++ b/galenashed/consensus/tests/test_core.py
@@ -15,10 +15,10 @@
 STEPS = 1500
 
 
-def run_seed(seed: int, replicas: int, core_class=consensus.Core):
+def run_seed(seed: int, replicas: int, **options) -> _simulation.Simulation:
     """Runs one history with faults, then checks that it converges."""
     simulation = _simulation.Simulation(
-        seed=seed, replicas=replicas, core_class=core_class
+        seed=seed, replicas=replicas, **options
     )
     simulation.run(STEPS)
     simulation.recover_and_check()
@@ -76,24 +76,36 @@
         self.quorum = quorum
 
 
+class RemovesLogBeforeSnapshot(consensus.Storage):
+    """Removes the log before the snapshot that covers it is stored."""
+
+    __slots__ = ()
+
+    def _write_snapshot(self, meta, data):
+        for path in self._wal_paths():
+            path.unlink()
+        super()._write_snapshot(meta, data)
+
+
 class TestSeededFaults(testtools.TestCase):
     """Invariants of the log over many seeded histories."""
 
     def test_three_replicas(self):
-        for seed in range(SEEDS):
-            run_seed(seed, 3)
+        simulations = [run_seed(seed, 3) for seed in range(SEEDS)]
+        installs = sum(simulation.installs for simulation in simulations)
+        self.assertGreaterEqual(installs, SEEDS // 2)
 
     def test_five_replicas(self):
         for seed in range(SEEDS // 3):
             run_seed(1_000_000 + seed, 5)
 
-    def assert_detected(self, core_class):
+    def assert_detected(self, core_class=consensus.Core, **options):
         for seed in range(SEEDS):
             try:
-                run_seed(seed, 3, core_class)
+                run_seed(seed, 3, core_class=core_class, **options)
             except AssertionError:
                 return
-        self.fail(f"no seed detected the fault of {core_class.__name__}")
+        self.fail(f"no seed detected the fault of {core_class} {options}")
 
     def test_checks_detect_forgotten_vote(self):
         self.assert_detected(ForgetsVote)
@@ -107,6 +119,9 @@
     def test_checks_detect_commit_by_minority(self):
         self.assert_detected(CommitsWithMinority)
 
+    def test_checks_detect_log_that_is_removed_first(self):
+        self.assert_detected(storage_class=RemovesLogBeforeSnapshot)
+
 
 class TestElections(testtools.TestCase):
     """Individual properties of elections and catch-up."""
--- a/galenashed/consensus/tests/test_membership.py
+++ b/galenashed/consensus/tests/test_membership.py
@@ -43,13 +43,13 @@
     def lose_disk(self, name: str) -> None:
         del self.replicas[name]
         if self.reuses_names:
-            self.replicas[name] = _simulation.Replica(name, self.members)
+            self.replicas[name] = self.make_replica(name, self.members)
             self.start(name)
             return
         self.lost_name = name
         self.replacement = f"{name}x"
         self.names[self.names.index(name)] = self.replacement
-        self.replicas[self.replacement] = _simulation.Replica(
+        self.replicas[self.replacement] = self.make_replica(
             self.replacement, ()
         )
         self.start(self.replacement)
@@ -184,7 +184,7 @@
         }
         core = simulation.replicas[leader].core
         for name in ("x", "y"):
-            simulation.replicas[name] = _simulation.Replica(name, ())
+            simulation.replicas[name] = simulation.make_replica(name, ())
             simulation.start(name)
             simulation._change(core, consensus.add_learner, name, "")
             simulation._change(core, consensus.promote, name)
