Take zeros at the end of a log file for an unfinished write

Seen by operators: after a power loss that kept the new length of the log file but not the bytes of its last write, the replica ended at its start with "msgspec.DecodeError: Input data was truncated". That is no StorageError, and by the code (no run shows it) a node that restarts its replica gives up on it.

Cause: a header of eight zeros names an empty payload with checksum 0, which is what CRC-32 gives for no bytes. _is_torn was written to accept zeros, but is asked only about records that fail the check. Class: an invalid value that looks valid to a checksum.

Evidence: test_tail_of_zeros_is_dropped_at_any_length at:

msgspec.DecodeError: Input data was truncated

The nine cases of TestCrashBetweenSteps failed in the same way once their power losses could leave zeros.

Change: an empty payload is no record; no writer makes one.

--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -316,9 +316,10 @@
         return None
     length, checksum = RECORD_HEADER.unpack_from(raw, offset)
     payload = raw[start : start + length]
-    if len(payload) < length or zlib.crc32(payload) != checksum:
+    # Zeros would pass the checksum, as that of nothing is zero.
+    if not payload or len(payload) < length:
         return None
-    return payload
+    return payload if zlib.crc32(payload) == checksum else None
 
 
 def _is_torn(raw: bytes, offset: int) -> bool:
--- a/galenashed/consensus/tests/_filesystem.py
+++ b/galenashed/consensus/tests/_filesystem.py
@@ -29,7 +29,8 @@
         if self.data == self.synced:
             return [self.synced]
         torn = self.data[: (len(self.synced) + len(self.data)) // 2]
-        return [self.synced, torn, self.data]
+        zeros = self.synced.ljust(len(self.data), b"\0")
+        return [self.synced, torn, zeros, self.data]
 
 
 class FileSystem:
--- a/galenashed/consensus/tests/test_storage.py
+++ b/galenashed/consensus/tests/test_storage.py
@@ -98,6 +98,15 @@
         self.assertEqual(2, len(list(self.directory.glob("wal-*"))))
         self.assertEqual([1, 2], self.stored_indexes())
 
+    def test_tail_of_zeros_is_dropped_at_any_length(self):
+        path = self.fill([1, 2])
+        whole = path.read_bytes()
+        for size in range(1, 20):
+            for other in self.directory.glob("wal-*"):
+                other.unlink()
+            path.write_bytes(whole + bytes(size))
+            self.assertEqual([1, 2], self.stored_indexes())
+
     def test_corruption_before_the_tail_is_rejected(self):
         path = self.fill([1, 2], [3])
         raw = bytearray(path.read_bytes())
