--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -620,6 +620,9 @@
             self._reply_append(req.sender, ok=False, index=0)
             return
         self._follow_leader(now, req.sender)
+        if self.log.term_at(req.meta.index) == req.meta.term:
+            # The entries after the snapshot may have been acknowledged.
+            self.commit = max(self.commit, req.meta.index)
         if req.meta.index <= self.commit:
             self._reply_append(req.sender, ok=True, index=self.commit)
             self._reply_snapshot(req, offset=-1)
--- a/galenashed/consensus/tests/test_core.py
+++ b/galenashed/consensus/tests/test_core.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import random
 
 import testtools
 
@@ -194,6 +195,64 @@
         self.assertGreater(index, 40)
 
 
+class TestSnapshotsOverLogs(testtools.TestCase):
+    """What a follower keeps of its log when it is sent a snapshot."""
+
+    MEMBERS = tuple(consensus.Member(name) for name in ("r0", "r1", "r2"))
+    META = wire.SnapshotMeta(index=2, term=2, members=MEMBERS)
+
+    def make_follower(self, *terms):
+        """Returns a follower that has stored entries of these terms."""
+        core = consensus.Core(
+            name="r1",
+            election_timeout=_simulation.ELECTION_TIMEOUT,
+            heartbeat=_simulation.HEARTBEAT,
+            rng=random.Random(1),
+            restored=consensus.Restored(
+                hard_state=wire.HardState(term=3),
+                snapshot=wire.SnapshotMeta(members=self.MEMBERS),
+                snapshot_data=b"",
+                entries=[
+                    wire.Entry(index, term, b"x")
+                    for index, term in enumerate(terms, 1)
+                ],
+            ),
+            now=0.0,
+        )
+        core.step(
+            0.0,
+            wire.SnapshotChunk(
+                sender="r0",
+                term=3,
+                meta=self.META,
+                offset=0,
+                data=b"state",
+                last=True,
+            ),
+        )
+        return core
+
+    def test_entries_after_snapshot_that_the_log_contains_are_kept(self):
+        core = self.make_follower(1, 2, 2, 3)
+        self.assertEqual(4, core.log.last_index)
+        self.assertEqual(4, core.durable_index)
+        ready = core.take_ready()
+        self.assertIsNone(ready.snapshot)
+        self.assertEqual([1, 2], [entry.index for entry in ready.committed])
+        replies = [message for _, message in ready.messages]
+        self.assertIn(
+            wire.SnapshotReply(sender="r1", term=3, index=2, offset=-1),
+            replies,
+        )
+
+    def test_entries_that_conflict_with_snapshot_are_replaced(self):
+        for terms in ((1, 1, 1, 1), (1, 3, 3, 3), (1,)):
+            core = self.make_follower(*terms)
+            self.assertEqual(2, core.log.last_index)
+            self.assertEqual(2, core.log.last_term)
+            self.assertEqual(self.META, core.take_ready().snapshot)
+
+
 class TestReplicationAfterLoss(testtools.TestCase):
     """What a leader sends to a follower that has missed many messages."""
 
