--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -156,9 +156,10 @@
         """Reads the stored state and opens a new log file for appending."""
         self._check_identity()
         snapshot = self._read_snapshot()
-        hard_state, entries = self._read_log(snapshot.meta)
         paths = self._wal_paths()
         self._sequence = _wal_sequence(paths[-1]) if paths else 0
+        log, hard_state, entries = self._read_log(snapshot.meta)
+        self._remove_leftovers(log)
         self._start_log(hard_state, entries)
         return _state.Restored(
             hard_state=hard_state,
@@ -248,12 +249,28 @@
         payload = msgspec.msgpack.encode(SnapshotFile(meta, data))
         path = self.directory / f"snapshot-{meta.index:015d}.snap"
         _write_file(path, payload)
-        for old in self.directory.glob("snapshot-*.snap"):
+        for old in self._snapshot_paths():
             if old < path:
                 old.unlink()
 
+    def _remove_leftovers(self, log: pathlib.Path | None) -> None:
+        """Removes what was interrupted, and what a power loss brought back.
+
+        Before anything is written, so that this has room on a full disk.
+        """
+        for path in (
+            *self.directory.glob("*.partial"),
+            *self._snapshot_paths()[:-1],
+            *self._wal_paths(),
+        ):
+            if path != log:
+                path.unlink()
+
+    def _snapshot_paths(self) -> list[pathlib.Path]:
+        return sorted(self.directory.glob("snapshot-*.snap"))
+
     def _read_snapshot(self) -> SnapshotFile:
-        paths = sorted(self.directory.glob("snapshot-*.snap"))
+        paths = self._snapshot_paths()
         if not paths:
             return SnapshotFile(wire.SnapshotMeta(), b"")
         payload = _read_file(paths[-1])
@@ -261,8 +278,8 @@
 
     def _read_log(
         self, snapshot: wire.SnapshotMeta
-    ) -> tuple[wire.HardState, list[wire.Entry]]:
-        """Returns the stored hard state and the entries after a snapshot."""
+    ) -> tuple[pathlib.Path | None, wire.HardState, list[wire.Entry]]:
+        """Returns the log file in use and its state after a snapshot."""
         hard_state = wire.HardState()
         entries: list[wire.Entry] = []
         for path in reversed(self._wal_paths()):
@@ -273,8 +290,8 @@
             for record in records:
                 hard_state = record.hard_state or hard_state
                 _merge_entries(entries, record.entries, snapshot.index, path)
-            break
-        return hard_state, _drop_replaced(entries, snapshot)
+            return path, hard_state, _drop_replaced(entries, snapshot)
+        return None, hard_state, entries
 
 
 def _append(fd: int, record: WalRecord) -> None:
--- a/galenashed/consensus/tests/test_storage.py
+++ b/galenashed/consensus/tests/test_storage.py
@@ -116,6 +116,27 @@
         self.assertIn(str(path), str(error))
         self.assertIn("damaged at byte", str(error))
 
+    def test_files_of_interrupted_snapshots_do_not_add_up(self):
+        storage = self.storage()
+        storage.open()
+        storage.save(make_ready(1, 2, 3, 4))
+        for index in range(1, 5):
+            # The process ends in place of the rename.
+            crash = _filesystem.Crash()
+            with mock.patch.object(os, "replace", side_effect=crash):
+                self.assertRaises(
+                    _filesystem.Crash,
+                    storage.save_snapshot,
+                    wire.SnapshotMeta(index=index, term=1),
+                    b"s" * 1000,
+                    wire.HardState(),
+                    [],
+                )
+            storage.close()
+            storage = self.storage()
+            storage.open()
+        self.assertLess(storage.size(), 1000)
+
     def test_corrupt_snapshot_is_rejected(self):
         storage = self.storage()
         storage.open()
@@ -357,9 +378,16 @@
             lambda: results.append(self.read_back())
         )
         self.assertIn(results[0], allowed)
+        self.assert_no_leftovers()
         for later in interrupted:
             self.files.restore(later)
             self.assertEqual(results[0], self.read_back())
+            self.assert_no_leftovers()
+
+    def assert_no_leftovers(self):
+        names = sorted(path.stem for path in self.directory.iterdir())
+        kinds = [name.split("-")[0] for name in names]
+        self.assertEqual(["identity", "snapshot", "wal"], kinds)
 
     def assert_survives(self, prepared, action, allowed):
         """Ends process or power at each step of ``action``."""
