--- a/galenashed/consensus/tests/test_core.py
+++ b/galenashed/consensus/tests/test_core.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import random
 
 import testtools
 
@@ -15,10 +16,10 @@
 STEPS = 1500
 
 
-def run_seed(seed: int, replicas: int, core_class=consensus.Core):
+def run_seed(seed: int, replicas: int, **options) -> _simulation.Simulation:
     """Runs one history with faults, then checks that it converges."""
     simulation = _simulation.Simulation(
-        seed=seed, replicas=replicas, core_class=core_class
+        seed=seed, replicas=replicas, **options
     )
     simulation.run(STEPS)
     simulation.recover_and_check()
@@ -76,24 +77,36 @@
         self.quorum = quorum
 
 
+class RemovesLogBeforeSnapshot(consensus.Storage):
+    """Removes the log before the snapshot that covers it is stored."""
+
+    __slots__ = ()
+
+    def _write_snapshot(self, meta, data):
+        for path in self._wal_paths():
+            path.unlink()
+        super()._write_snapshot(meta, data)
+
+
 class TestSeededFaults(testtools.TestCase):
     """Invariants of the log over many seeded histories."""
 
     def test_three_replicas(self):
-        for seed in range(SEEDS):
-            run_seed(seed, 3)
+        simulations = [run_seed(seed, 3) for seed in range(SEEDS)]
+        installs = sum(simulation.installs for simulation in simulations)
+        self.assertGreaterEqual(installs, SEEDS // 2)
 
     def test_five_replicas(self):
         for seed in range(SEEDS // 3):
             run_seed(1_000_000 + seed, 5)
 
-    def assert_detected(self, core_class):
+    def assert_detected(self, core_class=consensus.Core, **options):
         for seed in range(SEEDS):
             try:
-                run_seed(seed, 3, core_class)
+                run_seed(seed, 3, core_class=core_class, **options)
             except AssertionError:
                 return
-        self.fail(f"no seed detected the fault of {core_class.__name__}")
+        self.fail(f"no seed detected the fault of {core_class} {options}")
 
     def test_checks_detect_forgotten_vote(self):
         self.assert_detected(ForgetsVote)
@@ -107,6 +120,9 @@
     def test_checks_detect_commit_by_minority(self):
         self.assert_detected(CommitsWithMinority)
 
+    def test_checks_detect_log_that_is_removed_first(self):
+        self.assert_detected(storage_class=RemovesLogBeforeSnapshot)
+
 
 class TestElections(testtools.TestCase):
     """Individual properties of elections and catch-up."""
@@ -179,6 +195,64 @@
         self.assertGreater(index, 40)
 
 
+class TestSnapshotsOverLogs(testtools.TestCase):
+    """What a follower keeps of its log when it is sent a snapshot."""
+
+    MEMBERS = tuple(consensus.Member(name) for name in ("r0", "r1", "r2"))
+    META = wire.SnapshotMeta(index=2, term=2, members=MEMBERS)
+
+    def make_follower(self, *terms):
+        """Returns a follower that has stored entries of these terms."""
+        core = consensus.Core(
+            name="r1",
+            election_timeout=_simulation.ELECTION_TIMEOUT,
+            heartbeat=_simulation.HEARTBEAT,
+            rng=random.Random(1),
+            restored=consensus.Restored(
+                hard_state=wire.HardState(term=3),
+                snapshot=wire.SnapshotMeta(members=self.MEMBERS),
+                snapshot_data=b"",
+                entries=[
+                    wire.Entry(index, term, b"x")
+                    for index, term in enumerate(terms, 1)
+                ],
+            ),
+            now=0.0,
+        )
+        core.step(
+            0.0,
+            wire.SnapshotChunk(
+                sender="r0",
+                term=3,
+                meta=self.META,
+                offset=0,
+                data=b"state",
+                last=True,
+            ),
+        )
+        return core
+
+    def test_entries_after_snapshot_that_the_log_contains_are_kept(self):
+        core = self.make_follower(1, 2, 2, 3)
+        self.assertEqual(4, core.log.last_index)
+        self.assertEqual(4, core.durable_index)
+        ready = core.take_ready()
+        self.assertIsNone(ready.snapshot)
+        self.assertEqual([1, 2], [entry.index for entry in ready.committed])
+        replies = [message for _, message in ready.messages]
+        self.assertIn(
+            wire.SnapshotReply(sender="r1", term=3, index=2, offset=-1),
+            replies,
+        )
+
+    def test_entries_that_conflict_with_snapshot_are_replaced(self):
+        for terms in ((1, 1, 1, 1), (1, 3, 3, 3), (1,)):
+            core = self.make_follower(*terms)
+            self.assertEqual(2, core.log.last_index)
+            self.assertEqual(2, core.log.last_term)
+            self.assertEqual(self.META, core.take_ready().snapshot)
+
+
 class TestReplicationAfterLoss(testtools.TestCase):
     """What a leader sends to a follower that has missed many messages."""
 
