Refuse requests that cannot finish before a node stops

Callers saw: on a planned stop (SIGTERM), a request that was sent on an open connection 3.0 to 3.3 s after the signal was accepted, passed on to a target and then cut 3.7 to 4 s later; callers got a closed connection or a bare "Internal Server Error", although the target was at work on it. The platform counts this as a lost request.

Cause: requests were accepted for 0.4 x graceS (3.2 s of 8 s, and up to 0.1 s more, the poll interval of the HTTP server), whatever their time limit. One of up to 15 s was accepted with less than 4 s left. A request whose head had been read earlier was passed on whenever its body was complete, even just before the cut. Class of fault: work is accepted after the point at which it can no longer be completed.

Fix: the gateway knows when the instance stops. From 2.8 s after the signal on it accepts a request only if its time limit passes before the stop; others are refused with 503, "not run", Retry-After 0.1 s and Connection: close before tokens are reserved or a target is chosen. The check runs after the body has been read, so it also holds for half-read requests. Requests with short time limits are still served until the listener closes, for callers that have cached the address.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from galenashed.gateway._handler import Gateway
+from galenashed.gateway._handler import PlannedStop
 from galenashed.gateway._prepaid import PrepaidReserver
 from galenashed.gateway._request import Attempt
 from galenashed.gateway._request import PromptPart
@@ -23,6 +24,7 @@
 __all__ = [
     "Attempt",
     "Gateway",
+    "PlannedStop",
     "PrepaidReserver",
     "PromptPart",
     "Request",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import typing
 
 from galenashed import engines
 from galenashed.gateway import _attempts
@@ -17,6 +18,8 @@
 from galenashed import web
 
 RETRY_AFTER_SECONDS = 0.5
+# Retry-After if any other instance can serve the request at once.
+RETRY_OTHER_INSTANCE_SECONDS = 0.1
 
 
 class RequestContext:
@@ -35,7 +38,6 @@
         "request",
         "reservation",
         "route",
-        "route_deadline",
         "service",
         "team",
         "tokens_per_event",
@@ -50,11 +52,7 @@
         self.service: str = service
         self.tokens_per_event: int = tokens_per_event
         self.reservation: _prepaid.PrepaidReservation = reservation
-        self.route_deadline = request.arrived_at + route.time_limit
-        self.deadline = self.route_deadline
-        if request.caller_timeout is not None:
-            caller_deadline = request.arrived_at + request.caller_timeout
-            self.deadline = min(self.route_deadline, caller_deadline)
+        self.deadline = _deadline(request, route)
         self.attempts = _attempts.AttemptCounts()
         self.attempted_targets: list[str] = []
         self.last_error = ""
@@ -70,6 +68,21 @@
         return self.deadline - time.monotonic()
 
 
+class PlannedStop(typing.NamedTuple):
+    """When an instance stops, in seconds on the monotonic clock.
+
+    Requests in progress are cut at ``stop_at``.  From ``short_only_from`` on,
+    a request is accepted only if its time limit passes before that.
+    """
+
+    short_only_from: float
+    stop_at: float
+
+    def may_accept(self, deadline: float, now: float) -> bool:
+        """Returns whether a request with this time limit is accepted."""
+        return now < self.short_only_from or deadline <= self.stop_at
+
+
 class Gateway:
     """Serves the requests of one entry by the routing table.
 
@@ -115,6 +128,11 @@
         self.rng = rng
         self.route_index: _table.RouteIndex | None = None
         self.in_flight = 0
+        self._stop: PlannedStop | None = None
+
+    def begin_drain(self, stop: PlannedStop) -> None:
+        """Refuses from now on what can't be served before the stop."""
+        self._stop = stop
 
     def apply_routing_table(self, table: wire.RoutingTable) -> bool:
         """Switches to a newer table; returns whether it was newer."""
@@ -198,6 +216,16 @@
 
     async def _handle(self, request, route, team, writer) -> None:
         assert self.route_index is not None
+        if self._stop is not None and not self._stop.may_accept(
+            _deadline(request, route), time.monotonic()
+        ):
+            raise web.ApiError(
+                status=503,
+                code="instance_stopping",
+                message="this instance stops before the time limit of the"
+                " request; use another one",
+                retry_after=RETRY_OTHER_INSTANCE_SECONDS,
+            )
         service = _table.select_service(route, request.id)
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
@@ -448,6 +476,14 @@
     )
 
 
+def _deadline(request: _request.Request, route: wire.Route) -> float:
+    """Returns the earlier of the route's and the caller's time limit."""
+    time_limit = route.time_limit
+    if request.caller_timeout is not None:
+        time_limit = min(time_limit, request.caller_timeout)
+    return request.arrived_at + time_limit
+
+
 def _elapsed_seconds(request: _request.Request) -> float:
     """Returns the seconds since a request arrived."""
     return round(time.monotonic() - request.arrived_at, 4)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -294,9 +294,10 @@
                 continue
             return replica
 
-    def begin_drain(self) -> None:
+    def begin_drain(self, stop: gateway.PlannedStop) -> None:
         """Announces to callers and other nodes that this one stops."""
         self.draining = True
+        self.gateway.begin_drain(stop)
         self._gossiper.trigger_round()
         self.log.write("node drains", in_flight=self.gateway.in_flight)
 
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -7,10 +7,12 @@
 import random
 import signal
 import sys
+import time
 
 import loguru
 import uvloop
 
+from galenashed import gateway
 from galenashed import node
 from galenashed.platform import _ingress
 from galenashed.platform import _management
@@ -28,6 +30,10 @@
 # SHUTDOWN_MARGIN_SECONDS.
 DRAIN_DELAY_SHARE = 0.4
 SHUTDOWN_MARGIN_SECONDS = 1.0
+# From this long after the signal on, only requests that are sure to finish
+# are accepted: the platform tolerates that the stop cuts a request that was
+# sent in the first 3 s, and the signal is handled a little after it was sent.
+SHORT_ONLY_AFTER_SECONDS = 2.8
 MAX_CONNECTIONS = 2000
 HEAD_TIMEOUT_SECONDS = 10.0
 
@@ -103,13 +109,17 @@
         Those that take longer than the shutdown timeout allows are aborted.
         """
         timeout = self.node_cfg.shutdown_timeout
-        self.node.begin_drain()
-        await asyncio.sleep(timeout * DRAIN_DELAY_SHARE)
-        remaining = (
-            timeout * (1.0 - DRAIN_DELAY_SHARE) - SHUTDOWN_MARGIN_SECONDS
+        now = time.monotonic()
+        stop_at = now + timeout - SHUTDOWN_MARGIN_SECONDS
+        self.node.begin_drain(
+            gateway.PlannedStop(
+                short_only_from=now + SHORT_ONLY_AFTER_SECONDS,
+                stop_at=stop_at,
+            )
         )
+        await asyncio.sleep(timeout * DRAIN_DELAY_SHARE)
         try:
-            async with asyncio.timeout(remaining):
+            async with asyncio.timeout(stop_at - time.monotonic()):
                 await self._caller_server.close()
         except TimeoutError:
             self.log.write(
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -17,7 +17,11 @@
 
 
 class Target:
-    """A target of one service, which records the requests that it executes."""
+    """A target of one service, which records the requests that it executes.
+
+    It takes ``delay`` seconds for a response, or for each event of a stream,
+    unless the request has a header ``X-Delay``.
+    """
 
     def __init__(self, *, service, address, target_id):
         self.service = service
@@ -69,7 +73,7 @@
         self.executions.append((method, path, headers, body))
         if self.service == "engines":
             return await self.send_events(writer, headers)
-        await asyncio.sleep(self.delay)
+        await asyncio.sleep(float(headers.get("x-delay", self.delay)))
         await self.send_response(writer, 200, headers, b"ran:" + body)
         return True
 
@@ -94,6 +98,7 @@
     async def send_events(self, writer, headers):
         """Sends the events 1 to 10, or those after the last-event-id."""
         first = int(headers.get("last-event-id", 0)) + 1
+        delay = float(headers.get("x-delay", self.delay))
         head = self.response_head(200, headers)
         head += "Content-Type: text/event-stream\r\n"
         head += "Transfer-Encoding: chunked\r\n\r\n"
@@ -107,7 +112,7 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             try:
                 await writer.drain()
-                await asyncio.sleep(self.delay)
+                await asyncio.sleep(delay)
             except ConnectionError:
                 self.cancelled_streams += 1
                 raise
@@ -137,9 +142,19 @@
 class Site:
     """A small deployment that is none of the documented ones."""
 
-    def __init__(self, *, nodes=4, replicas=3, prepaid=100_000):
+    def __init__(
+        self,
+        *,
+        nodes=4,
+        replicas=3,
+        prepaid=100_000,
+        grace=6,
+        time_limit=3.0,
+    ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="site-"))
         self.prepaid = prepaid
+        self.grace = grace
+        self.time_limit = time_limit
         self.ports = [_fleet.free_port() for _ in range(6)]
         self.ips = [f"127.0.0.{10 + n}" for n in range(nodes)]
         self.replicas = replicas
@@ -190,7 +205,7 @@
 [tolerance]
 machines = 1
 [bounds]
-graceS = 6
+graceS = {self.grace}
 retryRatio = 2.0
 retrySlack = 60
 ttl_max_s = 4
@@ -318,7 +333,7 @@
             "host": HOST,
             "pathPrefix": prefix,
             "routeKind": kind,
-            "timeoutMs": 3000,
+            "timeoutMs": int(1000 * self.time_limit),
             "targetLatencyMs": 500,
             "priority": 1,
             "service": service,
