Answer and bill the requests that the stop of a node cuts

Callers saw: a request that was still in progress at the end of the grace period of a planned stop ended with a bare 500 "Internal Server Error" without a code, or with a closed connection, at a moment that depended on how long the node took to close. Operators saw "grants not returned" at such stops, and the tokens of the cut requests were never billed.

Cause: the requests were not cut before the node closed, but by the end of the event loop after it. Their reservations stayed open until then, so that the budget manager could neither return the grants nor settle bills before its timeout, and the bills came when it was already closed. Class of fault: parts are closed while their users still run.

Fix: the gateway ends requests at the planned stop itself, by the timer that enforces their time limits. Those whose response has not started get 502 (instance_stopped, run "unknown") if they were passed on to a target, else 503 (instance_stopping, not run); a response that has started is aborted. The node closes after that, and settles bills of all requests. The cut stays at 1 s before the end of the grace period.

Evidence: real processes, graceS 8, on the old code at:

test_call_that_the_stop_cuts_is_answered MismatchError: 502 != 500: b'Internal Server Error' test_stream_that_the_stop_cuts_is_billed AssertionError: waited 16 s for the bill of the stream

Both pass with this change; the tests of platform, gateway and node pass.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -129,10 +129,31 @@
         self.route_index: _table.RouteIndex | None = None
         self.in_flight = 0
         self._stop: PlannedStop | None = None
+        self._timers: set[asyncio.Timeout] = set()
 
     def begin_drain(self, stop: PlannedStop) -> None:
-        """Refuses from now on what can't be served before the stop."""
+        """Refuses what can't be served before the stop; cuts the rest then.
+
+        A request that is cut gets an error response, or an incomplete one if
+        the response has started.  Its tokens are billed.
+        """
         self._stop = stop
+        remaining = stop.stop_at - time.monotonic()
+        loop_deadline = asyncio.get_running_loop().time() + remaining
+        for timer in self._timers:
+            when = timer.when()
+            if when is not None and when > loop_deadline:
+                timer.reschedule(loop_deadline)
+
+    def _cuts_before_deadline(self, context: RequestContext) -> bool:
+        """Whether the stop ends a request before its time limit does."""
+        return self._stop is not None and self._stop.stop_at < context.deadline
+
+    def _time_left(self, context: RequestContext) -> float:
+        """Returns the seconds until the time limit or the stop."""
+        if self._stop is not None and self._cuts_before_deadline(context):
+            return self._stop.stop_at - time.monotonic()
+        return context.time_left()
 
     def apply_routing_table(self, table: wire.RoutingTable) -> bool:
         """Switches to a newer table; returns whether it was newer."""
@@ -219,13 +240,7 @@
         if self._stop is not None and not self._stop.may_accept(
             _deadline(request, route), time.monotonic()
         ):
-            raise web.ApiError(
-                status=503,
-                code="instance_stopping",
-                message="this instance stops before the time limit of the"
-                " request; use another one",
-                retry_after=RETRY_OTHER_INSTANCE_SECONDS,
-            )
+            raise _stopping_error()
         service = _table.select_service(route, request.id)
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
@@ -241,18 +256,25 @@
         self.retries.on_request()
         relay = _relay.Relay(context=context, writer=writer)
         try:
-            async with asyncio.timeout(context.time_left()):
-                await self._run_attempts(context, relay)
+            async with asyncio.timeout(self._time_left(context)) as timer:
+                self._timers.add(timer)
+                try:
+                    await self._run_attempts(context, relay)
+                finally:
+                    self._timers.discard(timer)
         except TimeoutError:
+            stopped = self._cuts_before_deadline(context)
             if relay.started:
                 self.log.write(
-                    "cut at the time limit",
+                    "cut at the stop" if stopped else "cut at the time limit",
                     request=request.id,
                     events=relay.event_count,
                     after=_elapsed_seconds(request),
                 )
                 relay.abort()
                 return
+            if stopped:
+                raise self._stopped_error(context) from None
             raise self._timeout_error(context) from None
         finally:
             reservation.event_count = relay.event_count
@@ -455,6 +477,16 @@
             execution_status=web.ExecutionStatus.UNKNOWN,
         )
 
+    def _stopped_error(self, context: RequestContext) -> web.ApiError:
+        if not context.reservation.may_have_run:
+            return _stopping_error()
+        return web.ApiError(
+            status=502,
+            code="instance_stopped",
+            message="this instance stopped before a response arrived",
+            execution_status=web.ExecutionStatus.UNKNOWN,
+        )
+
     def _attempts_failed_error(self, context: RequestContext) -> web.ApiError:
         if not context.attempts.runs:
             return _unavailable_error(context.last_error)
@@ -467,6 +499,16 @@
         )
 
 
+def _stopping_error() -> web.ApiError:
+    return web.ApiError(
+        status=503,
+        code="instance_stopping",
+        message="this instance stops before the time limit of the request;"
+        " use another one",
+        retry_after=RETRY_OTHER_INSTANCE_SECONDS,
+    )
+
+
 def _unavailable_error(reason: str) -> web.ApiError:
     return web.ApiError(
         status=503,
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -30,6 +30,8 @@
 # SHUTDOWN_MARGIN_SECONDS.
 DRAIN_DELAY_SHARE = 0.4
 SHUTDOWN_MARGIN_SECONDS = 1.0
+# Time for the last bytes of responses to be sent and connections to close.
+CLOSE_TIMEOUT_SECONDS = 0.1
 # From this long after the signal on, only requests that are sure to finish
 # are accepted: the platform tolerates that the stop cuts a request that was
 # sent in the first 3 s, and the signal is handled a little after it was sent.
@@ -106,7 +108,8 @@
     async def drain(self) -> None:
         """Stops after the requests in flight have finished.
 
-        Those that take longer than the shutdown timeout allows are aborted.
+        Those that take longer than the shutdown timeout allows are cut by
+        the gateway, before the node closes and settles their bills.
         """
         timeout = self.node_cfg.shutdown_timeout
         now = time.monotonic()
@@ -119,7 +122,9 @@
         )
         await asyncio.sleep(timeout * DRAIN_DELAY_SHARE)
         try:
-            async with asyncio.timeout(stop_at - time.monotonic()):
+            async with asyncio.timeout(
+                stop_at + CLOSE_TIMEOUT_SECONDS - time.monotonic()
+            ):
                 await self._caller_server.close()
         except TimeoutError:
             self.log.write(
--- a/galenashed/platform/tests/test_shutdown.py
+++ b/galenashed/platform/tests/test_shutdown.py
@@ -17,6 +17,7 @@
 # later than this after SIGTERM, and only in the last sixth of the grace
 # period.
 EXCUSED_SECONDS = 3.0
+EXCUSED_SHARE = 5 / 6
 LONG_SECONDS = 4.5
 EVENTS = 10  # of a stream of a test target
 STOPPING_NODE = 3
@@ -147,3 +148,39 @@
             self.assert_answered_or_not_run(caller, response)
         self.assertIn("short-call", self.executed_ids())
         self.wait_for_exit(stopped_at)
+
+    def test_call_that_the_stop_cuts_is_answered(self):
+        call = Caller(self.site, "call", delay=TIME_LIMIT_SECONDS)
+        call.send("/o/x")
+        _fleet.wait_for(lambda: "call" in self.executed_ids(), "the call")
+        stopped_at = self.stop_node()
+        status, body, _ = call.read_response()
+        self.assertGreaterEqual(
+            time.monotonic() - stopped_at, EXCUSED_SHARE * GRACE_SECONDS
+        )
+        self.assertEqual(502, status, body)
+        self.assertEqual("unknown", json.loads(body)["error"]["run"])
+        self.wait_for_exit(stopped_at)
+
+    def test_stream_that_the_stop_cuts_is_billed(self):
+        stream = Caller(self.site, "stream", delay=TIME_LIMIT_SECONDS / EVENTS)
+        stream.headers["X-Token-Usage"] = "100,40"
+        stream.send("/n/x")
+        _fleet.wait_for(lambda: "stream" in self.executed_ids(), "the stream")
+        stopped_at = self.stop_node()
+        self.assertIsNone(stream.read_response())
+        self.wait_for_exit(stopped_at)
+        _fleet.wait_for(
+            lambda: self.settled_tokens() > 100,
+            "the bill of the stream",
+            timeout=2 * GRACE_SECONDS,
+        )
+
+    def settled_tokens(self):
+        """Returns the tokens of all bills that control has settled."""
+        return max(
+            json.loads(line)["settled"]
+            for process in self.site.processes
+            for line in process.log.read_bytes().splitlines()
+            if b'"budgets"' in line
+        )
