Don't write an error into a response that is in progress

Callers saw: an entry that received bytes after a request, while the response to it was in progress, wrote a 408, 400 or 431 into the middle of that response and closed the connection. The response was lost, although a target was at work on it, and for a response with a length the error was read as a part of its body.

Cause: the limit on the time of a head starts with the first byte of the next request, and the limit on its size and the parser's errors act at once; none of them looked for a response in progress. Class of fault: an error about one request is written where the response to another is due.

Fix: if the bytes belong to a request whose response is not the next one due, nothing more is read, and the connection is closed after the responses to the requests that were read whole. An incomplete request behind them is not run.

Evidence: galenashed/web/tests/test_server.py, four of five tests fail on the old code at, for example

test_incomplete_second_head_does_not_cut_the_response reference = b'second half' actual = b'HTTP/1.1 408 Refused\r\nContent-Type: ...

All five pass with this change, as does galenashed/tests/test_bad_callers.py.

--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -5,11 +5,14 @@
 import socket
 import typing
 
+import loguru
 import uvicorn
 import uvicorn.protocols.http.httptools_impl as httptools_impl
 
 from galenashed.web import _errors
 
+LOG = loguru.logger
+
 MAX_HEAD_BYTES = 32 * 1024
 LISTEN_BACKLOG = 1024
 STARTUP_POLL_SECONDS = 0.005
@@ -19,6 +22,8 @@
     """Limits connections, the size of request heads and the time they take.
 
     Connections that exceed a limit get an error response and are closed.
+    Nothing more is read from one whose response in progress the error would
+    interrupt; it is closed after the response.
     """
 
     head_timeout = 10.0
@@ -28,6 +33,7 @@
         super().connection_made(transport)
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._input_ended = False
         if len(self.connections) > self.max_connections:
             self._refuse(
                 503,
@@ -54,7 +60,42 @@
             f"no complete request head arrived in {self.head_timeout} s",
         )
 
+    def _can_send_error(self) -> bool:
+        """Whether an error would be the response to the bytes it is about."""
+        if self.pipeline:
+            return False
+        cycle = self.cycle
+        return (
+            cycle is None
+            or cycle.response_complete
+            or (cycle.more_body and not cycle.response_started)
+        )
+
+    def _end_input(self) -> None:
+        """Reads no more; closes the connection after the open responses."""
+        LOG.info("bad or late bytes after a request: closing after responses")
+        self._input_ended = True
+        self._stop_head_timer()
+        if self.pipeline and self.cycle.more_body:
+            # The last request is incomplete.
+            self.pipeline.popleft()
+
+    def on_response_complete(self) -> None:
+        is_last = not self.pipeline
+        super().on_response_complete()
+        if self._input_ended and is_last:
+            self.transport.close()
+
+    def send_400_response(self, msg: str) -> None:
+        if self._can_send_error():
+            super().send_400_response(msg)
+        else:
+            self._end_input()
+
     def _refuse(self, status: int, code: str, message: str) -> None:
+        if not self._can_send_error():
+            self._end_input()
+            return
         error = _errors.ApiError(status=status, code=code, message=message)
         body = error.to_json()
         head = (
@@ -69,6 +110,8 @@
             self.transport.close()
 
     def data_received(self, data: bytes) -> None:
+        if self._input_ended:
+            return
         if self._head_timer is not None:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES + self.max_body_prefix_bytes:
--- /dev/null
+++ b/galenashed/web/tests/test_server.py
@@ -0,0 +1,98 @@
+"""Errors of a connection while a response on it is in progress."""
+
+import asyncio
+
+import testtools
+
+from galenashed import web
+
+HEAD_TIMEOUT_SECONDS = 0.2
+WAIT_SECONDS = 10.0
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+FIRST_HALF = b"first half, "
+SECOND_HALF = b"second half"
+
+
+class HalvesApp:
+    """ASGI application that sends the second half of a body when told to."""
+
+    def __init__(self):
+        self.requests = 0
+        self.released = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        self.requests += 1
+        length = len(FIRST_HALF + SECOND_HALF)
+        headers = [(b"content-length", b"%d" % length)]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        await send(
+            {
+                "type": "http.response.body",
+                "body": FIRST_HALF,
+                "more_body": True,
+            }
+        )
+        await self.released.wait()
+        await send({"type": "http.response.body", "body": SECOND_HALF})
+
+
+class TestErrorsDuringResponse(testtools.TestCase):
+    """Bytes after a request don't end the response to it."""
+
+    def read_response(self, *later):
+        """Sends a request, then ``later`` while its response is in progress.
+
+        Returns what the server sends after the head of the first response
+        until it closes the connection.
+        """
+        return asyncio.run(self._read_response(later))
+
+    async def _read_response(self, later):
+        app = HalvesApp()
+        server = web.HttpServer(
+            app=app, address="127.0.0.1:0", head_timeout=HEAD_TIMEOUT_SECONDS
+        )
+        await server.start()
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", server.port
+                )
+                writer.write(GET)
+                await reader.readuntil(FIRST_HALF)
+                for data in later:
+                    writer.write(data)
+                    await writer.drain()
+                # The time limit of the head passes meanwhile.
+                await asyncio.sleep(3 * HEAD_TIMEOUT_SECONDS)
+                app.released.set()
+                try:
+                    return await reader.read()
+                finally:
+                    writer.close()
+        finally:
+            await server.abort()
+
+    def test_incomplete_second_head_does_not_cut_the_response(self):
+        self.assertEqual(SECOND_HALF, self.read_response(GET[:-10]))
+
+    def test_oversized_second_head_does_not_cut_the_response(self):
+        data = GET[:-2] + b"X-Y: " + b"z" * 400_000
+        self.assertEqual(SECOND_HALF, self.read_response(data))
+
+    def test_malformed_second_request_does_not_cut_the_response(self):
+        self.assertEqual(SECOND_HALF, self.read_response(b"\x16\x03\x01\r\n"))
+
+    def test_malformed_second_body_does_not_cut_the_responses(self):
+        head = (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        self.assertEqual(SECOND_HALF, self.read_response(head + b"no size"))
+
+    def test_second_request_is_served_after_the_first(self):
+        data = GET.replace(b"Host", b"Connection: close\r\nHost")
+        response = self.read_response(data)
+        self.assertTrue(response.startswith(SECOND_HALF + b"HTTP/1.1 200"))
+        self.assertTrue(response.endswith(FIRST_HALF + SECOND_HALF))
