Notice a change of the settings file that comes during the start

Operators saw: a node whose settings file changed while it started kept the seeds that it had read first, until the file changed once more.

Cause: the file was first checked when the start was over, and what it was then counted as what had been read. Class of fault: the state that changes are compared with is taken after the data were read.

Fix: the file's version is read before its contents, and compared with at the first check, which comes as soon as the node has started.

--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -9,7 +9,6 @@
 import sys
 import time
 
-import loguru
 import uvloop
 
 from galenashed import gateway
@@ -21,8 +20,6 @@
 from galenashed import telemetry
 from galenashed import web
 
-LOG = loguru.logger
-
 SETTINGS_POLL_SECONDS = 2.0
 # On shutdown, new requests are still served for DRAIN_DELAY_SHARE of the
 # shutdown timeout, while the addresses that callers have cached expire.  The
@@ -49,11 +46,20 @@
         The platform's settings.
     path : pathlib.Path
         The settings file, from which ``cfg`` is reloaded.
+    file_version : tuple of int
+        The file's version from before ``cfg`` was read.
     """
 
-    def __init__(self, *, cfg: _settings.Settings, path: pathlib.Path):
+    def __init__(
+        self,
+        *,
+        cfg: _settings.Settings,
+        path: pathlib.Path,
+        file_version: tuple[int, int],
+    ):
         self.cfg = cfg
         self.path = path
+        self._file_version = file_version
         self.log = telemetry.DecisionLog(instance=cfg.node_name)
         self.node_cfg = _settings.make_node_settings(cfg)
         self.metrics = telemetry.InMemoryMetrics()
@@ -147,29 +153,22 @@
         self.log.write("settings reloaded", changed=changed)
 
     async def _watch_settings_file(self) -> None:
-        last_version = self._read_file_version()
         while True:
-            await asyncio.sleep(SETTINGS_POLL_SECONDS)
-            version = self._read_file_version()
-            if version != last_version:
-                last_version = version
+            version = _settings.read_file_version(self.path)
+            if version != self._file_version:
+                self._file_version = version
                 self.reload()
-
-    def _read_file_version(self) -> tuple[int, int]:
-        try:
-            status = self.path.stat()
-        except OSError as exc:
-            LOG.warning("can't check the settings file for changes: {}", exc)
-            return (0, 0)
-        return (status.st_mtime_ns, status.st_size)
+            await asyncio.sleep(SETTINGS_POLL_SECONDS)
 
 
-async def _serve(cfg: _settings.Settings, path: pathlib.Path) -> None:
+async def _serve(
+    cfg: _settings.Settings, path: pathlib.Path, file_version: tuple[int, int]
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
-    program = Program(cfg=cfg, path=path)
+    program = Program(cfg=cfg, path=path, file_version=file_version)
     await program.start()
     stopped = asyncio.create_task(stop.wait())
     failed = asyncio.create_task(program.wait_for_failure())
@@ -184,6 +183,7 @@
     """Runs until SIGTERM; returns the exit code."""
     try:
         path = _settings.get_settings_path()
+        file_version = _settings.read_file_version(path)
         cfg = _settings.read_settings(path)
     except _settings.SettingsError as exc:
         print(exc, file=sys.stderr)
@@ -194,5 +194,5 @@
     logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_serve(cfg, path))
+        runner.run(_serve(cfg, path, file_version))
     return 0
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -8,10 +8,13 @@
 import pathlib
 import tomllib
 
+import loguru
 import msgspec
 
 from galenashed import node
 
+LOG = loguru.logger
+
 SETTINGS_VARIABLE = "GALENASHED_BOOT"
 # Offsets from the first port of the range that is reserved for internal use.
 PEERS_PORT_OFFSET = 0
@@ -115,6 +118,16 @@
     return pathlib.Path(value)
 
 
+def read_file_version(path: pathlib.Path) -> tuple[int, int]:
+    """Returns values that differ after a change of the file."""
+    try:
+        status = path.stat()
+    except OSError as exc:
+        LOG.warning("can't check the settings file for changes: {}", exc)
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
+
+
 def read_settings(path: pathlib.Path) -> Settings:
     """Reads and checks the file; raises SettingsError."""
     try:
