Don't let a reload end a node that is starting

Operators saw: a node that got SIGHUP in the seconds in which it starts ended with "Hangup" and had to be started again.

Cause: the handler of the signal is installed when the node starts, after all modules have been imported and the settings read. Until then the default action of SIGHUP ends the process.

Fix: the signal is ignored before the imports. The reload is not lost: the settings file is checked for a change when the start is over. What remains is the start of the interpreter itself.

Evidence: test_sighup_during_the_start_does_not_end_the_process sends the signal during the imports of a process.

--- a/galenashed/platform/__main__.py
+++ b/galenashed/platform/__main__.py
@@ -1,7 +1,12 @@
 """Entry point of ``python3 -m galenashed.platform``."""
 
+import signal
 import sys
 
-from galenashed.platform import _program
+# By default a reload would end the process.  One that is requested before the
+# program handles the signal is noticed when it first checks the settings file.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from galenashed.platform import _program  # noqa: E402
 
 sys.exit(_program.main())
--- a/galenashed/platform/tests/test_site.py
+++ b/galenashed/platform/tests/test_site.py
@@ -1,6 +1,7 @@
 """End-to-end tests of the adapter, with nodes in processes of their own."""
 
 import http.client
+import pathlib
 import re
 import signal
 import time
@@ -373,6 +374,25 @@
             200, site.try_fetch(site.readiness_address(0), "/readyz")
         )
 
+    def test_sighup_during_the_start_does_not_end_the_process(self):
+        site = self.start()
+        process = site.processes[3]
+        process.kill()
+        process.start()
+        maps = pathlib.Path(f"/proc/{process.popen.pid}/maps")
+        _fleet.wait_for(
+            lambda: "msgspec" in maps.read_text(), "the first imports"
+        )
+        process.signal(signal.SIGHUP)
+        _fleet.wait_for(
+            lambda: (
+                process.popen.poll() is not None
+                or site.try_fetch(site.readiness_address(3), "/readyz") == 200
+            ),
+            "the node to be ready or to end",
+        )
+        self.assertIsNone(process.popen.poll())
+
     def test_draining_target_gets_no_new_requests_from_any_node(self):
         site = self.start()
         leaving = site.add_target("app", node=0)
