Close connections to targets that send a head or trailers without end

Callers saw: a request whose target sends headers, 1xx responses, a status line, trailers or a chunk extension without end got its 504 (a stream: its cut) only at the time limit, though no answer could come any more; an idempotent one was not sent to another target. Meanwhile the instance kept every header, and the bytes of a header without end, and other requests waited for the parser.

Cause: the connection had a limit for bytes of a body that nobody reads, but none for bytes that are no part of a body. Class of fault: input of a peer kept without a bound.

Ruled out: bytes that are no HTTP at all, which the parser refuses at once, and 101 responses.

Now at most 64 KiB may come without a part of a body among them, counted once a read. That is four times the head that a caller may send by the example of the protocol. Of a read that passes the limit, bytes beyond it are parsed only if the head ended before.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -3,7 +3,8 @@
 Only responses that are known to be complete are reported as such: a response
 without a length is complete only if the target closed the connection without
 an error.  A connection that receives bytes outside of a response to a request
-is not reused.
+is not reused.  A target that sends a head, interim responses or trailers
+without end is disconnected.
 """
 
 import asyncio
@@ -18,6 +19,9 @@
 
 # Reading from the target pauses when more bytes of a response are buffered.
 MAX_UNREAD_BYTES = 256 * 1024
+# Limit of the bytes that a target may send without any bytes of a body among
+# them: a head with the interim responses before it, a chunk header, trailers.
+MAX_FRAMING_BYTES = 64 * 1024
 # Idle time after which a connection is not reused, unless the target sends a
 # timeout in a Keep-Alive header.
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
@@ -75,6 +79,7 @@
         self._error: Exception | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
+        self._framing_bytes = 0
         self._paused = False
         self._waiter: asyncio.Future | None = None
 
@@ -96,6 +101,7 @@
         self._no_response_body = no_response_body
         self._chunks.clear()
         self._unread_bytes = 0
+        self._framing_bytes = 0
         self.used = True
         self._transport.write(data)
 
@@ -196,15 +202,29 @@
         if not self._request_active or self._complete:
             self.abort()
             return
+        self._framing_bytes += len(data)
+        excess = self._framing_bytes - MAX_FRAMING_BYTES
         try:
+            if excess > 0 and self._head is None:
+                # The rest may only be parsed if the head ends before it.
+                self._parser.feed_data(data[:-excess])
+                data = data[-excess:] if self._head is not None else b""
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             if self._complete:
                 self._mark_unusable()
                 return
-            self._fail(f"invalid HTTP response: {exc!r}")
-            if self._transport is not None:
-                self._transport.abort()
+            self._reject_response(f"invalid HTTP response: {exc!r}")
+            return
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self._complete:
+            self._reject_response(
+                f"over {MAX_FRAMING_BYTES} bytes without a part of a body"
+            )
+
+    def _reject_response(self, reason: str) -> None:
+        self._fail(reason)
+        self._headers = []
+        self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Completes a close-delimited response, or fails the request."""
@@ -268,6 +288,7 @@
         """Buffers a part of the body; pauses reading at the limit."""
         if self._complete:
             return
+        self._framing_bytes = 0
         self._chunks.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused:
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -14,6 +14,9 @@
 HOST = "depot.example"
 KEY = "key-of-the-rounds-team"
 SERVICES = ("engines", "app")
+# What a target sends without an end, unless its connection closes before.
+ENDLESS_BYTES = 64 * 2**20
+ENDLESS_AFTER_EVENT = 4
 
 
 class Target:
@@ -31,6 +34,13 @@
         self.cancelled_streams = 0
         self.reject = False
         self.delay = 0.0
+        # ``endless`` is sent again and again after ``endless_start``, in place
+        # of a response or, by an engine, of the events after
+        # ENDLESS_AFTER_EVENT.
+        self.endless_start = b""
+        self.endless = b""
+        self.endless_sent_bytes = 0
+        self.endless_closed = 0
         self.server = None
 
     async def start(self):
@@ -69,10 +79,29 @@
         self.executions.append((method, path, headers, body))
         if self.service == "engines":
             return await self.send_events(writer, headers)
+        if self.endless:
+            await self.send_endless(writer)
+            return False
         await asyncio.sleep(self.delay)
         await self.send_response(writer, 200, headers, b"ran:" + body)
         return True
 
+    async def send_endless(self, writer):
+        """Sends ``endless`` until the connection closes."""
+        piece = self.endless * (64 * 1024 // len(self.endless))
+        writer.write(self.endless_start)
+        sent = 0
+        try:
+            while sent < ENDLESS_BYTES:
+                writer.write(piece)
+                await writer.drain()
+                sent += len(piece)
+            while not writer.transport.is_closing():
+                await asyncio.sleep(0.05)
+        finally:
+            self.endless_sent_bytes += sent
+            self.endless_closed += 1
+
     def response_head(self, status, headers):
         return (
             f"HTTP/1.1 {status} Status\r\n"
@@ -99,6 +128,9 @@
         head += "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
         for number in range(first, 11):
+            if self.endless and number > ENDLESS_AFTER_EVENT:
+                await self.send_endless(writer)
+                return False
             if self.break_after is not None and number > self.break_after:
                 writer.write(b"8\r\nid: 99\nd\r\n")
                 writer.transport.abort()
--- a/galenashed/platform/tests/test_site.py
+++ b/galenashed/platform/tests/test_site.py
@@ -1,6 +1,7 @@
 """End-to-end tests of the adapter, with nodes in processes of their own."""
 
 import http.client
+import pathlib
 import re
 import signal
 import time
@@ -11,6 +12,9 @@
 from galenashed.tests import _fleet
 
 EVENT_IDS = [str(n) for n in range(1, 11)]
+# Half of the time limit of the routes.
+PROMPT_SECONDS = 1.5
+ENDLESS_HEADER = b"x-long: %s\r\n" % (b"y" * 1000)
 
 
 def event_ids(body):
@@ -51,6 +55,10 @@
             target.reject = False
             target.delay = 0.0
             target.cancelled_streams = 0
+            target.endless_start = b""
+            target.endless = b""
+            target.endless_sent_bytes = 0
+            target.endless_closed = 0
 
     def executions(self, targets):
         return [run for target in targets for run in target.executions]
@@ -107,6 +115,69 @@
         )
         self.assertEqual(1, len(self.executions(self.engines)))
 
+    def check_disconnected(self, targets, peak_bytes):
+        """Checks that nodes closed the connections and kept few bytes."""
+        runs = len(self.executions(targets))
+        _fleet.wait_for(
+            lambda: sum(target.endless_closed for target in targets) == runs,
+            "the connections to close",
+            timeout=PROMPT_SECONDS,
+        )
+        sent = sum(target.endless_sent_bytes for target in targets)
+        self.assertLess(sent, runs * _site.ENDLESS_BYTES / 4)
+        for node, before in enumerate(peak_bytes):
+            growth = self.peak_memory_bytes(node) - before
+            self.assertLess(growth, _site.ENDLESS_BYTES / 2)
+
+    def peak_memory_bytes(self, node):
+        pid = self.site.processes[node].popen.pid
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+        return 1024 * int(re.search(r"VmHWM:\s+(\d+) kB", status)[1])
+
+    def peaks(self):
+        return [self.peak_memory_bytes(node) for node in range(4)]
+
+    def check_unanswered(self, start, endless):
+        peaks = self.peaks()
+        for target in self.apps:
+            target.endless_start = start
+            target.endless = endless
+        started = time.monotonic()
+        response = self.site.call("/o/x", node=1)
+        self.assertEqual(502, response.status)
+        self.assertLess(time.monotonic() - started, PROMPT_SECONDS)
+        self.assertEqual(1, len(self.executions(self.apps)))
+        self.check_disconnected(self.apps, peaks)
+
+    def test_head_without_end_is_no_answer(self):
+        self.check_unanswered(b"HTTP/1.1 200 OK\r\n", ENDLESS_HEADER)
+
+    def test_interim_responses_without_end_are_no_answer(self):
+        self.check_unanswered(b"", b"HTTP/1.1 102 Processing\r\n\r\n")
+
+    def test_switched_protocol_without_end_is_no_answer(self):
+        self.check_unanswered(
+            b"HTTP/1.1 101 Switching Protocols\r\nupgrade: other\r\n"
+            b"connection: upgrade\r\n\r\n",
+            b"other protocol",
+        )
+
+    def test_garbage_without_end_is_no_answer(self):
+        self.check_unanswered(b"", b"\x00\x01garbage")
+
+    def test_head_without_end_is_repeated_at_another_target(self):
+        peaks = self.peaks()
+        bad, other = self.apps
+        bad.endless_start = b"HTTP/1.1 200 OK\r\n"
+        bad.endless = ENDLESS_HEADER
+        for _ in range(6):
+            started = time.monotonic()
+            response = self.site.call("/l/x", method="GET", body=None)
+            self.assertEqual(200, response.status)
+            self.assertLess(time.monotonic() - started, PROMPT_SECONDS)
+        self.assertEqual(6, len(other.executions))
+        self.check_disconnected([bad], peaks)
+
     def test_rejected_request_is_retried_at_another_target_once(self):
         self.apps[0].reject = True
         for _ in range(6):
