Keep trailers of a target's response out of its headers

Callers saw: fields that a target sends after a chunked body, such as Retry-After, came as headers of the response if the whole response arrived in one read, or if it was an error that was held back while another target was tried; else they did not come.

Cause: the parser reports trailers by the callback of headers, and the list of headers was still the one in the response head. Class of fault: input of one part of a message taken for another. RFC 9110, 6.5.1, forbids to merge them without knowing the field.

Headers are only stored until the head is complete; trailers are dropped, as HTTP allows a proxy to do.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -246,8 +246,8 @@
             self._mark_unusable()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header of the response."""
-        if not self._complete:
+        """Stores a header of the response; trailers are discarded."""
+        if self._head is None:
             pair = (name.decode("latin-1").lower(), value.decode("latin-1"))
             self._headers.append(pair)
 
--- a/galenashed/engines/tests/test_connection.py
+++ b/galenashed/engines/tests/test_connection.py
@@ -152,6 +152,27 @@
         responses, _ = self.run_scripts([head, b"3\r\nabc\r\n", "close"])
         self.assertEqual(["lost"], responses)
 
+    def test_trailers_are_not_headers(self):
+        async def run():
+            pool = engines.ConnectionPool(connect_timeout=1.0)
+            script = [
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                b"1\r\na\r\n0\r\nx-late: 1\r\nretry-after: 9\r\n\r\n"
+            ]
+            async with ScriptedTarget(script) as target:
+                conn = await pool.acquire(target.address, new_connection=True)
+                conn.send(REQUEST)
+                head = await conn.head()
+                while await conn.read():
+                    pass
+                pool.release(conn)
+                await pool.close()
+                return head.headers
+
+        self.assertEqual(
+            [("transfer-encoding", "chunked")], asyncio.run(run())
+        )
+
     def test_invalid_response(self):
         responses, _ = self.run_scripts([b"\x00\x01garbage\r\n\r\n"])
         self.assertEqual(["lost"], responses)
