Disconnect targets that send an event of a stream without end

Callers saw: a stream whose target sends one event without end stayed open without a new event until the time limit; one that may be resumed was not resumed elsewhere. The instance kept all of the event, and searched and copied it again for every chunk, so that other requests waited longer and longer (0.69 s beside eight such streams).

Cause: the splitter kept the incomplete event without a bound, as bytes that were joined anew for each chunk. Class of fault: input of a peer kept without a bound, and work that grows with what is kept.

Beyond it the response is lost: the stream is resumed elsewhere if its route allows it, else aborted.

--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -114,7 +114,12 @@
         if resumed:
             self._splitter.discard_partial()
         while data := await conn.read():
-            events = self._splitter.feed(data)
+            try:
+                events = self._splitter.feed(data)
+            except _events.EventTooLargeError as exc:
+                raise engines.TargetLostError(
+                    f"{conn.address}: {exc}"
+                ) from exc
             if events:
                 on_event()
                 if self.first_event_at is None:
--- a/galenashed/gateway/tests/test_endless_responses.py
+++ b/galenashed/gateway/tests/test_endless_responses.py
@@ -38,6 +38,7 @@
 
 
 EVENT = chunk(b"id: 1\ndata: x\n\n")
+LINE = chunk(b"data: %s\n" % (b"x" * 1000))
 EVENTS_AFTER_THE_FIRST = (
     CHUNKED_EVENTS + chunk(b"id: 2\ndata: y\n\n") + b"0\r\n\r\n"
 )
@@ -362,6 +363,12 @@
     def test_chunk_extension_without_end_cuts_the_stream(self):
         self.check_cut(CHUNKED_EVENTS + EVENT + b"1;", b"x")
 
+    def test_event_without_end_cuts_the_stream(self):
+        self.check_cut(CHUNKED_EVENTS + EVENT, LINE)
+
+    def test_event_without_end_is_resumed_elsewhere(self):
+        self.check_resumed(CHUNKED_EVENTS + EVENT, LINE)
+
     def check_others_are_served(self, first, repeated):
         """Checks the delay of requests to targets without faults."""
 
@@ -391,6 +398,9 @@
     def test_other_requests_are_served_during_a_head_without_end(self):
         self.check_others_are_served(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n")
 
+    def test_other_requests_are_served_during_an_event_without_end(self):
+        self.check_others_are_served(CHUNKED_EVENTS + EVENT, LINE)
+
 
 class TestEndlessBodies(testtools.TestCase):
     """A body without end stops with the caller or at the time limit."""
--- a/galenashed/platform/tests/test_site.py
+++ b/galenashed/platform/tests/test_site.py
@@ -15,6 +15,8 @@
 # Half of the time limit of the routes.
 PROMPT_SECONDS = 1.5
 ENDLESS_HEADER = b"x-long: %s\r\n" % (b"y" * 1000)
+# A chunk with a line of an event, but not the event's end.
+ENDLESS_LINE = b"3ef\r\ndata: %s\n\r\n" % (b"x" * 1000)
 
 
 def event_ids(body):
@@ -178,6 +180,33 @@
         self.assertEqual(6, len(other.executions))
         self.check_disconnected([bad], peaks)
 
+    def test_event_without_end_is_resumed_at_another_target(self):
+        self.site.generate()
+        (first,) = [t for t in self.engines if t.executions]
+        first.executions.clear()
+        first.endless = ENDLESS_LINE
+        peaks = self.peaks()
+        started = time.monotonic()
+        response = self.site.generate()
+        self.assertLess(time.monotonic() - started, PROMPT_SECONDS)
+        self.assertEqual(
+            EVENT_IDS, [n.decode() for n in event_ids(response.body)]
+        )
+        self.assertEqual(1, len(first.executions))
+        self.check_disconnected([first], peaks)
+
+    def test_event_without_end_aborts_a_stream_that_is_not_resumable(self):
+        peaks = self.peaks()
+        for target in self.engines:
+            target.endless = ENDLESS_LINE
+        started = time.monotonic()
+        self.assertRaises(
+            http.client.IncompleteRead, self.site.generate, "/n/x"
+        )
+        self.assertLess(time.monotonic() - started, PROMPT_SECONDS)
+        self.assertEqual(1, len(self.executions(self.engines)))
+        self.check_disconnected(self.engines, peaks)
+
     def test_rejected_request_is_retried_at_another_target_once(self):
         self.apps[0].reject = True
         for _ in range(6):
