Do not reuse a connection on which reading is paused

Callers saw: a request that got no answer until its time limit, though its target worked. The request before it on that connection had a response of over 256 KiB that had arrived completely when its caller left, or that was not read because the target had rejected the request.

Cause: a connection pauses reading when 256 KiB of a response are unread. A complete response made it reusable, also if nobody had read it and reading was still paused; the next response was then never read. Class of fault: state of one request left to the next.

Such a connection is now closed at the end of the request. After: the tests of engines and gateway pass.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -145,7 +145,8 @@
         The connection is aborted if it cannot.
         """
         self._request_active = False
-        if not self._complete or not self.usable:
+        # Reading is paused if a long body was not read.
+        if not self._complete or self._paused or not self.usable:
             self.abort()
             return False
         self.idle_since = now
--- a/galenashed/engines/tests/test_connection.py
+++ b/galenashed/engines/tests/test_connection.py
@@ -7,6 +7,7 @@
 import testtools
 
 from galenashed import engines
+from galenashed.engines import _connection
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 
@@ -173,6 +174,28 @@
             [("transfer-encoding", "chunked")], asyncio.run(run())
         )
 
+    def test_connection_that_is_paused_is_not_reused(self):
+        """A caller leaves before any of a response of this size is read."""
+
+        async def run():
+            pool = engines.ConnectionPool(connect_timeout=1.0)
+            # Reading pauses in the read that completes the response.
+            body = b"x" * (_connection.MAX_UNREAD_BYTES + 1)
+            script = [ok_response(body)]
+            async with ScriptedTarget(script, script) as target:
+                conn = await pool.acquire(target.address, new_connection=False)
+                conn.send(REQUEST)
+                async with asyncio.timeout(5.0):
+                    while not conn.is_complete:
+                        await asyncio.sleep(0.01)
+                pool.release(conn)
+                async with asyncio.timeout(5.0):
+                    response = await fetch(pool, target.address)
+                await pool.close()
+                self.assertEqual((200, body), response)
+
+        asyncio.run(run())
+
     def test_invalid_response(self):
         responses, _ = self.run_scripts([b"\x00\x01garbage\r\n\r\n"])
         self.assertEqual(["lost"], responses)
