Limit the trailers and chunk extensions of a caller's request

Operators saw nothing yet; a caller that sends trailers or a chunk extension without end after a body held a request open for as long as it liked, and the instance kept every trailer. On the platform a body has no time limit of its own.

Cause: the limits for the head of a request end with the head, and the one of the body counts only the body. Class of fault: input of a peer kept without a bound, found beside the same fault towards targets.

Bytes after the head are now counted from the last part of the body on. Over 32 KiB, the limit of a head, the caller gets a 431 and its connection is closed; if a response has begun, the connection is aborted, so that nothing is added to that response.

--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -19,6 +19,8 @@
     """Limits connections, the size of request heads and the time they take.
 
     Connections that exceed a limit get an error response and are closed.
+    Chunk headers and trailers are limited to ``MAX_HEAD_BYTES`` without a part
+    of a body among them.
     """
 
     head_timeout = 10.0
@@ -27,6 +29,7 @@
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         if len(self.connections) > self.max_connections:
             self._refuse(
@@ -79,7 +82,22 @@
                     f"the request head exceeds {MAX_HEAD_BYTES} bytes",
                 )
                 return
+        else:
+            self._framing_bytes += len(data)
         super().data_received(data)
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            self._framing_bytes = 0
+            self._on_long_framing()
+
+    def _on_long_framing(self) -> None:
+        if self.cycle is not None and self.cycle.response_started:
+            self.transport.abort()
+            return
+        self._refuse(
+            431,
+            "trailers_too_large",
+            f"over {MAX_HEAD_BYTES} bytes without a part of the body",
+        )
 
     # A single read can contain a complete small head and the start of the
     # body, so the limit on bytes read before the head ends is this much
@@ -96,6 +114,14 @@
         self._stop_head_timer()
         super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        self._framing_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        self._framing_bytes = 0
+        super().on_message_complete()
+
     def connection_lost(self, exc) -> None:
         self._stop_head_timer()
         super().connection_lost(exc)
