Keep trailers of a caller's request out of its headers

Callers saw: fields after a chunked body were passed on to the target as headers, if they came in the same read as the head.

Cause: the HTTP server reports trailers by the callback of headers, and appends them to the headers that the application has. Class of fault: input of one part of a message taken for another, as with the trailers of targets.

web/tests/test_server.py, test_trailers_are_not_headers reference = [(b'host', b'x'), (b'transfer-encoding', b'chunked')] actual = [(b'host', b'x'), (b'transfer-encoding', b'chunked'), (b'x-attempt-id', b'1'), (b'host', b'y')]

Trailers are dropped, as HTTP allows.

--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -19,8 +19,8 @@
     """Limits connections, the size of request heads and the time they take.
 
     Connections that exceed a limit get an error response and are closed.
-    Chunk headers and trailers are limited to ``MAX_HEAD_BYTES`` without a part
-    of a body among them.
+    Trailers are discarded; like chunk headers, they are limited to
+    ``MAX_HEAD_BYTES`` without a part of a body among them.
     """
 
     head_timeout = 10.0
@@ -110,6 +110,10 @@
             self._head_bytes = 0
             self._start_head_timer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._head_timer is not None:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         self._stop_head_timer()
         super().on_headers_complete()
--- a/galenashed/web/tests/test_server.py
+++ b/galenashed/web/tests/test_server.py
@@ -110,6 +110,16 @@
         self.assertNotIn(b"431", response)
         self.assertLess(taken, OFFERED_BYTES / 2)
 
+    def test_trailers_are_not_headers(self):
+        app = App()
+        response, _ = self.send(
+            app, CHUNKED + b"0\r\nx-attempt-id: 1\r\nhost: y\r\n\r\n"
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
+        self.assertEqual(
+            [(b"host", b"x"), (b"transfer-encoding", b"chunked")], app.headers
+        )
+
     def test_body_of_small_chunks_may_exceed_the_limit(self):
         chunks = b"1\r\nx\r\n" * _server.MAX_HEAD_BYTES
         app = App()
