Keep a silent voter until its successor votes

Operators would see a cluster without a leader for good, and everything acknowledged out of reach, after no more disks were lost than tolerated: one of three, or two of five, within some 0.3 s after another voter had been removed because it was silent.

Cause: the plan removed the silent voter first and promoted its successor afterwards. In between the cluster had 2 (4) voters, which need 2 (3) for a majority, and the removed one did not count any more although it kept its disk. With one (two) of them lost too few were left, and the removed voter could not help when it came back. Class: redundancy is given up before its replacement is in place.

A silent voter is now removed only after its successor votes: there is one voter too many for a moment. While it is there, a majority is 3 of 4 (4 of 6), which the voters left by the tolerated disks make up as soon as the silent one is back. A voter whose address has another replica, under a new name, has lost its disk; nothing it held can be needed, and it is still removed first, so that a machine that fails again does not count twice. Voters above the number desired that are gone are removed first of all, so there is never more than one too many.

test_gone_voter_is_replaced_one_for_one demanded the old order; it now demands promotion, then removal, and that nothing is left to do, and is joined by one with a lost disk and a silent voter at the same time.

--- a/galenashed/node/_voters.py
+++ b/galenashed/node/_voters.py
@@ -5,6 +5,11 @@
 appear at another address.  The number of voters stays as configured, so a
 minority never shrinks the cluster to the members that it can reach.  A voter
 is replaced only once another replica can take its place.
+
+A silent voter may have kept its disk, so it is removed only after its
+successor votes: with fewer voters than configured, the disks that may be lost
+at once could leave no majority.  A voter that came back under a new name has
+no disk that could be needed, and is removed first.
 """
 
 import typing
@@ -51,30 +56,27 @@
     learners = [m for m in view.members if m.learner]
     alive = {candidate.name for candidate in view.candidates}
     replaced = _find_replaced(view, members)
-    gone = [
+    others = [voter for voter in voters if voter.name != view.leader]
+    wiped = [voter for voter in others if voter.name in replaced]
+    silent = [
         voter
-        for voter in voters
-        if voter.name != view.leader
-        and (
-            voter.name in replaced
-            or (
-                view.silent_seconds.get(voter.name, 0.0) > GONE_AFTER_SECONDS
-                and voter.name not in alive
-            )
-        )
+        for voter in others
+        if voter.name not in replaced
+        and view.silent_seconds.get(voter.name, 0.0) > GONE_AFTER_SECONDS
+        and voter.name not in alive
     ]
+    gone = wiped + silent
     for learner in learners:
         if learner.name in replaced:
             return _change("remove", learner.name)
+    if len(voters) > view.desired_voters and gone:
+        return _change("remove", gone[0].name)
     missing = view.desired_voters - (len(voters) - len(gone))
     for learner in learners:
         if learner.name in view.caught_up and missing > 0:
-            if len(voters) >= view.desired_voters and gone:
-                return _change("remove", gone[0].name)
+            if len(voters) >= view.desired_voters and wiped:
+                return _change("remove", wiped[0].name)
             return _change("promote", learner.name)
-    surplus = len(voters) - view.desired_voters
-    if surplus > 0 and gone:
-        return _change("remove", gone[0].name)
     if missing > len(learners):
         for candidate in view.candidates:
             if candidate.name not in members:
@@ -83,10 +85,10 @@
                     action = "readmit"
                 return _change(action, candidate.name, candidate.address)
     for learner in learners:
-        silent = (
+        is_silent = (
             view.silent_seconds.get(learner.name, 0.0) > GONE_AFTER_SECONDS
         )
-        if silent and learner.name not in alive:
+        if is_silent and learner.name not in alive:
             return _change("remove", learner.name)
     return None
 
--- a/galenashed/node/tests/test_voters.py
+++ b/galenashed/node/tests/test_voters.py
@@ -72,7 +72,7 @@
             plan(with_learner, candidates, silent_seconds=silent_seconds)
         )
         self.assertEqual(
-            ("remove", "c"),
+            ("promote", "d"),
             plan(
                 with_learner,
                 candidates,
@@ -80,16 +80,44 @@
                 caught_up=["d"],
             ),
         )
-        without_c = [voter("a"), voter("b"), learner("d")]
+        with_successor = [*VOTERS, voter("d")]
         self.assertEqual(
-            ("promote", "d"),
-            plan(
-                without_c,
-                candidates,
-                silent_seconds={"b": 0.1},
-                caught_up=["d"],
-            ),
+            ("remove", "c"),
+            plan(with_successor, candidates, silent_seconds=silent_seconds),
+        )
+        without_c = [voter("a"), voter("b"), voter("d")]
+        self.assertIsNone(
+            plan(without_c, candidates, silent_seconds={"b": 0.1})
+        )
+
+    def test_voters_stay_as_many_as_desired_while_one_is_replaced(self):
+        voters = [*VOTERS, voter("d"), voter("e")]
+        candidates = [
+            *(candidate(name) for name in "abd"),
+            candidate("e/2", "e"),
+            candidate("f"),
+        ]
+        silent_seconds = {"b": 0.1, "c": 60.0, "d": 0.1, "e": 0.5}
+        members = [*voters, learner("f"), learner("e/2", "e")]
+        options = {
+            "silent_seconds": silent_seconds,
+            "caught_up": ["f", "e/2"],
+            "desired_voters": 5,
+        }
+        # The disk of e is lost, that of c may not be.
+        self.assertEqual(("remove", "e"), plan(members, candidates, **options))
+        members.remove(voter("e"))
+        self.assertEqual(
+            ("promote", "f"), plan(members, candidates, **options)
+        )
+        members[members.index(learner("f"))] = voter("f")
+        self.assertEqual(
+            ("promote", "e/2"), plan(members, candidates, **options)
         )
+        members[members.index(learner("e/2", "e"))] = voter("e/2", "e")
+        self.assertEqual(("remove", "c"), plan(members, candidates, **options))
+        members.remove(voter("c"))
+        self.assertIsNone(plan(members, candidates, **options))
 
     def test_replica_with_a_wiped_disk_replaces_its_old_name(self):
         # The old name has been silent only for the duration of the restart.
