Test disks lost while all machines lose power, with real processes

As many disks as are tolerated (two of five) are lost right after a configuration was acknowledged, while all processes are killed, those of entries without a disk included: the leader's disk among them; the two oldest; while callers spend prepaid tokens at every node. The tests share one deployment, so each of them starts right after the repair of the last. Checked from the start of the processes on: no node reads back an older version, every node serves within 15 s, five running replicas vote again within the same time, control records at least the tokens that were spent, and the prepaid total is not exceeded.

The processes are killed, so writes that were not synced are kept here; the simulation of the voters drops them.

--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -12,10 +12,12 @@
 
 from galenashed import control
 from galenashed.platform import _settings
+from galenashed.protocol import control as wire
 from galenashed.tests import _fleet
 
 HOST = "depot.example"
 KEY = "key-of-the-rounds-team"
+TEAM = "rounds"
 SERVICES = ("engines", "app")
 # The settings name at most this many nodes.
 MAX_SEEDS = 3
@@ -299,14 +301,34 @@
         )
         return future.result(10)
 
-    async def fetch_replica_statuses(self):
+    def balance(self):
+        """Returns what control records of the tokens of the team."""
+        future = asyncio.run_coroutine_threadsafe(
+            self.fetch_balance(), self.loop
+        )
+        return future.result(10)
+
+    def make_control_client(self):
         addresses = {
             str(number): self.replica_address(number)
             for number in range(self.replicas)
         }
-        client = control.ControlClient(
+        return control.ControlClient(
             replicas=addresses, key=_settings.PEER_KEY
         )
+
+    async def fetch_balance(self):
+        client = self.make_control_client()
+        try:
+            reply = await client.query(
+                wire.Query(kind="balance", subject=TEAM), timeout=5.0
+            )
+        finally:
+            await client.close()
+        return reply.balances[0]
+
+    async def fetch_replica_statuses(self):
+        client = self.make_control_client()
         try:
             statuses = await client.statuses(timeout=1.0)
         finally:
@@ -409,7 +431,7 @@
                 "idleTimeoutMs": 5000,
             },
             "tenants": [
-                {"name": "rounds", "apiKeys": [KEY], "prepaid": self.prepaid}
+                {"name": TEAM, "apiKeys": [KEY], "prepaid": self.prepaid}
             ],
         }
         cfg["routes"][0]["resumable"] = True
