--- a/galenashed/node/tests/test_power_losses.py
+++ b/galenashed/node/tests/test_power_losses.py
@@ -8,6 +8,7 @@
 import testtools
 
 from galenashed import consensus
+from galenashed.consensus.tests import _filesystem
 from galenashed.consensus.tests import _simulation
 from galenashed.control import _replicas
 from galenashed.node import _voters
@@ -109,7 +110,7 @@
         for name, (core, ready, _) in self.unsynced.items():
             replica = self.replicas[name]
             if self.rng.random() < 0.5:
-                replica.disk.save(ready)
+                self._save(replica, ready)
             # A replica that has a core is stopped and its disk closed.
             replica.core = core
         self.unsynced.clear()
@@ -148,6 +149,14 @@
             return
         super()._flush(replica)
 
+    def _save(self, replica, ready) -> bool:
+        """Returns False if an injected fault ends the write."""
+        try:
+            replica.disk.save(ready)
+        except _filesystem.Crash:
+            return False
+        return True
+
     def _sync(self) -> None:
         for name, (core, ready, at) in list(self.unsynced.items()):
             if at > self.now:
@@ -155,7 +164,9 @@
             del self.unsynced[name]
             replica = self.replicas[name]
             replica.core = core
-            replica.disk.save(ready)
+            if not self._save(replica, ready):
+                self.crash(name)
+                continue
             core.on_persisted(ready, self.now)
             for target, message in ready.messages:
                 self._enqueue(name, target, message)
--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -149,6 +149,7 @@
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
+        self._framing_bytes = 0
         if self._head_timer is None:
             self._head_bytes = 0
             self._start_head_timer()
