Say in responses of a draining entry that the connection closes

Callers saw: an entry that stopped kept serving on open connections without a sign, and closed them all when the drain was over. A request sent at that moment met a closed connection, and its caller could not tell whether it had been read; one that is not idempotent then can't be repeated.

Cause: only the node on the platform announced the close, not the entry.

Fix: HttpServer.begin_drain() ends each connection with its next response, which says Connection: close; the entry calls it when it starts to drain.

--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -227,10 +227,12 @@
         """Shuts down gracefully.
 
         Serves callers until their cached response of ``/v1/instances`` has
-        expired, and lets all running requests finish.
+        expired, and lets all running requests finish.  Responses close their
+        connections.
         """
         LOG.info("entry {} is draining", self.holder)
         self._state = "draining"
+        self._http.begin_drain()
         self._gossiper.trigger_round()
         await asyncio.sleep(self.cfg.instances_max_age + GOSSIP_DELAY_SECONDS)
         await self._http.close()
--- a/galenashed/tests/test_instances_fail.py
+++ b/galenashed/tests/test_instances_fail.py
@@ -116,6 +116,26 @@
         self.assertEqual(0, fleet.processes["e1"].wait(GRACEFUL_STOP_SECONDS))
         self.assertEqual(0, fleet.balance()["outstanding"])
 
+    def test_graceful_stop_ends_open_connections_with_a_response(self):
+        fleet = self.start_fleet()
+        host, _, port = fleet.addresses["e1"].rpartition(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=10)
+        self.addCleanup(conn.close)
+
+        def get_connection_header():
+            conn.request("GET", "/health")
+            response = conn.getresponse()
+            response.read()
+            return response.headers["Connection"]
+
+        self.assertIsNone(get_connection_header())
+        fleet.processes["e1"].signal(signal.SIGTERM)
+        _fleet.wait_for(
+            lambda: b"is draining" in fleet.processes["e1"].log.read_bytes(),
+            "the drain",
+        )
+        self.assertEqual("close", get_connection_header())
+
     def test_tokens_of_a_killed_entry_are_not_spent_twice(self):
         note = _fleet.NOTE.replace("tokens = 1000000", "tokens = 3000")
         fleet = self.start_fleet(note=note, engine_args=FAST_ENGINE_ARGS)
--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -28,6 +28,7 @@
 
     head_timeout = 10.0
     max_connections = 1000
+    is_draining = False
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -138,6 +139,16 @@
     def on_headers_complete(self) -> None:
         self._stop_head_timer()
         super().on_headers_complete()
+        if self.is_draining:
+            self.end_with_response()
+
+    def end_with_response(self) -> None:
+        """Closes the connection after the response to the last request.
+
+        The response says so if it has not started.
+        """
+        if self.cycle is not None:
+            self.cycle.keep_alive = False
 
     def connection_lost(self, exc) -> None:
         self._stop_head_timer()
@@ -186,6 +197,7 @@
         self.max_connections = max_connections
         self.head_timeout = head_timeout
         self.port = 0
+        self._protocol: type[_BoundedProtocol] = _BoundedProtocol
         self._server: _UvicornServer | None = None
         self._task: asyncio.Task | None = None
 
@@ -194,7 +206,7 @@
         sock = _bind(self.address)
         sockets = [sock] + [_bind(address) for address in self.extra_addresses]
         self.port = sock.getsockname()[1]
-        protocol = type(
+        self._protocol = type(
             "_Protocol",
             (_BoundedProtocol,),
             {
@@ -204,7 +216,7 @@
         )
         cfg = uvicorn.Config(
             self.app,
-            http=protocol,
+            http=self._protocol,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -225,6 +237,17 @@
                 )
             await asyncio.sleep(STARTUP_POLL_SECONDS)
 
+    def begin_drain(self) -> None:
+        """Ends connections with their next response, which says so.
+
+        Callers then need not find out from a closed connection, which leaves
+        open whether a request that they have just sent on it was read.
+        """
+        self._protocol.is_draining = True
+        if self._server is not None:
+            for conn in self._server.server_state.connections:
+                typing.cast(_BoundedProtocol, conn).end_with_response()
+
     async def close(self) -> None:
         """Stops accepting connections and waits for requests in flight."""
         if self._server is None or self._task is None:
--- a/galenashed/web/tests/test_server.py
+++ b/galenashed/web/tests/test_server.py
@@ -1,4 +1,4 @@
-"""Errors of a connection while a response on it is in progress."""
+"""Connections whose input is bad, and those of a server that drains."""
 
 import asyncio
 
@@ -96,3 +96,32 @@
         response = self.read_response(data)
         self.assertTrue(response.startswith(SECOND_HALF + b"HTTP/1.1 200"))
         self.assertTrue(response.endswith(FIRST_HALF + SECOND_HALF))
+
+
+class TestDrain(testtools.TestCase):
+    """A server that drains ends connections with their next response."""
+
+    def test_response_during_the_drain_closes_the_connection(self):
+        first, second = asyncio.run(self.send_before_and_during_the_drain())
+        self.assertNotIn(b"connection: close", first)
+        self.assertIn(b"connection: close", second)
+
+    async def send_before_and_during_the_drain(self):
+        app = HalvesApp()
+        app.released.set()
+        server = web.HttpServer(app=app, address="127.0.0.1:0")
+        await server.start()
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", server.port
+                )
+                writer.write(GET)
+                first = await reader.readuntil(SECOND_HALF)
+                server.begin_drain()
+                writer.write(GET)
+                second = await reader.read()
+                writer.close()
+                return first, second
+        finally:
+            await server.abort()
