Bound the announcements of targets by their own limit

Operators saw nothing yet: an instance took up to 8 MiB for an announcement of a target, kept its fields and sent them to its peers, and read on without end on a connection on which it had refused a larger one.

Cause: announcements had the limit of a configuration, and the refusal did not close the connection. Class of fault: input of a peer kept without a bound that fits it.

Before, on (4 MiB offered):

platform/tests/test_management.py, test_announcement_without_end_is_refused MismatchError: 413 != 400

Announcements, of some hundred bytes each, may now have 64 KiB; only a configuration may have 8 MiB. A 413 closes the connection, as it does for callers. After: the tests of the file pass (2).

--- a/galenashed/platform/_management.py
+++ b/galenashed/platform/_management.py
@@ -7,8 +7,12 @@
 from galenashed.platform import _announcements
 from galenashed.platform import _configuration
 from galenashed.protocol import control as control_wire
+from galenashed import web
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
+# Limits of a request body, for configurations and for all other requests.
+MAX_CONFIGURATION_BYTES = 8 * 1024 * 1024
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+REPLACE_PATH = "/Configuration.Replace"
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/Instances.Deregister/"
 RETRY_AFTER_SECONDS = 0.5
@@ -47,7 +51,10 @@
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
-        body = await _read_body(receive)
+        limit = MAX_ANNOUNCEMENT_BYTES
+        if scope["path"] == REPLACE_PATH:
+            limit = MAX_CONFIGURATION_BYTES
+        body = await _read_body(receive, limit)
         if body is None:
             response = Response(
                 status=413, body=_encode_error("the request body is too large")
@@ -60,6 +67,8 @@
         ]
         if response.retry_after:
             headers.append((b"retry-after", b"%.2f" % response.retry_after))
+        if response.status in web.UNREAD_BODY_STATUSES:
+            headers.append((b"connection", b"close"))
         await send(
             {
                 "type": "http.response.start",
@@ -79,7 +88,7 @@
             return Response(status=200, body=self.metrics())
         if method == "GET" and path == "/Configuration.Read":
             return await self._read_configuration()
-        if method == "POST" and path == "/Configuration.Replace":
+        if method == "POST" and path == REPLACE_PATH:
             return await self._replace_configuration(body)
         if method == "POST" and path.startswith(HEARTBEAT_PREFIX):
             return self._heartbeat(path.removeprefix(HEARTBEAT_PREFIX), body)
@@ -149,13 +158,13 @@
         return Response(status=400, body=_encode_error(reason))
 
 
-async def _read_body(receive) -> bytes | None:
-    """Returns the request body; None if it is too large."""
+async def _read_body(receive, limit: int) -> bytes | None:
+    """Returns the request body; None if it exceeds ``limit`` bytes."""
     parts = bytearray()
     while True:
         message = await receive()
         parts += message.get("body", b"")
-        if len(parts) > MAX_BODY_BYTES:
+        if len(parts) > limit:
             return None
         if not message.get("more_body", False):
             return bytes(parts)
