Ignore management requests that break off before their end

Operators saw nothing yet: a deregistration whose connection broke before its body was taken for one without a body, which names no start of the target's process. It so deregistered the target also if that had started anew since.

Cause: the body was read up to the message that tells of the disconnect, and what had come until then was used. Class of fault: a message that is cut taken for a complete one.

platform/tests/test_management.py, test_deregistration_that_breaks_off_is_ignored MismatchError: [] != ['t']

Such a request is now dropped, as it is for callers' requests.

--- a/galenashed/platform/_management.py
+++ b/galenashed/platform/_management.py
@@ -18,6 +18,10 @@
 RETRY_AFTER_SECONDS = 0.5
 
 
+class CallerDisconnectedError(Exception):
+    """The caller disconnected before its request was complete."""
+
+
 class Response:
     """A response with an encoded JSON body."""
 
@@ -54,7 +58,10 @@
         limit = MAX_ANNOUNCEMENT_BYTES
         if scope["path"] == REPLACE_PATH:
             limit = MAX_CONFIGURATION_BYTES
-        body = await _read_body(receive, limit)
+        try:
+            body = await _read_body(receive, limit)
+        except CallerDisconnectedError:
+            return
         if body is None:
             response = Response(
                 status=413, body=_encode_error("the request body is too large")
@@ -159,10 +166,15 @@
 
 
 async def _read_body(receive, limit: int) -> bytes | None:
-    """Returns the request body; None if it exceeds ``limit`` bytes."""
+    """Returns the request body; None if it exceeds ``limit`` bytes.
+
+    Raises CallerDisconnectedError.
+    """
     parts = bytearray()
     while True:
         message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerDisconnectedError
         parts += message.get("body", b"")
         if len(parts) > limit:
             return None
--- a/galenashed/platform/tests/test_management.py
+++ b/galenashed/platform/tests/test_management.py
@@ -85,3 +85,8 @@
                 received * 4096, 2 * _management.MAX_ANNOUNCEMENT_BYTES
             )
             self.assertEqual([], node.announced)
+
+    def test_deregistration_that_breaks_off_is_ignored(self):
+        node, sent, _ = self.request("/Instances.Deregister/t", [])
+        self.assertEqual([], node.deregistered)
+        self.assertEqual([], sent)
