Bound an event of a model's stream at the entry, too

Callers saw: a model stream whose engine sends one event without end got nothing more and was not resumed; the entry kept all of the event and copied it for every chunk. No time limit applies while bytes come.

Cause and class of fault as in the gateway: an incomplete event was kept without a bound, as bytes that were joined anew for each chunk.

Before, on, entry/tests/test_streams.py:

test_event_without_end_is_refused: ... returned None test_partial_event_is_not_copied_for_every_chunk: MismatchError: is not

Beyond 1 MiB the engine now counts as lost, so that the stream is resumed elsewhere or ends with an error event. After: the tests of entry pass (7).

--- a/galenashed/entry/_streams.py
+++ b/galenashed/entry/_streams.py
@@ -17,6 +17,9 @@
 # Events without a token, such as the one with the role, that may come on top
 # of those for the output tokens.
 MAX_EXTRA_EVENTS = 4
+# Limit of one event.  It exceeds the whole output of a long response, of
+# which an event usually carries a few tokens.
+MAX_EVENT_BYTES = 2**20
 
 SEPARATOR = b"\n\n"
 DONE = b"data: [DONE]"
@@ -50,23 +53,43 @@
         self.events = 0
         self.finished = False
         self.usage: tuple[int, int] | None = None
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, chunk: bytes) -> bytes:
-        """Adds received bytes and returns the events completed by them."""
-        data = self._partial + chunk if self._partial else chunk
-        end = data.rfind(SEPARATOR)
-        if end < 0:
-            self._partial = data
+        """Adds received bytes and returns the events completed by them.
+
+        Raises TargetLostError if an event has no end within
+        ``MAX_EVENT_BYTES``.
+        """
+        block = self._split(chunk)
+        if not block:
             return b""
-        end += len(SEPARATOR)
-        self._partial = data[end:]
-        block = data[:end] if self._partial else data
         if b"[DONE]" in block or _USAGE.search(block):
             return self._parse(block)
         self.events += block.count(SEPARATOR)
         return block
 
+    def _split(self, chunk: bytes) -> bytes:
+        partial = self._partial
+        if not partial and chunk.endswith(SEPARATOR):
+            return chunk
+        # The partial event has no separator, but it may end with the first
+        # byte of one.
+        start = max(0, len(partial) - 1)
+        partial += chunk
+        end = partial.rfind(SEPARATOR, start)
+        if end >= 0:
+            end += len(SEPARATOR)
+            block = bytes(partial[:end])
+            del partial[:end]
+            return block
+        if len(partial) > MAX_EVENT_BYTES:
+            partial.clear()
+            raise engines.TargetLostError(
+                f"over {MAX_EVENT_BYTES} bytes without the end of an event"
+            )
+        return b""
+
     def _parse(self, block: bytes) -> bytes:
         kept = []
         for event in block.split(SEPARATOR):
@@ -97,7 +120,7 @@
 
     def discard_partial(self) -> None:
         """Discards a partial event before the stream resumes elsewhere."""
-        self._partial = b""
+        self._partial.clear()
 
 
 class StreamRelay:
--- a/galenashed/entry/tests/test_streams.py
+++ b/galenashed/entry/tests/test_streams.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from galenashed import engines
 from galenashed.entry import _streams
 
 EVENTS = (
@@ -65,3 +66,23 @@
         second = scanner.feed(EVENTS[1] + DONE)
         self.assertEqual(EVENTS[0] + EVENTS[1] + DONE, first + second)
         self.assertEqual(2, scanner.events)
+
+    def test_event_without_end_is_refused(self):
+        scanner = _streams.EventStreamScanner(wants_usage=False)
+        scanner.feed(EVENTS[0])
+        piece = b"data: x\n" * 1000
+
+        def feed_without_end():
+            for _ in range(2 * _streams.MAX_EVENT_BYTES // len(piece)):
+                scanner.feed(piece)
+
+        self.assertRaises(engines.TargetLostError, feed_without_end)
+        self.assertEqual(1, scanner.events)
+        self.assertEqual(EVENTS[1], scanner.feed(EVENTS[1]))
+
+    def test_partial_event_is_not_copied_for_every_chunk(self):
+        scanner = _streams.EventStreamScanner(wants_usage=False)
+        scanner.feed(b"data: ")
+        partial = scanner._partial
+        scanner.feed(b"x" * 1000)
+        self.assertIs(partial, scanner._partial)
