Bound the body of an engine's error response in time and bytes

Callers saw: a model request that an engine answers with an error got no answer, at any time, if the body of that error did not end; the entry kept all that came, though callers get its first 1000 bytes at most.

Cause: the time limit of the request covers the head of the response and the body of a success, but not the body of an error, and no limit of bytes existed. Class of fault: input of a peer awaited and kept without a bound.

Before, on (the engine offers 64 MiB; the test waits for 10 s), entry/tests/test_endless_responses.py:

test_refusal_without_end, test_failure_without_end, test_refusal_whose_body_does_not_come: raise TimeoutError from exc_val TimeoutError

The body may now have 64 KiB and the time limit of the service. Beyond either, the connection is closed and the status alone decides, as it did for a body that breaks off. After: the tests of entry and engines pass.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -1,6 +1,7 @@
 """HTTP clients for targets, which are model engines or other services."""
 
 from galenashed.engines._client import NotSentError
+from galenashed.engines._client import read_body
 from galenashed.engines._client import TargetClient
 from galenashed.engines._client import TargetLostError
 from galenashed.engines._connection import Connection
@@ -14,4 +15,5 @@
     "ResponseHead",
     "TargetClient",
     "TargetLostError",
+    "read_body",
 ]
--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -47,6 +47,31 @@
         raise TargetLostError(f"{req.url.authority}: {exc!r}") from exc
 
 
+async def read_body(resp: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Returns the body of a response.
+
+    Raises TargetLostError, and closes the connection, if the body exceeds
+    ``limit`` bytes or breaks off.
+    """
+    body = bytearray()
+    try:
+        async for chunk in resp.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                raise TargetLostError(
+                    f"{resp.url.authority}: response of over {limit} bytes"
+                )
+    except aiohttp.ClientError as exc:
+        raise TargetLostError(f"{resp.url.authority}: {exc!r}") from exc
+    finally:
+        # A connection with a partly read response can't be reused.
+        if resp.content.at_eof():
+            resp.release()
+        else:
+            resp.close()
+    return bytes(body)
+
+
 def _create_socket(address_info) -> socket.socket:
     """Returns a new socket with TCP keepalive enabled."""
     family, kind, proto, _, _ = address_info
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -3,7 +3,6 @@
 import time
 import typing
 
-import aiohttp
 import loguru
 import msgspec
 
@@ -18,6 +17,8 @@
 LOG = loguru.logger
 
 MAX_TRIES = 4
+# Limit of the body of an error response; callers get its first part.
+MAX_ERROR_BYTES = 64 * 1024
 RETRY_AFTER_SECONDS = 1.0
 STALL_SECONDS = 1.0
 
@@ -183,10 +184,13 @@
 
     async def _on_error_status(self, run: ModelRun, resp) -> None:
         """Handles an error response; returns if the request may be retried."""
+        assert run.slot is not None
         status = resp.status
         try:
-            body = await resp.read()
-        except (aiohttp.ClientError, TimeoutError):
+            async with self.dispatcher.watch(run.slot, run.service.timeout):
+                body = await engines.read_body(resp, MAX_ERROR_BYTES)
+        except engines.TargetLostError as exc:
+            LOG.info("no complete body of an error response: {}", exc)
             body = b""
         busy = status in (429, 503)
         if status < 500 and not busy:
