--- a/galenashed/consensus/_node.py
+++ b/galenashed/consensus/_node.py
@@ -17,6 +17,7 @@
 LOG = loguru.logger
 
 SNAPSHOT_EVERY_ENTRIES = 10_000
+SNAPSHOT_EVERY_BYTES = 16 * 1024 * 1024
 SNAPSHOT_KEEP_ENTRIES = 1_000
 
 
@@ -80,6 +81,9 @@
         Source of the election jitter.
     snapshot_every : int
         Number of applied entries between two snapshots.
+    snapshot_every_bytes : int
+        Bytes of applied commands after which a snapshot is taken even if
+        there are fewer entries; bounds the log on disk and in memory.
     on_failure : callable
         Called with the error after a storage failure has stopped the node.
     """
@@ -95,6 +99,7 @@
         heartbeat: float = 0.1,
         rng: random.Random,
         snapshot_every: int = SNAPSHOT_EVERY_ENTRIES,
+        snapshot_every_bytes: int = SNAPSHOT_EVERY_BYTES,
         on_failure: typing.Callable[[Exception], None],
     ):
         self.name = name
@@ -105,6 +110,7 @@
         self.heartbeat = heartbeat
         self.rng = rng
         self.snapshot_every = snapshot_every
+        self.snapshot_every_bytes = snapshot_every_bytes
         self.on_failure = on_failure
         self.core: _core.Core
         self._inbox: list[wire.Message] = []
@@ -113,6 +119,7 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._last_snapshot = 0
+        self._bytes_since_snapshot = 0
         self._members: _membership.Members = ()
 
     async def start(self) -> None:
@@ -292,11 +299,13 @@
                 ready.snapshot.index, ready.snapshot_data
             )
             self._last_snapshot = ready.snapshot.index
+            self._bytes_since_snapshot = 0
         for entry in ready.committed:
             self._apply(entry)
 
     def _apply(self, entry: wire.Entry) -> None:
         result = None
+        self._bytes_since_snapshot += len(entry.data)
         if entry.data:
             result = self.state_machine.apply(entry.index, entry.data)
         term, fut = self._uncommitted.pop(entry.index, (0, None))
@@ -309,7 +318,10 @@
 
     async def _maybe_snapshot(self) -> None:
         core = self.core
-        if core.applied - self._last_snapshot < self.snapshot_every:
+        if (
+            core.applied - self._last_snapshot < self.snapshot_every
+            and self._bytes_since_snapshot < self.snapshot_every_bytes
+        ):
             return
         term = core.log.term_at(core.applied)
         assert term is not None
@@ -329,6 +341,7 @@
         )
         core.compact(meta, data, SNAPSHOT_KEEP_ENTRIES)
         self._last_snapshot = meta.index
+        self._bytes_since_snapshot = 0
 
     def _fail_pending(self) -> None:
         uncommitted, self._uncommitted = self._uncommitted, {}
--- /dev/null
+++ b/galenashed/consensus/tests/test_node.py
@@ -0,0 +1,97 @@
+"""Tests of the task that runs a replica."""
+
+import asyncio
+import pathlib
+import random
+import tempfile
+
+import testtools
+
+from galenashed import consensus
+
+COMMAND_BYTES = 16 * 1024
+DISK_BYTES = 1024 * 1024
+
+
+class Counter:
+    """A state machine whose state is the number of its commands.
+
+    ``largest`` is the largest size of the data directory at a command.
+    """
+
+    def __init__(self, storage: consensus.Storage):
+        self.storage = storage
+        self.count = 0
+        self.largest = 0
+
+    def apply(self, index: int, data: bytes) -> object:
+        self.largest = max(self.largest, self.storage.size())
+        self.count += 1
+        return self.count
+
+    def snapshot(self) -> bytes:
+        return str(self.count).encode()
+
+    def restore(self, index: int, data: bytes) -> None:
+        self.count = int(data)
+
+
+class NoTransport:
+    """The transport of a replica without others."""
+
+    def set_members(self, members: consensus.Members) -> None:
+        pass
+
+    def send(self, peer: str, message) -> None:
+        pass
+
+
+class TestSnapshots(testtools.TestCase):
+    """When a replica takes a snapshot of its own."""
+
+    def setUp(self):
+        super().setUp()
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.storage = consensus.Storage(
+            directory=pathlib.Path(directory.name) / "c1",
+            cluster="tests",
+            name="c1",
+        )
+        self.storage.create((consensus.Member("c1"),))
+
+    def make_node(self, **options):
+        return consensus.Node(
+            name="c1",
+            storage=self.storage,
+            state_machine=Counter(self.storage),
+            transport=NoTransport(),
+            election_timeout=0.01,
+            rng=random.Random(1),
+            on_failure=self.fail,
+            **options,
+        )
+
+    async def propose(self, node, commands):
+        while not node.is_leader:
+            await asyncio.sleep(0.001)
+        for _ in range(commands):
+            await node.propose(bytes(COMMAND_BYTES))
+
+    def test_large_commands_do_not_fill_the_disk(self):
+        async def run():
+            node = self.make_node(snapshot_every_bytes=DISK_BYTES // 4)
+            await node.start()
+            await self.propose(node, 200)
+            await node.close()
+            largest = node.state_machine.largest
+            node = self.make_node()
+            await node.start()
+            await self.propose(node, 1)
+            await node.close()
+            return largest, node.state_machine.count
+
+        largest, count = asyncio.run(run())
+        # A start writes the log once more before it removes the old one.
+        self.assertLess(2 * largest, DISK_BYTES)
+        self.assertEqual(201, count)
