Let an entry report a crash that it reported itself as known

Seen: the first crash of a target under a request made its caller wait 3 s longer, whenever the caller's entry followed a control replica that does not lead. The wait for the other entries then ended with its time limit and without an error; the request ran again although nobody had confirmed that the others knew of the crash.

Cause (class: a notification lost between two writers of one value): control's reply to the report of a crash arrives before the feed's event with the same index, except from the leader. The reply already set the index of the known suspects, so the event changed nothing, and the entry did not send its new index to control. The wait is for the lowest index of all entries, the reporting one included. The reply's index also claimed crashes of other requests before it, which the entry might not have received.

Evidence: six crashing requests, two in each of three fleets of two entries, took 3.09 to 3.26 s at (load average 19 to 21); each entry followed a replica that did not lead, and control listed the reporting entry with an index of 0 or that of the request before.

Change: only the feed sets the index. Counts of own reports are kept beside it until the feed has passed their index, and apply to requests at once.

--- a/galenashed/entry/_configuration.py
+++ b/galenashed/entry/_configuration.py
@@ -12,8 +12,8 @@
 class Configuration:
     """Applies events of the configuration feed, newer versions only.
 
-    ``release`` is the configuration in force; ``suspects`` counts the
-    crashes of targets per request digest.
+    ``release`` is the configuration in force; ``suspects`` is the latest list
+    of suspected requests from the feed.
 
     Parameters
     ----------
@@ -29,6 +29,7 @@
         self.serve_when_stale = serve_when_stale
         self.release = wire.Release()
         self.suspects = wire.Suspects(index=0, crashes={})
+        self._own_reports: dict[str, wire.Crashes] = {}
         self._teams_by_key: dict[str, wire.Team] = {}
         self._budgets_by_team: dict[str, list[str]] = {}
         self._services_by_model: dict[str, list[wire.Service]] = {}
@@ -58,13 +59,27 @@
             return False
         changed = suspects.index > self.suspects.index
         self.suspects = suspects
+        self._own_reports = {
+            digest: reply
+            for digest, reply in self._own_reports.items()
+            if reply.index > suspects.index
+        }
         return changed
 
     def record_crash(self, digest: str, reply: wire.Crashes) -> None:
-        """Applies a crash count from control before the feed delivers it."""
+        """Applies a crash count from control before the feed delivers it.
+
+        The index of ``suspects`` is left to the feed, since this entry may
+        not have received crashes of other requests before ``reply.index``.
+        """
         if reply.index > self.suspects.index:
-            crashes = {**self.suspects.crashes, digest: reply.count}
-            self.suspects = wire.Suspects(index=reply.index, crashes=crashes)
+            self._own_reports[digest] = reply
+
+    def crash_count(self, digest: str) -> int:
+        """Returns how many targets are known to have crashed on a request."""
+        count = self.suspects.crashes.get(digest, 0)
+        reply = self._own_reports.get(digest)
+        return count if reply is None else max(count, reply.count)
 
     def _apply_release(self, release: wire.Release) -> bool:
         if release.index <= self.release.index:
--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -52,7 +52,7 @@
 
         Raises ApiError if the request is quarantined.
         """
-        count = self.configuration.suspects.crashes.get(digest, 0)
+        count = self.configuration.crash_count(digest)
         if count >= QUARANTINE_CRASHES:
             raise quarantined_error(web.ExecutionStatus.NOT_RUN)
         return count > 0
