Do not rerun a crashing request before all entries are known to know

Cause (class: a time limit that ends in silence): an entry that learned of the first crash of a target waited until every connected entry knew of it, but after 3 s ran the request again in any case, as a trial; an entry that had not heard yet ran the same request untried, which crashes a third target. Also, an attempt that came later, while the first one waited, did not wait at all, and the status of a replica counted as missing after 0.5 s, less than the round trip of 0.6 s in that very test, so that an entry behind such a link could never see the others confirm.

Change: each trial waits for the other entries, not only that of the attempt that crashed a target. After 4 s the request fails with 503, "targets failing", a suggestion to retry and a line in the log. A quarantine that has become known since the request was admitted is reported at once. Replicas have 1 s to answer.

--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import loguru
+
 from galenashed import control
 from galenashed.entry import _configuration
 from galenashed.entry import _runs
@@ -10,11 +12,13 @@
 from galenashed import telemetry
 from galenashed import web
 
+LOG = loguru.logger
+
 QUARANTINE_CRASHES = 2
 COMMAND_TIMEOUT_SECONDS = 2.0
-STATUS_TIMEOUT_SECONDS = 0.5
+STATUS_TIMEOUT_SECONDS = 1.0
 PROPAGATION_POLL_SECONDS = 0.02
-PROPAGATION_TIMEOUT_SECONDS = 3.0
+PROPAGATION_TIMEOUT_SECONDS = 4.0
 TRIAL_WAIT_SECONDS = 10.0
 TRIAL_POLL_SECONDS = 0.2
 RETRY_AFTER_SECONDS = 1.0
@@ -25,7 +29,9 @@
 
     Every connected entry learns of the first crash before the request runs
     again, and it runs again only in a trial that control admits.  A retry
-    through another entry can therefore not crash a third target.
+    through another entry can therefore not crash a third target.  If not
+    every entry is known to have learned of it in time, the request fails
+    with an error that suggests a retry.
 
     Parameters
     ----------
@@ -43,6 +49,8 @@
     ):
         self.control_client = control_client
         self.configuration = configuration
+        # Index of the latest crash that this entry reported.
+        self._reported_index = 0
         self._propagated_index = 0
         self._poll_lock = asyncio.Lock()
         self._end_tasks: set[asyncio.Task] = set()
@@ -52,16 +60,17 @@
 
         Raises ApiError if the request is quarantined.
         """
-        count = self.configuration.crash_count(digest)
-        if count >= QUARANTINE_CRASHES:
+        if self._is_quarantined(digest):
             raise quarantined_error(web.ExecutionStatus.NOT_RUN)
-        return count > 0
+        return self.configuration.crash_count(digest) > 0
+
+    def _is_quarantined(self, digest: str) -> bool:
+        return self.configuration.crash_count(digest) >= QUARANTINE_CRASHES
 
     async def report_crash(self, run: _runs.ModelRun, target) -> None:
         """Records that a target crashed under a run.
 
-        Returns once every connected entry knows of the crash, or after a
-        time limit; raises ApiError if the request must not run again.
+        Raises ApiError if the request must not run again.
         """
         command = wire.ReportCrash(
             digest=run.request.digest,
@@ -74,10 +83,23 @@
         if reply.count >= QUARANTINE_CRASHES:
             raise quarantined_error(web.ExecutionStatus.RUN)
         run.slot_request.requirements.exclusive = True
-        await self._wait_propagated(reply.index)
+        self._reported_index = max(self._reported_index, reply.index)
 
     async def begin_trial(self, run: _runs.ModelRun) -> None:
         """Waits until a suspected request may run; raises ApiError."""
+        if self._is_quarantined(run.request.digest):
+            # This has become known since the request was admitted.
+            raise quarantined_error(run.execution_status)
+        index = max(self._reported_index, self.configuration.suspects.index)
+        if not await self._wait_propagated(index):
+            raise web.ApiError(
+                status=503,
+                code="targets_failing",
+                message="a target crashed while it ran this request, and not"
+                " every instance is known to have learned of it",
+                execution_status=run.execution_status,
+                retry_after=RETRY_AFTER_SECONDS,
+            )
         command = wire.BeginTrial(
             digest=run.request.digest, attempt=run.request.attempt
         )
@@ -139,14 +161,21 @@
                 retry_after=RETRY_AFTER_SECONDS,
             ) from None
 
-    async def _wait_propagated(self, index: int) -> None:
+    async def _wait_propagated(self, index: int) -> bool:
         """Waits until every connected entry has applied ``index``.
 
-        Gives up after ``PROPAGATION_TIMEOUT_SECONDS``.  Concurrent waiters
-        share the result of one poll.
+        Returns False after ``PROPAGATION_TIMEOUT_SECONDS``.  Concurrent
+        waiters share the result of one poll.
         """
         deadline = time.monotonic() + PROPAGATION_TIMEOUT_SECONDS
-        while self._propagated_index < index and time.monotonic() < deadline:
+        while self._propagated_index < index:
+            if time.monotonic() > deadline:
+                LOG.warning(
+                    "not every entry is known to have learned of the crash"
+                    " at index {}",
+                    index,
+                )
+                return False
             async with self._poll_lock:
                 if self._propagated_index < index:
                     self._propagated_index = max(
@@ -155,6 +184,7 @@
                     )
             if self._propagated_index < index:
                 await asyncio.sleep(PROPAGATION_POLL_SECONDS)
+        return True
 
     async def _query_propagated_index(self) -> int:
         """Returns the index that every connected entry has applied."""
