Remember a crash that control did not acknowledge

Cause (class: state kept only after an acknowledgement): the entry recorded a crash when control's reply came. Without a reply it forgot the crash, so that the caller's retry, which the answer suggests, ran untried; each retry at an entry that is cut off from control could end another engine.

Change: reports without a reply are kept, make the request suspected, and are sent again before its next trial.

--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -49,6 +49,8 @@
     ):
         self.control_client = control_client
         self.configuration = configuration
+        # Reports that control has not acknowledged, by request digest.
+        self._unacknowledged: dict[str, list[wire.ReportCrash]] = {}
         # Index of the latest crash that this entry reported.
         self._reported_index = 0
         self._propagated_index = 0
@@ -62,6 +64,8 @@
         """
         if self._is_quarantined(digest):
             raise quarantined_error(web.ExecutionStatus.NOT_RUN)
+        if digest in self._unacknowledged:
+            return True
         return self.configuration.crash_count(digest) > 0
 
     def _is_quarantined(self, digest: str) -> bool:
@@ -78,15 +82,29 @@
             attempt=run.request.attempt,
         )
         run.in_trial = False
-        reply = await self._propose(run, command)
-        self.configuration.record_crash(run.request.digest, reply)
-        if reply.count >= QUARANTINE_CRASHES:
-            raise quarantined_error(web.ExecutionStatus.RUN)
         run.slot_request.requirements.exclusive = True
-        self._reported_index = max(self._reported_index, reply.index)
+        commands = self._unacknowledged.setdefault(run.request.digest, [])
+        commands.append(command)
+        await self._send_reports(run)
+        if self._is_quarantined(run.request.digest):
+            raise quarantined_error(web.ExecutionStatus.RUN)
+
+    async def _send_reports(self, run: _runs.ModelRun) -> None:
+        """Sends the unacknowledged reports on a request; raises ApiError."""
+        digest = run.request.digest
+        for command in list(self._unacknowledged.get(digest, [])):
+            reply = await self._propose(run, command)
+            self.configuration.record_crash(digest, reply)
+            self._reported_index = max(self._reported_index, reply.index)
+            commands = self._unacknowledged.get(digest, [])
+            if command in commands:
+                commands.remove(command)
+            if not commands:
+                self._unacknowledged.pop(digest, None)
 
     async def begin_trial(self, run: _runs.ModelRun) -> None:
         """Waits until a suspected request may run; raises ApiError."""
+        await self._send_reports(run)
         if self._is_quarantined(run.request.digest):
             # This has become known since the request was admitted.
             raise quarantined_error(run.execution_status)
--- a/galenashed/entry/tests/test_suspects.py
+++ b/galenashed/entry/tests/test_suspects.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from galenashed import control
 from galenashed.entry import _configuration
 from galenashed.entry import _runs
 from galenashed.entry import _suspects
@@ -30,11 +31,16 @@
     ):
         self.followers = followers
         self.delay = delay
+        self.available = True
+        self.crashed: set[str] = set()
         self.trials = 0
 
     async def propose(self, command: wire.Command, *, timeout: float):
+        if not self.available:
+            raise control.ControlUnavailableError("no answer")
         if isinstance(command, wire.ReportCrash):
-            return wire.Crashes(count=1, index=CRASH_INDEX)
+            self.crashed.add(command.target)
+            return wire.Crashes(count=len(self.crashed), index=CRASH_INDEX)
         assert isinstance(command, wire.BeginTrial)
         self.trials += 1
         return wire.Trial(allowed=True, count=1)
@@ -177,6 +183,25 @@
         )
         self.assertEqual(422, exc.status)
 
+    def test_crash_that_control_did_not_acknowledge_is_not_forgotten(self):
+        client = FakeControlClient(followers={"c1": {"e1": CRASH_INDEX}})
+        quarantine = self.make_quarantine(client)
+
+        async def report():
+            await quarantine.report_crash(self.make_run(), FakeTarget())
+
+        client.available = False
+        self.assertRaises(web.ApiError, asyncio.run, report())
+        self.assertTrue(quarantine.check_suspected(FakeRequest.digest))
+        run = self.make_run()
+        self.assertRaises(
+            web.ApiError, asyncio.run, quarantine.begin_trial(run)
+        )
+        client.available = True
+        asyncio.run(quarantine.begin_trial(run))
+        self.assertEqual({"engine-1/1"}, client.crashed)
+        self.assertEqual(1, client.trials)
+
     def test_request_is_rerun_once_every_entry_has_learned(self):
         client = FakeControlClient(
             followers={"c1": {"e1": CRASH_INDEX, "e2": CRASH_INDEX}}
