--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -2,19 +2,25 @@
 
 import asyncio
 import time
+import typing
+
+import loguru
 
 from galenashed import control
 from galenashed.entry import _configuration
 from galenashed.entry import _runs
 from galenashed.protocol import control as wire
+from galenashed.protocol import gossip as gossip_wire
 from galenashed import telemetry
 from galenashed import web
 
+LOG = loguru.logger
+
 QUARANTINE_CRASHES = 2
 COMMAND_TIMEOUT_SECONDS = 2.0
-STATUS_TIMEOUT_SECONDS = 0.5
+STATUS_TIMEOUT_SECONDS = 1.0
 PROPAGATION_POLL_SECONDS = 0.02
-PROPAGATION_TIMEOUT_SECONDS = 3.0
+PROPAGATION_TIMEOUT_SECONDS = 4.0
 TRIAL_WAIT_SECONDS = 10.0
 TRIAL_POLL_SECONDS = 0.2
 RETRY_AFTER_SECONDS = 1.0
@@ -25,7 +31,9 @@
 
     Every connected entry learns of the first crash before the request runs
     again, and it runs again only in a trial that control admits.  A retry
-    through another entry can therefore not crash a third target.
+    through another entry can therefore not crash a third target.  If not
+    every entry is known to have learned of it in time, the request fails
+    with an error that suggests a retry.
 
     Parameters
     ----------
@@ -33,6 +41,8 @@
         Records crashes and trials.
     configuration : Configuration
         Holds the crash counts that this entry knows.
+    alive_entries : callable
+        Returns the instances of the entries that may be alive.
     """
 
     def __init__(
@@ -40,9 +50,15 @@
         *,
         control_client: control.ControlClient,
         configuration: _configuration.Configuration,
+        alive_entries: typing.Callable[[], list[gossip_wire.Instance]],
     ):
         self.control_client = control_client
         self.configuration = configuration
+        self.alive_entries = alive_entries
+        # Reports that control has not acknowledged, by request digest.
+        self._unacknowledged: dict[str, list[wire.ReportCrash]] = {}
+        # Index of the latest crash that this entry reported.
+        self._reported_index = 0
         self._propagated_index = 0
         self._poll_lock = asyncio.Lock()
         self._end_tasks: set[asyncio.Task] = set()
@@ -52,16 +68,19 @@
 
         Raises ApiError if the request is quarantined.
         """
-        count = self.configuration.suspects.crashes.get(digest, 0)
-        if count >= QUARANTINE_CRASHES:
+        if self._is_quarantined(digest):
             raise quarantined_error(web.ExecutionStatus.NOT_RUN)
-        return count > 0
+        if digest in self._unacknowledged:
+            return True
+        return self.configuration.crash_count(digest) > 0
+
+    def _is_quarantined(self, digest: str) -> bool:
+        return self.configuration.crash_count(digest) >= QUARANTINE_CRASHES
 
     async def report_crash(self, run: _runs.ModelRun, target) -> None:
         """Records that a target crashed under a run.
 
-        Returns once every connected entry knows of the crash, or after a
-        time limit; raises ApiError if the request must not run again.
+        Raises ApiError if the request must not run again.
         """
         command = wire.ReportCrash(
             digest=run.request.digest,
@@ -69,15 +88,42 @@
             attempt=run.request.attempt,
         )
         run.in_trial = False
-        reply = await self._propose(run, command)
-        self.configuration.record_crash(run.request.digest, reply)
-        if reply.count >= QUARANTINE_CRASHES:
-            raise quarantined_error(web.ExecutionStatus.RUN)
         run.slot_request.requirements.exclusive = True
-        await self._wait_propagated(reply.index)
+        commands = self._unacknowledged.setdefault(run.request.digest, [])
+        commands.append(command)
+        await self._send_reports(run)
+        if self._is_quarantined(run.request.digest):
+            raise quarantined_error(web.ExecutionStatus.RUN)
+
+    async def _send_reports(self, run: _runs.ModelRun) -> None:
+        """Sends the unacknowledged reports on a request; raises ApiError."""
+        digest = run.request.digest
+        for command in list(self._unacknowledged.get(digest, [])):
+            reply = await self._propose(run, command)
+            self.configuration.record_crash(digest, reply)
+            self._reported_index = max(self._reported_index, reply.index)
+            commands = self._unacknowledged.get(digest, [])
+            if command in commands:
+                commands.remove(command)
+            if not commands:
+                self._unacknowledged.pop(digest, None)
 
     async def begin_trial(self, run: _runs.ModelRun) -> None:
         """Waits until a suspected request may run; raises ApiError."""
+        await self._send_reports(run)
+        if self._is_quarantined(run.request.digest):
+            # This has become known since the request was admitted.
+            raise quarantined_error(run.execution_status)
+        index = max(self._reported_index, self.configuration.suspects.index)
+        if not await self._wait_propagated(index):
+            raise web.ApiError(
+                status=503,
+                code="targets_failing",
+                message="a target crashed while it ran this request, and not"
+                " every instance is known to have learned of it",
+                execution_status=run.execution_status,
+                retry_after=RETRY_AFTER_SECONDS,
+            )
         command = wire.BeginTrial(
             digest=run.request.digest, attempt=run.request.attempt
         )
@@ -139,14 +185,21 @@
                 retry_after=RETRY_AFTER_SECONDS,
             ) from None
 
-    async def _wait_propagated(self, index: int) -> None:
+    async def _wait_propagated(self, index: int) -> bool:
         """Waits until every connected entry has applied ``index``.
 
-        Gives up after ``PROPAGATION_TIMEOUT_SECONDS``.  Concurrent waiters
-        share the result of one poll.
+        Returns False after ``PROPAGATION_TIMEOUT_SECONDS``.  Concurrent
+        waiters share the result of one poll.
         """
         deadline = time.monotonic() + PROPAGATION_TIMEOUT_SECONDS
-        while self._propagated_index < index and time.monotonic() < deadline:
+        while self._propagated_index < index:
+            if time.monotonic() > deadline:
+                LOG.warning(
+                    "not every entry is known to have learned of the crash"
+                    " at index {}",
+                    index,
+                )
+                return False
             async with self._poll_lock:
                 if self._propagated_index < index:
                     self._propagated_index = max(
@@ -155,22 +208,31 @@
                     )
             if self._propagated_index < index:
                 await asyncio.sleep(PROPAGATION_POLL_SECONDS)
+        return True
 
     async def _query_propagated_index(self) -> int:
-        """Returns the index that every connected entry has applied."""
+        """Returns the index that every connected entry has applied.
+
+        Returns 0 while a replica does not answer that an entry may follow.
+        """
         statuses = await self.control_client.statuses(
             timeout=STATUS_TIMEOUT_SECONDS
         )
-        return min(
-            (
-                follower.suspects
-                for status in statuses.values()
-                if status is not None
-                for follower in status.followers
-                if follower.connected
-            ),
-            default=0,
-        )
+        followers = [
+            follower
+            for status in statuses.values()
+            if status is not None
+            for follower in status.followers
+            if follower.connected
+        ]
+        if None in statuses.values():
+            listed = {(f.name, f.incarnation) for f in followers}
+            if any(
+                (entry.name, entry.incarnation) not in listed
+                for entry in self.alive_entries()
+            ):
+                return 0
+        return min((f.suspects for f in followers), default=0)
 
 
 def quarantined_error(execution_status: web.ExecutionStatus) -> web.ApiError:
