--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -71,6 +71,8 @@
         self.role = _state.Role.FOLLOWER
         self.leader = ""
         self.last_leader_contact = now - election_timeout
+        # When this replica, as a follower, last had all that was committed.
+        self.current_as_of = float("-inf")
         self.term_start_index = 0
         self._votes: set[str] = set()
         self._followers = _followers.Followers()
@@ -468,8 +470,18 @@
         self._append_new(req.entries, now)
         match = req.prev_index + len(req.entries)
         self.commit = max(self.commit, min(req.commit, match))
+        if self.commit >= req.commit and self._has_committed_in_term():
+            self.current_as_of = now
         self._reply_append(req.sender, ok=True, index=match)
 
+    def _has_committed_in_term(self) -> bool:
+        """Whether an entry of the current term is known to be committed.
+
+        Until then, a leader that has just been elected may not know the
+        latest committed entries as such.
+        """
+        return self.log.term_at(self.commit) == self.term
+
     def _reject_append(self, req: wire.Append) -> None:
         hint = min(req.prev_index - 1, self.log.last_index)
         # Skips all entries of conflicting terms in one round trip.
--- a/galenashed/consensus/_node.py
+++ b/galenashed/consensus/_node.py
@@ -113,6 +113,8 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._last_snapshot = 0
+        self._applied = 0
+        self._current_as_of = float("-inf")
         self._members: _membership.Members = ()
 
     async def start(self) -> None:
@@ -123,6 +125,7 @@
                 restored.snapshot.index, restored.snapshot_data
             )
         self._last_snapshot = restored.snapshot.index
+        self._applied = restored.snapshot.index
         self.core = _core.Core(
             name=self.name,
             election_timeout=self.election_timeout,
@@ -155,14 +158,32 @@
     def contact_age(self) -> float:
         """Returns the seconds since this replica was known to be up to date.
 
-        Zero on a leader that hears from a majority.  A leader that does not
-        returns the monotonic time, which is larger than any useful limit,
-        except just after the machine has started.
+        Zero on a leader that hears from a majority and has applied what was
+        committed before its term.  Infinite on a replica that has not been
+        up to date since it started: its state is that of its last snapshot,
+        however old.
         """
         now = time.monotonic()
-        if self.is_leader:
-            return 0.0 if self.core.has_quorum_contact(now) else now
-        return now - self.core.last_leader_contact
+        if self._is_current_leader(now):
+            return 0.0
+        return now - self._current_as_of
+
+    def _is_current_leader(self, now: float) -> bool:
+        return (
+            self.is_leader
+            and self._applied >= self.core.term_start_index
+            and self.core.has_quorum_contact(now)
+        )
+
+    def _update_currency(self) -> None:
+        """Records since when the state, with all output applied, is valid."""
+        now = time.monotonic()
+        if self._is_current_leader(now):
+            self._current_as_of = now
+        else:
+            self._current_as_of = max(
+                self._current_as_of, self.core.current_as_of
+            )
 
     def deliver(self, messages: list[wire.Message]) -> None:
         """Queues messages received from other replicas."""
@@ -212,6 +233,7 @@
                 self._process_input()
                 while self.core.has_ready():
                     await self._handle_ready()
+                self._update_currency()
                 await self._maybe_snapshot()
         except _storage.StorageError as exc:
             LOG.error("replica stopped after a storage error: {}", exc)
@@ -292,6 +314,7 @@
                 ready.snapshot.index, ready.snapshot_data
             )
             self._last_snapshot = ready.snapshot.index
+            self._applied = ready.snapshot.index
         for entry in ready.committed:
             self._apply(entry)
 
@@ -299,6 +322,7 @@
         result = None
         if entry.data:
             result = self.state_machine.apply(entry.index, entry.data)
+        self._applied = entry.index
         term, fut = self._uncommitted.pop(entry.index, (0, None))
         if fut is None or fut.done():
             return
--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -1,6 +1,7 @@
 """Clients of the control replicas, used by entries and operators."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -344,6 +345,7 @@
 
     async def _follow(self, name: str) -> None:
         call = self.client.channel(name).open(methods.FOLLOW)
+        opened_at = time.monotonic()
         await self._send_report(call)
         writer = asyncio.create_task(self._send_report_changes(call))
         try:
@@ -353,7 +355,11 @@
                 if not isinstance(event, wire.FollowEvent):
                     return
                 self.on_event(event)
-                if event.age > self.max_age:
+                age = event.age
+                if math.isinf(age):
+                    # A replica that has just started gets time to catch up.
+                    age = time.monotonic() - opened_at
+                if age > self.max_age:
                     return
         finally:
             writer.cancel()
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -1,6 +1,7 @@
 """Streams configuration changes from a control replica to entries."""
 
 import asyncio
+import math
 import time
 
 from galenashed.control import _state_machine
@@ -45,7 +46,8 @@
     state_machine : ControlStateMachine
         The feed registers itself as its listener.
     contact_age : callable
-        Returns the seconds since the replica was last known to be up to date.
+        Returns the seconds since the replica was last known to be up to date,
+        infinite if it has not been since it started.
     addresses : callable
         Returns the names and addresses of the voting replicas.
     """
@@ -116,6 +118,14 @@
         stream.wake.clear()
 
     def _next_event(self, stream: EntryStream) -> wire.FollowEvent:
+        age = self.contact_age()
+        replicas = None
+        addresses = self.addresses()
+        if addresses != stream.replicas:
+            stream.replicas = replicas = addresses
+        if math.isinf(age):
+            # The state may be older than what entries have seen before.
+            return wire.FollowEvent(age=age, replicas=replicas)
         release = None
         notes = self.state_machine.notes_after(stream.index)
         if notes is None:
@@ -132,13 +142,9 @@
         if stream.suspects_due:
             stream.suspects_due = False
             suspects = self.state_machine.suspects()
-        replicas = None
-        addresses = self.addresses()
-        if addresses != stream.replicas:
-            stream.replicas = replicas = addresses
         recalls, stream.recalls = sorted(stream.recalls), set()
         return wire.FollowEvent(
-            age=self.contact_age(),
+            age=age,
             release=release,
             notes=notes,
             recalls=recalls,
--- a/galenashed/node/tests/test_power_losses.py
+++ b/galenashed/node/tests/test_power_losses.py
@@ -42,8 +42,9 @@
     not synced yet when the power fails is kept or lost.  The leader changes
     the membership as planned by :mod:`galenashed.node._voters`.
 
-    ``plan`` and ``reuses_names`` inject faults, to show that the checks
-    detect them: another plan, and empty disks under the names of lost ones.
+    ``plan``, ``reuses_names`` and ``core_class`` inject faults, to show that
+    the checks detect them: another plan, empty disks under the names of lost
+    ones, and a faulty variant of the core.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         spares: int,
         plan=_voters.plan_change,
         reuses_names: bool = False,
+        core_class=consensus.Core,
     ):
         self.tolerance = tolerance
         self.desired_voters = 2 * tolerance + 1
@@ -62,8 +64,9 @@
         self.unsynced: dict[str, tuple] = {}
         self.keep_at = 0.0
         self.has_power = True
+        self.acked_at_outage = 0
         self.readmissions = 0
-        super().__init__(seed=seed, replicas=3)
+        super().__init__(seed=seed, replicas=3, core_class=core_class)
         self.faults = False
         self.machines = [Machine(name) for name in self.names]
         for number in range(3, self.desired_voters + spares):
@@ -106,6 +109,7 @@
     def lose_power(self, lost_disks: list[Machine]) -> None:
         """Stops all machines; unsynced writes are each kept or lost."""
         self.has_power = False
+        self.acked_at_outage = max(self.acked)
         for name, (_, ready, _) in self.unsynced.items():
             if self.rng.random() < 0.5:
                 self.replicas[name].disk.save(ready)
@@ -247,6 +251,12 @@
 
     def check(self) -> None:
         super().check()
+        for replica in self.replicas.values():
+            core = replica.core
+            if core is not None and core.current_as_of > float("-inf"):
+                assert core.commit >= self.acked_at_outage, (
+                    f"{core.name} counts as current, but lacks entries"
+                )
         for core in self.leading_cores():
             for index, data in self.acked.items():
                 if index > core.log.base.index:
@@ -342,6 +352,13 @@
     return change
 
 
+class TrustsNewLeader(consensus.Core):
+    """Counts as current before the leader knows what was committed."""
+
+    def _has_committed_in_term(self):
+        return True
+
+
 class TestPowerLosses(testtools.TestCase):
     """Acknowledged entries survive lost disks while all power is lost."""
 
@@ -366,3 +383,6 @@
 
     def test_checks_detect_empty_disk_under_old_name(self):
         self.assert_detected(reuses_names=True)
+
+    def test_checks_detect_old_state_that_counts_as_current(self):
+        self.assert_detected(core_class=TrustsNewLeader)
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -604,11 +604,12 @@
     """Sent to an entry: changes of the configuration, or a keepalive.
 
     ``age`` is the time since the replica was last known to be up to date, in
-    seconds.  A change is sent as the complete ``release`` or as the ``notes``
-    accepted since the last event.  ``recalls`` names the budgets of which the
-    entry should return idle tokens.  ``replicas`` maps the names of the voting
-    replicas to their addresses.  ``routes`` is the routing table if it is
-    newer than the entry's.
+    seconds; infinite if it has not been since it started, in which case the
+    event has no changes.  A change is sent as the complete ``release`` or as
+    the ``notes`` accepted since the last event.  ``recalls`` names the budgets
+    of which the entry should return idle tokens.  ``replicas`` maps the names
+    of the voting replicas to their addresses.  ``routes`` is the routing table
+    if it is newer than the entry's.
     """
 
     age: float
