--- a/galenashed/consensus/_node.py
+++ b/galenashed/consensus/_node.py
@@ -120,6 +120,8 @@
         self._task: asyncio.Task | None = None
         self._last_snapshot = 0
         self._bytes_since_snapshot = 0
+        self._applied = 0
+        self._current_as_of = float("-inf")
         self._members: _membership.Members = ()
 
     async def start(self) -> None:
@@ -130,6 +132,7 @@
                 restored.snapshot.index, restored.snapshot_data
             )
         self._last_snapshot = restored.snapshot.index
+        self._applied = restored.snapshot.index
         self.core = _core.Core(
             name=self.name,
             election_timeout=self.election_timeout,
@@ -162,14 +165,32 @@
     def contact_age(self) -> float:
         """Returns the seconds since this replica was known to be up to date.
 
-        Zero on a leader that hears from a majority.  A leader that does not
-        returns the monotonic time, which is larger than any useful limit,
-        except just after the machine has started.
+        Zero on a leader that hears from a majority and has applied what was
+        committed before its term.  Infinite on a replica that has not been
+        up to date since it started: its state is that of its last snapshot,
+        however old.
         """
         now = time.monotonic()
-        if self.is_leader:
-            return 0.0 if self.core.has_quorum_contact(now) else now
-        return now - self.core.last_leader_contact
+        if self._is_current_leader(now):
+            return 0.0
+        return now - self._current_as_of
+
+    def _is_current_leader(self, now: float) -> bool:
+        return (
+            self.is_leader
+            and self._applied >= self.core.term_start_index
+            and self.core.has_quorum_contact(now)
+        )
+
+    def _update_currency(self) -> None:
+        """Records since when the state, with all output applied, is valid."""
+        now = time.monotonic()
+        if self._is_current_leader(now):
+            self._current_as_of = now
+        else:
+            self._current_as_of = max(
+                self._current_as_of, self.core.current_as_of
+            )
 
     def deliver(self, messages: list[wire.Message]) -> None:
         """Queues messages received from other replicas."""
@@ -219,6 +240,7 @@
                 self._process_input()
                 while self.core.has_ready():
                     await self._handle_ready()
+                self._update_currency()
                 await self._maybe_snapshot()
         except _storage.StorageError as exc:
             LOG.error("replica stopped after a storage error: {}", exc)
@@ -300,6 +322,7 @@
             )
             self._last_snapshot = ready.snapshot.index
             self._bytes_since_snapshot = 0
+            self._applied = ready.snapshot.index
         for entry in ready.committed:
             self._apply(entry)
 
@@ -308,6 +331,7 @@
         self._bytes_since_snapshot += len(entry.data)
         if entry.data:
             result = self.state_machine.apply(entry.index, entry.data)
+        self._applied = entry.index
         term, fut = self._uncommitted.pop(entry.index, (0, None))
         if fut is None or fut.done():
             return
