Reject a data directory whose only log record is damaged

A replica whose log file consists of one record, as after each start, and whose bytes are damaged on disk started with an empty log, term 0 and no vote, without a word, and could vote a second time in a term.

Cause: a damaged record that reaches the end of the last file counts as the rest of an unfinished write. The first record of a file is written and synced before the file is in use and before the older one goes, so the only file can't be one that was never finished, except at a replica's first start. Class: damage that is taken for an interrupted write.

The check test_checks_detect_log_that_is_removed_first failed with this change, as the faulty storage of the simulation is now refused at its start with "no complete log file" and not found later by a lost entry.

--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -159,6 +159,8 @@
         paths = self._wal_paths()
         self._sequence = _wal_sequence(paths[-1]) if paths else 0
         log, hard_state, entries = self._read_log(snapshot.meta)
+        if log is None and not _is_new(snapshot.meta, paths):
+            raise StorageError(f"{self.directory}: no complete log file")
         self._remove_leftovers(log)
         self._start_log(hard_state, entries)
         return _state.Restored(
@@ -327,6 +329,22 @@
     return records
 
 
+def _is_new(snapshot: wire.SnapshotMeta, paths: list[pathlib.Path]) -> bool:
+    """Whether a directory without a complete log file was never in use.
+
+    Its first start may have been cut short, and leaves a part of the record
+    of an empty state, with zeros in place of what was not written.
+    """
+    payload = msgspec.msgpack.encode(WalRecord(wire.HardState(), []))
+    empty = _encode_record(payload)
+    for path in paths:
+        raw = path.read_bytes()
+        expected = zip(raw, empty, strict=False)
+        if len(raw) > len(empty) or any(x not in (0, y) for x, y in expected):
+            return False
+    return snapshot.index == 0
+
+
 def _read_record(raw: bytes, offset: int) -> bytes | None:
     start = offset + RECORD_HEADER.size
     if start > len(raw):
--- a/galenashed/consensus/tests/test_core.py
+++ b/galenashed/consensus/tests/test_core.py
@@ -100,11 +100,13 @@
         for seed in range(SEEDS // 3):
             run_seed(1_000_000 + seed, 5)
 
-    def assert_detected(self, core_class=consensus.Core, **options):
+    def assert_detected(
+        self, core_class=consensus.Core, error=AssertionError, **options
+    ):
         for seed in range(SEEDS):
             try:
                 run_seed(seed, 3, core_class=core_class, **options)
-            except AssertionError:
+            except error:
                 return
         self.fail(f"no seed detected the fault of {core_class} {options}")
 
@@ -121,7 +123,10 @@
         self.assert_detected(CommitsWithMinority)
 
     def test_checks_detect_log_that_is_removed_first(self):
-        self.assert_detected(storage_class=RemovesLogBeforeSnapshot)
+        self.assert_detected(
+            storage_class=RemovesLogBeforeSnapshot,
+            error=consensus.StorageError,
+        )
 
 
 class TestElections(testtools.TestCase):
--- a/galenashed/consensus/tests/test_storage.py
+++ b/galenashed/consensus/tests/test_storage.py
@@ -137,6 +137,35 @@
             storage.open()
         self.assertLess(storage.size(), 1000)
 
+    def test_corruption_of_the_only_record_is_rejected(self):
+        term_only = consensus.Ready()
+        term_only.hard_state = wire.HardState(term=5)
+        for ready in (term_only, make_ready(1, 2)):
+            storage = self.storage()
+            storage.open()
+            storage.save(ready)
+            storage.close()
+            # The start writes the log as one record.
+            self.stored_indexes()
+            path = max(self.directory.glob("wal-*"))
+            raw = path.read_bytes()
+            for position in range(len(raw)):
+                damaged = bytearray(raw)
+                damaged[position] ^= 1
+                path.write_bytes(damaged)
+                self.assertRaises(consensus.StorageError, self.storage().open)
+            path.write_bytes(raw)
+
+    def test_first_start_may_be_cut_short_at_any_length(self):
+        path = self.fill()
+        raw = path.read_bytes()
+        for size in range(len(raw)):
+            for content in (raw[:size], bytes(size)):
+                for other in self.directory.glob("wal-*"):
+                    other.unlink()
+                path.write_bytes(content)
+                self.assertEqual([], self.stored_indexes())
+
     def test_corrupt_snapshot_is_rejected(self):
         storage = self.storage()
         storage.open()
