Bound the response of an engine that is not streamed

Callers saw: a model request that is not streamed, whose engine's response does not end, failed only at the time limit of the service. Until then the entry kept all that came, in memory that other requests share.

Cause: calls of plain services have a limit of 16 MiB for a response, responses of engines had none. Class of fault: input of a peer kept without a bound.

Before, on (the engine offers 64 MiB; the test waits for 10 s), entry/tests/test_endless_responses.py:

test_response_without_end: raise TimeoutError from exc_val TimeoutError

Responses of engines now have the same limit of 16 MiB; beyond it the connection is closed and the engine counts as lost. After: the tests of entry, test_path.py and test_bad_callers.py pass (38).

--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -61,7 +61,7 @@
                 raise TargetLostError(
                     f"{resp.url.authority}: response of over {limit} bytes"
                 )
-    except aiohttp.ClientError as exc:
+    except (aiohttp.ClientError, OSError) as exc:
         raise TargetLostError(f"{resp.url.authority}: {exc!r}") from exc
     finally:
         # A connection with a partly read response can't be reused.
--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -4,7 +4,6 @@
 import functools
 import time
 
-import aiohttp
 import blacksheep
 import loguru
 import msgspec
@@ -25,6 +24,7 @@
 LOG = loguru.logger
 
 RETRY_AFTER_SECONDS = 1.0
+MAX_RESPONSE_BYTES = 16 * 2**20
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -133,16 +133,11 @@
                 assert run.slot is not None
                 limit = run.service.timeout
                 async with self.dispatcher.watch(run.slot, limit):
-                    body = await resp.read()
+                    body = await engines.read_body(resp, MAX_RESPONSE_BYTES)
                 usage = _requests.parse_usage(msgspec.json.decode(body))
                 if usage is None:
                     raise engines.TargetLostError("response without usage")
-            except (
-                aiohttp.ClientError,
-                TimeoutError,
-                msgspec.DecodeError,
-                engines.TargetLostError,
-            ) as exc:
+            except (msgspec.DecodeError, engines.TargetLostError) as exc:
                 resp.close()
                 await self.runner.on_target_lost(run, exc)
                 continue
--- a/galenashed/entry/tests/test_endless_responses.py
+++ b/galenashed/entry/tests/test_endless_responses.py
@@ -156,3 +156,9 @@
     def test_refusal_whose_body_does_not_come(self):
         error, _ = self.get_error(400, piece=b"", time_limit=0.5)
         self.assertEqual((400, "engine_refused"), (error.status, error.code))
+
+    def test_response_without_end(self):
+        error, engine = self.get_error(200, whole=True)
+        self.assertEqual("targets_failing", error.code)
+        self.assertIs(web.ExecutionStatus.UNKNOWN, error.execution_status)
+        self.assertLess(engine.sent_bytes, OFFERED_BYTES / 2)
