Treat numbers in headers that int() refuses as malformed

Callers saw: a 500 in place of the answer of a target whose X-Instance-Load holds a digit such as a superscript two, or a number of over 4300 digits; a 502 if its Keep-Alive time does. A caller that sent such a number itself got a 500 instead of a 400, and a target that announced such an address got one, too.

Cause: str.isdigit() accepts more than int() does, and int() has a limit of digits. Class of fault: bytes that are no value taken for one.

Only ASCII digits of a bounded length are numbers now.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -25,6 +25,8 @@
 # Idle time after which a connection is not reused, unless the target sends a
 # timeout in a Keep-Alive header.
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
+# A longer number of seconds is ignored; ``int`` fails on some of them.
+MAX_KEEP_ALIVE_DIGITS = 9
 
 
 class ResponseHead:
@@ -280,7 +282,7 @@
     def _set_keep_alive(self, value: str | None) -> None:
         for part in (value or "").split(","):
             name, _, seconds = part.strip().partition("=")
-            if name.lower() == "timeout" and seconds.isdigit():
+            if name.lower() == "timeout" and _is_duration(seconds):
                 # The target started to count earlier, so the connection is
                 # reused for only half of the announced time.
                 self.keep_alive_seconds = int(seconds) / 2
@@ -305,6 +307,15 @@
             self._wake_waiter()
 
 
+def _is_duration(value: str) -> bool:
+    """Returns whether a value is a usual whole number of seconds."""
+    return (
+        value.isascii()
+        and value.isdigit()
+        and len(value) <= MAX_KEEP_ALIVE_DIGITS
+    )
+
+
 class ConnectionPool:
     """Connections to targets, kept for later requests where that is safe.
 
--- a/galenashed/engines/tests/test_connection.py
+++ b/galenashed/engines/tests/test_connection.py
@@ -222,6 +222,13 @@
 
         self.assertEqual(2, asyncio.run(run()))
 
+    def test_odd_keep_alive_time_is_ignored(self):
+        for value in (b"\xb2", b"1" * 400, b"1" * 5000):
+            responses, _ = self.run_scripts(
+                [ok_response(b"a", b"keep-alive: timeout=" + value)]
+            )
+            self.assertEqual([(200, b"a")], responses)
+
     def test_refused_connection(self):
         async def run():
             pool = engines.ConnectionPool(connect_timeout=1.0)
--- a/galenashed/platform/_announcements.py
+++ b/galenashed/platform/_announcements.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from galenashed.platform import _headers
 from galenashed.protocol import gossip as wire
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -95,8 +96,8 @@
 def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
     parts = host.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts):
+    if len(parts) != 4 or not all(map(_headers.is_number, parts)):
         return False
     if not all(int(part) < 256 for part in parts):
         return False
-    return port.isdigit() and 0 < int(port) < 65536
+    return _headers.is_number(port) and 0 < int(port) < 65536
--- a/galenashed/platform/_headers.py
+++ b/galenashed/platform/_headers.py
@@ -31,6 +31,9 @@
     }
 )
 
+# Longer numbers are malformed; ``int`` fails on some of them.
+MAX_DIGITS = 18
+
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP = frozenset(
     {
@@ -53,3 +56,8 @@
     return {
         part.strip().lower() for value in values for part in value.split(",")
     }
+
+
+def is_number(value: str) -> bool:
+    """Returns whether a value is a whole number of a usual length."""
+    return value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -267,7 +267,7 @@
 def _parse_caller_timeout(value: str) -> float | None:
     if not value:
         return None
-    if not value.isdigit():
+    if not _headers.is_number(value):
         raise _make_bad_request_error(
             _headers.TIME_LEFT, value, "milliseconds"
         )
@@ -279,7 +279,10 @@
     if not value:
         return None
     prompt, _, output = value.partition(",")
-    if not (prompt.strip().isdigit() and output.strip().isdigit()):
+    if not (
+        _headers.is_number(prompt.strip())
+        and _headers.is_number(output.strip())
+    ):
         raise _make_bad_request_error(
             _headers.TOKEN_USAGE, value, "PROMPT,OUTPUT tokens"
         )
@@ -292,7 +295,7 @@
     parts = []
     for item in value.split(","):
         part, _, tokens = item.strip().partition(":")
-        if not part or not tokens.isdigit():
+        if not part or not _headers.is_number(tokens):
             raise _make_bad_request_error(
                 _headers.PROMPT_HASHES, value, "ID:TOKENS, separated by commas"
             )
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -48,6 +48,6 @@
 def _parse_load(value: str | None) -> wire.Load | None:
     """Parses ``running,waiting,slots``; returns None if it is invalid."""
     parts = (value or "").split(",")
-    if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
+    if len(parts) < 2 or not all(map(_headers.is_number, parts[:2])):
         return None
     return wire.Load(running=int(parts[0]), waiting=int(parts[1]))
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -18,6 +18,9 @@
 from galenashed.protocol import routes as wire
 from galenashed import web
 
+# Digits that str.isdigit() accepts and int() does not, or only up to a length.
+ODD_NUMBERS = ("\u00b2", "1" * 5000)
+
 SETTINGS = """
 nodeName = "edge-7"
 ip = "10.9.8.7"
@@ -209,6 +212,15 @@
         )
         self.assertEqual("leaving", self.read(state="draining").state)
 
+    def test_heartbeat_with_an_odd_address(self):
+        for odd in ODD_NUMBERS:
+            for address in (f"{odd}.0.0.1:80", f"10.0.0.1:{odd}"):
+                self.assertRaises(
+                    _announcements.AnnouncementError,
+                    self.read,
+                    address=address,
+                )
+
     def test_invalid_heartbeats(self):
         for changes in (
             {"seq": "4"},
@@ -302,6 +314,11 @@
         self.assertEqual((3, 2), (loaded.load.running, loaded.load.waiting))
         self.assertIsNone(self.decode(200, x_instance_load="x,2").load)
 
+    def test_load_that_is_no_number_is_ignored(self):
+        for value in ODD_NUMBERS:
+            answer = self.decode(200, x_instance_load=f"{value},1,8")
+            self.assertIsNone(answer.load)
+
 
 class TestIngress(testtools.TestCase):
     """Headers of callers' requests."""
@@ -353,3 +370,18 @@
                 (_headers.REQUEST_ID, "1"),
             )
             self.assertEqual(400, exc.status)
+
+    def test_odd_numbers_are_malformed(self):
+        for odd in ODD_NUMBERS:
+            for name, value in (
+                (_headers.TOKEN_USAGE, f"1,{odd}"),
+                (_headers.PROMPT_HASHES, f"a:{odd}"),
+                (_headers.TIME_LEFT, odd),
+            ):
+                exc = self.assertRaises(
+                    web.ApiError,
+                    self.decode,
+                    (_headers.REQUEST_ID, "1"),
+                    (name, value),
+                )
+                self.assertEqual(400, exc.status)
