Have the test of a cut stream report a request that no target executes

test_stream_that_the_stop_cuts_is_billed failed once in a run of the tests of platform, node, gateway and web (pytest -n 2, load average about 19): "waited 60 s for the stream", before the stop that it is about. No log was kept, so the cause is inferred, not traced: the request may have been the first of the node for which tokens were needed, and been refused (503, tokens_unavailable) because the grant took longer than a request waits for it, 0.2 s here.

The test now waits until the node holds tokens, and fails at once with the response if a request is answered without having been executed. Nothing that it asserted before is asserted less strictly.

--- a/galenashed/platform/tests/test_shutdown.py
+++ b/galenashed/platform/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import select
 import signal
 import time
 
@@ -69,6 +70,11 @@
     def send_rest(self, size):
         self.conn.send(b"x" * (size - size // 2))
 
+    @property
+    def has_response(self):
+        """Whether bytes of a response have arrived that were not read."""
+        return bool(select.select([self.conn.sock], [], [], 0)[0])
+
     def read_response(self):
         """Returns status, body and headers; None if it is incomplete."""
         try:
@@ -98,6 +104,16 @@
                 "the targets",
             )
 
+    def start_request(self, caller, path):
+        """Sends a request that lasts; returns once a target executes it."""
+        caller.send(path)
+        _fleet.wait_for(
+            lambda: caller.name in self.executed_ids() or caller.has_response,
+            f"{caller.name} to be executed",
+        )
+        if caller.name not in self.executed_ids():
+            self.fail(f"{caller.name}: {caller.read_response()}")
+
     def stop_node(self):
         self.site.processes[STOPPING_NODE].signal(signal.SIGTERM)
         return time.monotonic()
@@ -151,8 +167,7 @@
 
     def test_call_that_the_stop_cuts_is_answered(self):
         call = Caller(self.site, "call", delay=TIME_LIMIT_SECONDS)
-        call.send("/o/x")
-        _fleet.wait_for(lambda: "call" in self.executed_ids(), "the call")
+        self.start_request(call, "/o/x")
         stopped_at = self.stop_node()
         status, body, _ = call.read_response()
         self.assertGreaterEqual(
@@ -165,8 +180,15 @@
     def test_stream_that_the_stop_cuts_is_billed(self):
         stream = Caller(self.site, "stream", delay=TIME_LIMIT_SECONDS / EVENTS)
         stream.headers["X-Token-Usage"] = "100,40"
-        stream.send("/n/x")
-        _fleet.wait_for(lambda: "stream" in self.executed_ids(), "the stream")
+        # The first grant may take longer than a request waits for tokens.
+        _fleet.wait_for(
+            lambda: (
+                self.site.generate(node=STOPPING_NODE, tokens="1,1").status
+                == 200
+            ),
+            "tokens",
+        )
+        self.start_request(stream, "/n/x")
         stopped_at = self.stop_node()
         self.assertIsNone(stream.read_response())
         self.wait_for_exit(stopped_at)
