Close the addresses for operators and targets before the node closes

Targets saw: a node that stopped acknowledged heartbeats until its process ended, also when it no longer told the other nodes. A target that reported "draining" in that time took this for settled, while the other nodes kept sending it requests. A new configuration was accepted as well, and ended with the process, without a clear outcome.

Cause: only the server for callers was closed when the node stopped, and the one for operators, targets, discovery and readiness probes never. Class of fault: work is accepted after the point at which it can no longer be completed.

Fix: both servers are closed when the drain delay is over, 0.4 x graceS after the signal; requests in progress finish. What was acknowledged until then has seconds to be spread.

Evidence: test_heartbeat_is_not_acknowledged_while_the_node_closes (real processes) fails on the old code, with a heartbeat acknowledged 0.2 s after the requests in flight had been cut:

AssertionError: 1796380778.7203104 not less than 1796380778.511

It passes with this change; the tests of platform and node pass (62), and those of shutdown in four runs.

--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -131,7 +131,12 @@
             async with asyncio.timeout(
                 stop_at + CLOSE_TIMEOUT_SECONDS - time.monotonic()
             ):
-                await self._caller_server.close()
+                # Other nodes answer operators and targets: what this one
+                # acknowledged later might not be spread any more.
+                await asyncio.gather(
+                    self._caller_server.close(),
+                    self._management_server.close(),
+                )
         except TimeoutError:
             self.log.write(
                 "requests cut at the stop",
--- a/galenashed/platform/tests/test_shutdown.py
+++ b/galenashed/platform/tests/test_shutdown.py
@@ -1,5 +1,6 @@
 """Requests in progress and new ones while a node shuts down on SIGTERM."""
 
+import contextlib
 import http.client
 import json
 import select
@@ -198,6 +199,26 @@
             timeout=2 * GRACE_SECONDS,
         )
 
+    def test_heartbeat_is_not_acknowledged_while_the_node_closes(self):
+        call = Caller(self.site, "call", delay=TIME_LIMIT_SECONDS)
+        self.start_request(call, "/o/x")
+        stopped_at = self.stop_node()
+        acknowledged_at = 0.0
+        while self.site.processes[STOPPING_NODE].popen.poll() is None:
+            with contextlib.suppress(OSError):
+                self.site.announce(self.app, STOPPING_NODE)
+                acknowledged_at = time.time()
+            time.sleep(0.005)
+        self.wait_for_exit(stopped_at)
+        log = self.site.processes[STOPPING_NODE].log.read_bytes()
+        (cut_at,) = (
+            json.loads(line)["at"]
+            for line in log.splitlines()
+            if b"instance_stopped" in line
+        )
+        # Nothing is spread to the other nodes after the gossip has ended.
+        self.assertLess(acknowledged_at, cut_at)
+
     def settled_tokens(self):
         """Returns the tokens of all bills that control has settled."""
         return max(
