Count the entries that follow a control replica that does not answer

Seen: without any load, one request ended three engines of four in 0.8 s. The entry that ran it could not reach the control replica that another entry followed, and that other entry heard nothing from control.

Cause (class: silence counted as consent): whether all entries know of a crash is read from the lists of followers of all replicas. A replica without an answer was left out, and with it the entries that follow it. Under load a status that comes late has the same effect; this is the second way to the three engines of test_crashing_request_stops_two_engines_with_delayed_control, and needs no time limit to run out.

Change: while a replica does not answer, each entry that gossip lists as alive must follow one that does.

--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -175,6 +175,9 @@
         quarantine = _suspects.CrashQuarantine(
             control_client=self.control_client,
             configuration=self.configuration,
+            alive_entries=lambda: self.instance_directory.alive(
+                time.monotonic()
+            ),
         )
         runner = _runs.EngineRunner(
             dispatcher=self.dispatcher,
--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import typing
 
 import loguru
 
@@ -9,6 +10,7 @@
 from galenashed.entry import _configuration
 from galenashed.entry import _runs
 from galenashed.protocol import control as wire
+from galenashed.protocol import gossip as gossip_wire
 from galenashed import telemetry
 from galenashed import web
 
@@ -39,6 +41,8 @@
         Records crashes and trials.
     configuration : Configuration
         Holds the crash counts that this entry knows.
+    alive_entries : callable
+        Returns the instances of the entries that may be alive.
     """
 
     def __init__(
@@ -46,9 +50,11 @@
         *,
         control_client: control.ControlClient,
         configuration: _configuration.Configuration,
+        alive_entries: typing.Callable[[], list[gossip_wire.Instance]],
     ):
         self.control_client = control_client
         self.configuration = configuration
+        self.alive_entries = alive_entries
         # Reports that control has not acknowledged, by request digest.
         self._unacknowledged: dict[str, list[wire.ReportCrash]] = {}
         # Index of the latest crash that this entry reported.
@@ -205,20 +211,28 @@
         return True
 
     async def _query_propagated_index(self) -> int:
-        """Returns the index that every connected entry has applied."""
+        """Returns the index that every connected entry has applied.
+
+        Returns 0 while a replica does not answer that an entry may follow.
+        """
         statuses = await self.control_client.statuses(
             timeout=STATUS_TIMEOUT_SECONDS
         )
-        return min(
-            (
-                follower.suspects
-                for status in statuses.values()
-                if status is not None
-                for follower in status.followers
-                if follower.connected
-            ),
-            default=0,
-        )
+        followers = [
+            follower
+            for status in statuses.values()
+            if status is not None
+            for follower in status.followers
+            if follower.connected
+        ]
+        if None in statuses.values():
+            listed = {(f.name, f.incarnation) for f in followers}
+            if any(
+                (entry.name, entry.incarnation) not in listed
+                for entry in self.alive_entries()
+            ):
+                return 0
+        return min((f.suspects for f in followers), default=0)
 
 
 def quarantined_error(execution_status: web.ExecutionStatus) -> web.ApiError:
--- a/galenashed/entry/tests/test_suspects.py
+++ b/galenashed/entry/tests/test_suspects.py
@@ -10,6 +10,7 @@
 from galenashed.entry import _runs
 from galenashed.entry import _suspects
 from galenashed.protocol import control as wire
+from galenashed.protocol import gossip as gossip_wire
 from galenashed import web
 
 CRASH_INDEX = 7
@@ -106,6 +107,20 @@
         self.requirements = FakeRequirements()
 
 
+def make_instance(name: str) -> gossip_wire.Instance:
+    return gossip_wire.Instance(
+        name=name,
+        incarnation="1",
+        started=0.0,
+        sequence=1,
+        address="127.0.0.1:1",
+        peer_address="127.0.0.1:2",
+        failure_domain="keflavik",
+        state="serving",
+        in_flight=0,
+    )
+
+
 class TestTrials(testtools.TestCase):
     """A suspected request runs only once every entry knows of the crash."""
 
@@ -113,12 +128,13 @@
         super().setUp()
         self.patch(_suspects, "PROPAGATION_TIMEOUT_SECONDS", 0.1)
 
-    def make_quarantine(self, client: FakeControlClient):
+    def make_quarantine(self, client: FakeControlClient, alive=()):
         return _suspects.CrashQuarantine(
             control_client=typing.cast(typing.Any, client),
             configuration=_configuration.Configuration(
                 max_stale=10.0, serve_when_stale=False
             ),
+            alive_entries=lambda: [make_instance(name) for name in alive],
         )
 
     def make_run(self) -> _runs.ModelRun:
@@ -132,9 +148,9 @@
         run.sent = True
         return run
 
-    def crash_and_retry(self, client: FakeControlClient):
+    def crash_and_retry(self, client: FakeControlClient, alive=()):
         async def report_and_begin():
-            quarantine = self.make_quarantine(client)
+            quarantine = self.make_quarantine(client, alive)
             run = self.make_run()
             await quarantine.report_crash(run, FakeTarget())
             await quarantine.begin_trial(run)
@@ -163,6 +179,26 @@
         self.assertRaises(web.ApiError, asyncio.run, begin())
         self.assertEqual(0, client.trials)
 
+    def test_silent_replica_may_have_followers_that_have_not_learned(self):
+        client = FakeControlClient(
+            followers={"c1": {"e1": CRASH_INDEX}, "c2": None}
+        )
+        exc = self.assertRaises(
+            web.ApiError, self.crash_and_retry, client, alive=["e2"]
+        )
+        self.assertEqual(503, exc.status)
+        self.assertEqual(0, client.trials)
+
+    def test_silent_replica_without_followers_is_not_waited_for(self):
+        client = FakeControlClient(
+            followers={
+                "c1": {"e1": CRASH_INDEX, "e2": CRASH_INDEX},
+                "c2": None,
+            }
+        )
+        self.crash_and_retry(client, alive=["e2"])
+        self.assertEqual(1, client.trials)
+
     def test_request_is_rerun_although_control_answers_slowly(self):
         client = FakeControlClient(
             followers={"c1": {"e1": CRASH_INDEX, "e2": CRASH_INDEX}},
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -94,6 +94,40 @@
         self.assertEqual("not run", repeated.json()["error"]["run"])
         self.assertEqual(2, self.count_exited())
 
+    def followed_replica(self, entry: str) -> str:
+        """Returns the control replica whose feed an entry follows."""
+
+        def find():
+            statuses = self.fleet.ask_control(
+                lambda client: client.statuses(timeout=1.0)
+            )
+            for name, status in statuses.items():
+                for follower in status.followers if status else []:
+                    if follower.name == entry and follower.connected:
+                        return name
+            return ""
+
+        return _fleet.wait_for(find, f"{entry} to follow a replica")
+
+    def test_crashing_request_stops_two_engines_with_a_silent_replica(self):
+        # e2 acquires tokens before its links to control fail.
+        self.assertEqual(200, self.fleet.ask("e2", "innocent").status)
+        self.fleet.wait_peers("e1")
+        link = self.fleet.control_links[("e1", self.followed_replica("e2"))]
+        link.forward = link.backward = "drop"
+        for name in self.fleet.control_names:
+            self.fleet.control_links[("e2", name)].backward = "hold"
+        crashing_prompt = f"silent {_engine.CRASH_MARKER}"
+        # e2 does not learn of a crash meanwhile.
+        self.fleet.ask("e1", crashing_prompt)
+        self.fleet.ask("e2", crashing_prompt)
+        link.heal()
+        for name in self.fleet.control_names:
+            self.fleet.control_links[("e2", name)].heal()
+        for entry in ("e1", "e2"):
+            self.wait_quarantined(entry, crashing_prompt)
+        self.assertEqual(2, self.count_exited())
+
     def wait_quarantined(self, entry: str, prompt: str) -> _fleet.Response:
         """Repeats a request until it is refused as quarantined.
 
