Let operators reach a leader that their settings don't name

Seen: test_replica_that_was_down_during_a_replacement_rejoins failed with "no control replica answered within 5.0 s", although three of four replicas ran and one of them led.

Cause (class: an answer reported as no answer): the operator's settings named c1, c4 and c3, and c2 led. c3 and c4 answered at once that c2 leads, but a client follows only a name that it knows, and asked the next one until its time was up. Entries learn addresses from their feed; operators have none.

Evidence: the logs of the failed run: c3 stops leading at 10:08:49.4, c2 leads from 10:08:50.8 to the end at 10:08:58.7, and the write-ahead logs of c2, c3 and c4 all hold its first entry. Trial without faults, settings without the leader: `replica remove`, `budget show` and `note publish` fail so. The new test, against the commit before:

AssertionError: ('note', 'publish', ...): no control replica answered within 15.0 s

Change: a client that is sent to an unknown leader asks the same replica for the members and adds the voters to those it knows. Addresses of its settings still come first.

--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -216,9 +216,19 @@
             else:
                 if outcome.leader is None:
                     return outcome
+                if outcome.leader and outcome.leader not in self.replicas:
+                    await self._add_members(name)
                 self._update_leader(name, outcome.leader)
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _add_members(self, name: str) -> None:
+        """Adds the voters that a replica knows to the known replicas."""
+        status = await self._fetch_status(name, CALL_TIMEOUT_SECONDS)
+        if status is not None:
+            self.add_replicas(
+                {m.name: m.address for m in status.members if not m.learner}
+            )
+
     def _update_leader(self, asked: str, leader: str) -> None:
         if leader in self.replicas and leader != asked:
             self._leader = leader
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -259,7 +259,7 @@
         for name in self.entry_names:
             self.addresses[name] = f"127.0.0.1:{free_port()}"
             self.addresses[f"{name}.peers"] = f"127.0.0.1:{free_port()}"
-        self._write_operator_config()
+        self.write_operator_config()
         for name in self.control_names:
             self._configure_replica(name)
             self.processes[name].start("--create")
@@ -333,7 +333,8 @@
             rows.append(f'{name} = "{link.address}"')
         return "[control.replicas]\n" + "\n".join(rows) + "\n"
 
-    def _write_operator_config(self) -> None:
+    def write_operator_config(self) -> None:
+        """Writes operator settings that name the ``control_names``."""
         self.operator_path = self._write_file(
             "operator.toml",
             '[operators]\nkey_file = "operator.key"\n'
@@ -365,7 +366,7 @@
         """
         self.control_names[self.control_names.index(old)] = new
         self.addresses[new] = f"127.0.0.1:{free_port()}"
-        self._write_operator_config()
+        self.write_operator_config()
         self._configure_replica(new)
         self.processes[new].start("--join")
         self.run_operator_cli("replica", "add", new, self.addresses[new])
--- a/galenashed/tests/test_replicas.py
+++ b/galenashed/tests/test_replicas.py
@@ -99,6 +99,13 @@
             for member in json.loads(result.stdout)
         }
 
+    def test_operator_reaches_a_leader_missing_from_its_settings(self):
+        leader = self.fleet.leader()
+        self.fleet.control_names.remove(leader)
+        self.fleet.write_operator_config()
+        self.fleet.publish(make_note(2), "--timeout", "15")
+        self.assertIn("note 2", self.note_subjects())
+
     def test_entries_discover_replicas_missing_from_their_settings(self):
         for old, new in (("c1", "c4"), ("c2", "c5"), ("c3", "c6")):
             self.fleet.delete_replica_data(old)
