Retry changes of replicas while no control replica leads

Seen: `replica remove` and `replica add` ended after 5 s without an answer, although they promise to retry for 30 s and 120 s.

Cause (class: a limit of one attempt taken for that of the command): the error of an attempt that gets no answer was not caught, only refusals were retried. Found on the way from test_replica_that_was_down_during_a_replacement_rejoins, whose command ended after 5 s.

Evidence: the new test, against the commit before:

galenashed.control._client.ControlUnavailableError: no answer (test_change_is_retried_while_no_replica_leads)

Change: an attempt without an answer is repeated until the time of the command is up, and only then reported. Changes may be repeated, as documented.

Result: the 2 tests of the command pass.

--- a/galenashed/cli/_replicas.py
+++ b/galenashed/cli/_replicas.py
@@ -137,11 +137,17 @@
     """Retries a command until it is done or the deadline has passed.
 
     Prints the findings of the last attempt if the command was not done.
+    Raises ControlUnavailableError if that got no answer.
     """
     while True:
-        reply = await client.change_replicas(
-            command, timeout=ATTEMPT_TIMEOUT_SECONDS
-        )
+        try:
+            reply = await client.change_replicas(
+                command, timeout=ATTEMPT_TIMEOUT_SECONDS
+            )
+        except control.ControlUnavailableError:
+            if time.monotonic() > deadline:
+                raise
+            continue
         if isinstance(reply, wire.Done):
             return _output.EXIT_OK
         if time.monotonic() > deadline:
