Wait for a leader before listing the control replicas

Seen: test_leader_that_loses_its_disk_is_replaced failed in `replica list` with "no control replica that answered is the leader".

Cause (class: a state read once while it changes): the command asks each replica once and fails if none leads at that moment; the other commands that need the leader retry. It also never asked a leader that the operator's settings don't name.

Evidence: the logs of the failed run: c3 stopped leading at 10:11:45.398, and c1 led from 10:11:46.025, 0.63 s later; the write-ahead logs show no other term between. The load average was 14; that c3 stopped leading, as no majority answered it for 0.5 s, was not traced further. The new test, against the commit before:

testtools.matchers._impl.MismatchError: 0 != 1 (test_list_waits_for_a_leader)

Change: the command repeats the queries for up to 5 s, and adds the members that the replicas know to those of the settings.

--- a/galenashed/cli/_replicas.py
+++ b/galenashed/cli/_replicas.py
@@ -17,6 +17,7 @@
 
 RETRY_DELAY_SECONDS = 0.2
 ATTEMPT_TIMEOUT_SECONDS = 5.0
+LEADER_WAIT_SECONDS = 5.0
 
 
 @REPLICA.command(name="add")
@@ -99,14 +100,11 @@
     """
 
     async def show(client: control.ControlClient) -> int:
-        timeout = _clients.STATUS_TIMEOUT_SECONDS
-        statuses = await client.statuses(timeout=timeout)
-        leaders = [s for s in statuses.values() if s and s.role == "leader"]
-        if not leaders:
+        members = await _fetch_members(client)
+        if members is None:
             return _output.fail(
                 "no control replica that answered is the leader"
             )
-        members = max(leaders, key=lambda s: s.term).members
         if json:
             _output.print_json(members)
             return _output.EXIT_OK
@@ -125,6 +123,30 @@
     return _clients.run_with_client(config_path, show)
 
 
+async def _fetch_members(client) -> list[wire.MemberStatus] | None:
+    """Returns the members as known to the leader.
+
+    Waits for a leader, which may not be among the replicas of the settings,
+    and returns None after ``LEADER_WAIT_SECONDS``.
+    """
+    deadline = time.monotonic() + LEADER_WAIT_SECONDS
+    while True:
+        statuses = await client.statuses(
+            timeout=_clients.STATUS_TIMEOUT_SECONDS
+        )
+        answered = [s for s in statuses.values() if s is not None]
+        leaders = [s for s in answered if s.role == "leader"]
+        if leaders:
+            return max(leaders, key=lambda s: s.term).members
+        if time.monotonic() > deadline:
+            return None
+        for status in answered:
+            client.add_replicas(
+                {m.name: m.address for m in status.members if not m.learner}
+            )
+        await asyncio.sleep(RETRY_DELAY_SECONDS)
+
+
 def _make_command(action: str, name: str, address: str = ""):
     return wire.ChangeReplicas(
         action=action, name=name, address=address, actor=getpass.getuser()
