Wait for the bills that a test of one bill compares

Seen: test_retry_at_other_entries_is_complete_and_billed_once failed with 41 != 82 at a load average of 14.

Not a wrong bill: the test read the settled tokens "before" right after the first stream had ended. An entry ends a stream once a witness has the bill, as promised; control settles it later. Read too early, "before" was 0, and the 41 tokens of the first request were counted to the second.

Change: the test waits for the first bill. Instead of 1 s, it waits until both entries that answered have settled all their bills and until witnesses have recovered the killed entry, whose bills would come only then; each entry must name the same bill, the tokens must match it exactly, and control must hold one bill of the request. This checks more than before: a second bill that came later than 1 s went unseen.

--- a/galenashed/tests/test_instances_fail.py
+++ b/galenashed/tests/test_instances_fail.py
@@ -37,7 +37,9 @@
     def test_retry_at_other_entries_is_complete_and_billed_once(self):
         fleet = self.start_fleet(engine_args=("--token-seconds", "0.03"))
         expected = _fleet.Stream(fleet.addresses["e2"], "same text").read()
-        before = fleet.balance()["settled"]
+        # A witness may have the bill before control has.
+        before = self.wait_billed(fleet, "e2", expected.request_id)
+        self.assertEqual(before, fleet.balance()["settled"])
         stream = _fleet.Stream(
             fleet.addresses["e1"], "same text", key="retry-1"
         )
@@ -57,17 +59,45 @@
         for stream in repeated:
             self.assertTrue(stream.finished)
             self.assertEqual(expected.words, stream.words)
-        _fleet.wait_for(
-            lambda: fleet.balance()["settled"] > before, "the bill"
-        )
-        time.sleep(1.0)
+        # Each entry answers once control has acknowledged its own bills; those
+        # of the killed one are recovered by its witnesses.
+        billed = {
+            self.wait_billed(fleet, entry, repeated[0].request_id)
+            for entry in ("e2", "e3")
+        }
+        self.wait_recovered(fleet, "e1")
         tokens = fleet.balance()["settled"] - before
-        bill = _fleet.fetch(
-            fleet.addresses["e3"], f"/v1/bills/{repeated[0].request_id}"
-        ).json()
-        self.assertEqual(bill["billed_tokens"], tokens)
+        self.assertEqual({tokens}, billed)
+        self.assertEqual(1, len(fleet.bills(repeated[0].request_id)))
         self.assert_budget_balances(fleet)
 
+    def wait_billed(self, fleet, entry: str, request_id: str) -> int:
+        """Returns the tokens of a bill once an entry has settled its bills."""
+
+        def find_tokens():
+            response = _fleet.fetch(
+                fleet.addresses[entry], f"/v1/bills/{request_id}"
+            )
+            if response.status == 503:
+                return 0
+            self.assertEqual(200, response.status)
+            return response.json()["billed_tokens"]
+
+        return _fleet.wait_for(find_tokens, f"the bill of {request_id}")
+
+    def wait_recovered(self, fleet, entry: str):
+        """Waits until witnesses have recovered a killed entry's grants."""
+
+        def is_recovered():
+            result = fleet.run_operator_cli("audit", "--json")
+            return any(
+                record["action"] == "recover"
+                and record["subject"].startswith(f"{entry}/")
+                for record in json.loads(result.stdout)
+            )
+
+        _fleet.wait_for(is_recovered, f"{entry} to be recovered")
+
     def test_call_of_a_killed_entry_has_unknown_outcome(self):
         fleet = self.start_fleet(engines=0, services=1)
 
