Wait for the answer of an isolated replica before checking it

Seen: test_leader_isolated_by_a_silent_partition failed with "'NoneType' object is not subscriptable" at a load average of 14.

Cause: `status` asks each replica once for 2 s and prints null for one that did not answer, as documented; the test took an answer for granted. The logs show the isolated leader step down 0.4 s after the note was published and another one lead 0.3 s later, as they should. Why its answer took more than 2 s can't be told from them.

Evidence: with the operator's link to the isolated replica held, the test fails with the same error.

Change: the test repeats the command until the replica answers. It is still isolated then, so that the check of its note is the same.

--- a/galenashed/tests/test_instances_fail.py
+++ b/galenashed/tests/test_instances_fail.py
@@ -239,14 +239,22 @@
                 link.forward = mode
                 link.backward = mode
 
+    def wait_status(self, fleet, name: str) -> dict:
+        """Returns the status of a replica once it answers an operator."""
+
+        def find_status():
+            result = fleet.run_operator_cli("status", "--json", check=False)
+            return json.loads(result.stdout)[name]
+
+        return _fleet.wait_for(find_status, f"an answer of {name}")
+
     def test_leader_isolated_by_a_silent_partition(self):
         fleet = self.start_fleet()
         leader = fleet.leader()
         self.set_replica_links(fleet, leader, "drop")
         fleet.publish(self.make_note(2))
         # The isolated replica responds to operators but commits nothing.
-        result = fleet.run_operator_cli("status", "--json", check=False)
-        status = json.loads(result.stdout)[leader]
+        status = self.wait_status(fleet, leader)
         self.assertNotEqual(2, status["note"])
         self.wait_serving(fleet)
         self.set_replica_links(fleet, leader, "pass")
