Repeat the first request of an entry that has no tokens yet

Seen: test_overspend_first_refuses_after_lease_expiry failed with KeyError 'usage' at a load average of 14.

Cause: the first request of e2 was refused with 503 "can't reserve tokens now: no control replica answered within 2.0 s" (its log, 10:11:57.09), an answer that entries may give. Control had no leader for 0.8 s: c1 had voted for itself in term 3, which made c2 step down; c3 never stored that term, so that c1 did not win; c2 led again in term 4 from 10:11:56.99, 0.1 s before the limit of the request (logs and write-ahead logs of all three). One election that failed and one that succeeded; not an endless one. Why c1 had missed heartbeats of c2 was not traced.

Evidence: with e2's links from control held, the test fails with the same error.

Change: the first request of each entry is repeated until it is served. A refusal must be 503 and say "not run"; that it used no tokens is checked by the comparison of used and settled tokens at the end, as before. The checks of the entry that is cut off are unchanged.

--- a/galenashed/tests/test_instances_fail.py
+++ b/galenashed/tests/test_instances_fail.py
@@ -356,8 +356,7 @@
         )
         spent_tokens = 0
         for entry in fleet.entry_names:
-            response = fleet.ask(entry, "warm up")
-            spent_tokens += response.json()["usage"]["total_tokens"]
+            spent_tokens += self.warm_up(fleet, entry)
         links = [
             link
             for (source, _), link in fleet.control_links.items()
@@ -390,6 +389,22 @@
         self.assert_budget_balances(fleet)
         return [response.status for response in e1_responses]
 
+    def warm_up(self, fleet, entry: str) -> int:
+        """Repeats a request until an entry has tokens to serve it.
+
+        Returns the tokens that it used; a refused request uses none.
+        """
+
+        def find_tokens():
+            response = fleet.ask(entry, "warm up")
+            if response.status == 200:
+                return response.json()["usage"]["total_tokens"]
+            self.assertEqual(503, response.status)
+            self.assertEqual("not run", response.json()["error"]["run"])
+            return 0
+
+        return _fleet.wait_for(find_tokens, f"{entry} to serve a request")
+
     def test_overspend_first_refuses_after_lease_expiry(self):
         statuses = self.collect_statuses_while_cut_off("overspend-first")
         self.assertEqual({503}, set(statuses))
