Remove a replica that does not lead when it is removed

Seen: test_replica_that_was_down_during_a_replacement_rejoins failed in `replica remove c2` at a load average of 14.

Cause: the test chose a replica that did not lead, then added c4; meanwhile the leader changed from c3 to the chosen c2 (logs: c3 stops at 10:08:49.4, 1.2 s after c4 had become a voter, c2 leads from 10:08:50.8). A leader can't be removed, as documented, and c1 was down, so that stopping c2 would have left no majority.

Change: if the chosen replica has become the leader, the test removes the other one. All checks after that are unchanged.

--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -364,13 +364,40 @@
         The operator's configuration file names ``new`` from then on; those
         of the entries still name ``old``.
         """
+        self._add_replica(old, new)
+        self.run_operator_cli("replica", "remove", old)
+
+    def replace_follower(self, names: list[str], new: str) -> str:
+        """Replaces one of two replicas by ``new``; returns its name.
+
+        It is one that does not lead: a leader can't be removed, and which of
+        them leads may change while ``new`` joins.
+        """
+        old = next(name for name in names if name != self.leader())
+        self._add_replica(old, new)
+
+        def remove():
+            nonlocal old
+            result = self.run_operator_cli(
+                "replica", "remove", old, "--timeout", "1", check=False
+            )
+            if "is the leader" in result.stdout:
+                other = next(name for name in names if name != old)
+                self.control_names[self.control_names.index(other)] = old
+                self.write_operator_config()
+                old = other
+            return result.returncode == 0
+
+        wait_for(remove, f"one of {names} to be removed")
+        return old
+
+    def _add_replica(self, old: str, new: str) -> None:
         self.control_names[self.control_names.index(old)] = new
         self.addresses[new] = f"127.0.0.1:{free_port()}"
         self.write_operator_config()
         self._configure_replica(new)
         self.processes[new].start("--join")
         self.run_operator_cli("replica", "add", new, self.addresses[new])
-        self.run_operator_cli("replica", "remove", old)
 
     def delete_replica_data(self, name: str) -> None:
         """Kills a control replica and deletes its data folder."""
--- a/galenashed/tests/test_replicas.py
+++ b/galenashed/tests/test_replicas.py
@@ -72,10 +72,9 @@
 
     def test_replica_that_was_down_during_a_replacement_rejoins(self):
         self.fleet.processes["c1"].kill()
-        old = "c3" if self.fleet.leader() == "c2" else "c2"
         # c1 is down, so the old replica is needed for a majority until it
         # has been replaced.
-        self.fleet.replace_replica(old, "c4")
+        old = self.fleet.replace_follower(["c2", "c3"], "c4")
         self.fleet.processes[old].kill()
         old_leader = self.fleet.leader()
         self.fleet.processes["c1"].start()
