--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -131,6 +131,7 @@
         self._next_heartbeat = now + self.heartbeat
         self._followers.probe_unresponsive(now - self.election_timeout)
         for peer in self.peers:
+            self._repeat_lost_chunk(peer, now)
             self._send_append(peer, heartbeat=True)
 
     def has_quorum_contact(self, now: float) -> bool:
@@ -570,19 +571,19 @@
         progress = self._followers[peer]
         if progress.probing and not heartbeat:
             return
-        if progress.snapshot_offset is not None:
-            if heartbeat:
-                self._send_chunk(peer, progress)
-            return
         prev_index = progress.next_index - 1
+        if progress.snapshot_offset is not None:
+            # No entries can follow yet; the append shows that the leader is
+            # alive.
+            prev_index = self.snapshot.index
         prev_term = self.log.term_at(prev_index)
         if prev_term is None:
-            progress.snapshot_offset = 0
-            self._send_chunk(peer, progress)
+            self._send_chunk(peer, progress, offset=0)
             return
         entries: list[wire.Entry] = []
         has_window = prev_index - progress.match_index < MAX_INFLIGHT_ENTRIES
-        if has_window and not progress.probing:
+        is_in_transfer = progress.snapshot_offset is not None
+        if has_window and not progress.probing and not is_in_transfer:
             entries = self.log.after(prev_index, MAX_APPEND_BYTES)
         if not entries and not heartbeat:
             return
@@ -612,8 +613,18 @@
 
     # Snapshots
 
-    def _send_chunk(self, peer: str, progress: _followers.Progress) -> None:
-        offset = progress.snapshot_offset or 0
+    def _send_chunk(
+        self, peer: str, progress: _followers.Progress, *, offset: int
+    ) -> None:
+        """Sends the chunk at ``offset``, which the follower has up to there.
+
+        The next one is sent only once this one is acknowledged: with one for
+        each commit or repeated reply, the chunks in flight would grow with
+        the load for as long as the transfer takes.
+        """
+        progress.snapshot_offset = offset
+        progress.reported_offset = offset
+        progress.chunk_sent_by = None
         end = offset + SNAPSHOT_CHUNK_BYTES
         self._send(
             peer,
@@ -627,6 +638,17 @@
             ),
         )
 
+    def _repeat_lost_chunk(self, peer: str, now: float) -> None:
+        """Sends a chunk again that had no answer for an election timeout."""
+        progress = self._followers[peer]
+        if progress.snapshot_offset is None:
+            return
+        if progress.chunk_sent_by is None:
+            progress.chunk_sent_by = now
+        elif now - progress.chunk_sent_by >= self.election_timeout:
+            # A follower that has restarted has lost the earlier chunks.
+            self._send_chunk(peer, progress, offset=progress.reported_offset)
+
     def _on_snapshot_chunk(self, now: float, req: wire.SnapshotChunk) -> None:
         if req.term < self.term:
             self._reply_append(req.sender, ok=False, index=0)
@@ -684,8 +706,6 @@
             progress.next_index = progress.match_index + 1
             self._send_append(reply.sender, heartbeat=True)
         elif reply.index == self.snapshot.index:
-            progress.snapshot_offset = reply.offset
-            self._send_chunk(reply.sender, progress)
-        else:
-            progress.snapshot_offset = 0
-            self._send_chunk(reply.sender, progress)
+            progress.reported_offset = reply.offset
+            if reply.offset > progress.snapshot_offset:
+                self._send_chunk(reply.sender, progress, offset=reply.offset)
--- a/galenashed/consensus/_followers.py
+++ b/galenashed/consensus/_followers.py
@@ -6,13 +6,21 @@
 
     While ``probing`` is set, the follower is sent no entries; empty appends
     first determine up to which index its log matches the leader's.
+
+    ``snapshot_offset`` is the number of bytes of the current snapshot that
+    the follower has received, None while it is served from the log.  One
+    chunk is in flight at a time; ``chunk_sent_by`` is a time by which it was
+    sent, None until the next heartbeat, and ``reported_offset`` the offset
+    of the follower's last reply.
     """
 
     __slots__ = (
+        "chunk_sent_by",
         "last_contact",
         "match_index",
         "next_index",
         "probing",
+        "reported_offset",
         "snapshot_offset",
     )
 
@@ -21,9 +29,9 @@
         self.next_index = next_index
         self.probing = False
         self.last_contact = last_contact
-        # Bytes of the current snapshot that the follower has received, or
-        # None while it is served from the log.
         self.snapshot_offset: int | None = None
+        self.chunk_sent_by: float | None = None
+        self.reported_offset = 0
 
 
 class Followers:
