--- a/galenashed/consensus/_log.py
+++ b/galenashed/consensus/_log.py
@@ -27,6 +27,10 @@
     def last_term(self) -> int:
         return self.entries[-1].term if self.entries else self.base.term
 
+    def size(self) -> int:
+        """Returns the bytes of data of the entries in memory."""
+        return sum(len(entry.data) for entry in self.entries)
+
     def term_at(self, index: int) -> int | None:
         """Returns the term at ``index``, or None if it is not in memory."""
         if index == self.base.index:
--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -86,6 +86,11 @@
         for channel in self._channels.values():
             await channel.close()
 
+    @property
+    def pending_count(self) -> int:
+        """The number of commands that wait to be sent."""
+        return len(self._pending)
+
     @property
     def names(self) -> list[str]:
         """Names of the replicas that requests are sent to."""
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -153,6 +153,11 @@
             routes=routes,
         )
 
+    @property
+    def connected_count(self) -> int:
+        """The number of entries that follow this replica now."""
+        return sum(stream.connected for stream in self._streams.values())
+
     def statuses(self) -> list[wire.FollowerStatus]:
         """Returns the status of each entry that follows this replica."""
         now = time.monotonic()
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -202,6 +202,19 @@
             return wire.QueryReply(leader=outcome.leader)
         return self.state_machine.query(query)
 
+    def resources(self) -> dict[str, int]:
+        """Returns what this replica keeps in memory, by the log's fields.
+
+        Sizes are in bytes of encoded data.
+        """
+        core = self.node.core
+        return {
+            "log_entries": len(core.log.entries),
+            "log_bytes": core.log.size(),
+            "snapshot_bytes": len(core.snapshot_data),
+            "followers": self._feed.connected_count,
+        }
+
     def _voter_addresses(self) -> dict[str, str]:
         """Returns the addresses of the voting replicas by name."""
         return {
--- a/galenashed/gossip/_gossiper.py
+++ b/galenashed/gossip/_gossiper.py
@@ -83,6 +83,11 @@
         for link in self._links.values():
             await link.close()
 
+    @property
+    def link_count(self) -> int:
+        """The number of open links to other entries."""
+        return len(self._links)
+
     def set_seeds(self, seeds: list[str]) -> None:
         """Replaces the seeds."""
         self._core.seeds = seeds
--- a/galenashed/node/_loans.py
+++ b/galenashed/node/_loans.py
@@ -61,6 +61,11 @@
         self.budget_manager: budget.BudgetManager | None = None
         self._channels: dict[str, rpc.Channel] = {}
 
+    @property
+    def channel_count(self) -> int:
+        """The number of open channels to other entries."""
+        return len(self._channels)
+
     def attach(self, budget_manager: budget.BudgetManager) -> None:
         """Sets the budget manager whose tokens are lent."""
         self.budget_manager = budget_manager
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -604,6 +604,19 @@
                 "budgets", **self.replica.state_machine.budget_totals()
             )
 
+    def resources(self) -> dict[str, int]:
+        """Returns what may grow in this process, by the log's fields."""
+        counts = {
+            "tasks": len(asyncio.all_tasks()),
+            "in_flight": self.gateway.in_flight,
+            "links": self._gossiper.link_count,
+            "loan_channels": self._loan_exchange.channel_count,
+            "pending_commands": self.control_client.pending_count,
+        }
+        if self.replica is not None:
+            counts.update(self.replica.resources())
+        return counts
+
     def _check_control_contact(self) -> None:
         """Logs loss and recovery of the contact with control.
 
--- a/galenashed/node/tests/test_node.py
+++ b/galenashed/node/tests/test_node.py
@@ -134,3 +134,37 @@
                 await served.close()
 
         self.assertLessEqual(asyncio.run(run()), 64)
+
+
+class TestResources(testtools.TestCase):
+    """What a node reports of the memory that it uses."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="node-"))
+        self.addCleanup(shutil.rmtree, self.directory, ignore_errors=True)
+
+    def test_log_in_memory_grows_with_a_routing_table(self):
+        async def run():
+            served = make_node(self.directory / "data")
+            await served.start()
+            try:
+                await wait_until(lambda: served.replica.node.is_leader)
+                before = served.resources()
+                table = routes.RoutingTable(version=7)
+                await served.replace_routes(table, b"x" * 10_000)
+                return before, served.resources()
+            finally:
+                await served.close()
+
+        before, after = asyncio.run(run())
+        self.assertGreater(after["log_entries"], before["log_entries"])
+        self.assertGreaterEqual(
+            after["log_bytes"], before["log_bytes"] + 10_000
+        )
+
+    def test_resident_memory_is_that_of_the_process(self):
+        before = telemetry.resident_bytes()
+        block = bytearray(64 * 2**20)
+        block[:: 2**12] = b"x" * len(block[:: 2**12])
+        self.assertGreater(telemetry.resident_bytes(), before + 32 * 2**20)
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -21,6 +21,8 @@
 from galenashed import web
 
 SETTINGS_POLL_SECONDS = 2.0
+RESOURCES_INTERVAL_SECONDS = 2.0
+BYTES_PER_MB = 1_000_000
 # On shutdown, new requests are still served for DRAIN_DELAY_SHARE of the
 # shutdown timeout, while the addresses that callers have cached expire.  The
 # requests in flight have the rest of it to finish, less
@@ -89,7 +91,7 @@
             extra_addresses=[cfg.listen.directory, cfg.listen.readiness],
             max_connections=MAX_CONNECTIONS,
         )
-        self._reload_task: asyncio.Task | None = None
+        self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Starts the node, then its HTTP servers."""
@@ -99,9 +101,10 @@
         await self.node.start()
         await self._management_server.start()
         await self._caller_server.start()
-        self._reload_task = telemetry.start_task(
-            self._watch_settings_file(), "settings"
-        )
+        self._tasks = [
+            telemetry.start_task(self._watch_settings_file(), "settings"),
+            telemetry.start_task(self._log_resources(), "resources"),
+        ]
         # Most objects that exist by now live until exit: exclude them from
         # garbage collections.
         gc.collect()
@@ -165,6 +168,16 @@
                 self.reload()
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
 
+    async def _log_resources(self) -> None:
+        while True:
+            await asyncio.sleep(RESOURCES_INTERVAL_SECONDS)
+            self.log.write(
+                "resources",
+                resident_mb=round(telemetry.resident_bytes() / BYTES_PER_MB),
+                connections=self._caller_server.connection_count,
+                **self.node.resources(),
+            )
+
 
 async def _serve(
     cfg: _settings.Settings, path: pathlib.Path, file_version: tuple[int, int]
--- a/galenashed/telemetry/__init__.py
+++ b/galenashed/telemetry/__init__.py
@@ -1,9 +1,10 @@
-"""Logging, the decision log, metrics and processor usage."""
+"""Logging, the decision log, metrics, processor and memory usage."""
 
 from galenashed.telemetry._decisions import DecisionLog
 from galenashed.telemetry._decisions import NullDecisionLog
 from galenashed.telemetry._in_memory import InMemoryMetrics
 from galenashed.telemetry._logs import configure_logging
+from galenashed.telemetry._memory import resident_bytes
 from galenashed.telemetry._metrics import Metrics
 from galenashed.telemetry._metrics import NullMetrics
 from galenashed.telemetry._metrics import open_metrics
@@ -21,5 +22,6 @@
     "configure_logging",
     "open_metrics",
     "processor_seconds",
+    "resident_bytes",
     "start_task",
 ]
--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -279,6 +279,13 @@
             for conn in self._server.server_state.connections:
                 typing.cast(_BoundedProtocol, conn).end_with_response()
 
+    @property
+    def connection_count(self) -> int:
+        """The number of open connections."""
+        if self._server is None:
+            return 0
+        return len(self._server.server_state.connections)
+
     async def close(self) -> None:
         """Stops accepting connections and waits for requests in flight."""
         if self._server is None or self._task is None:
