--- a/galenashed/consensus/tests/_simulation.py
+++ b/galenashed/consensus/tests/_simulation.py
@@ -59,6 +59,10 @@
             steps, _filesystem.Crash()
         )
 
+    def stop_failing(self) -> None:
+        """Cancels a failure that is still to come."""
+        self.files.before_step = lambda: None
+
     def crash(self, rng: random.Random) -> None:
         """Ends the process; in half of the cases, power is lost as well."""
         self.files.before_step = lambda: None
@@ -298,6 +302,8 @@
         """Stops the faults and checks that all replicas converge."""
         self.faults = False
         self.blocked_links.clear()
+        for replica in self.replicas.values():
+            replica.disk.stop_failing()
         for name in self.names:
             if self.replicas[name].core is None:
                 self.start(name)
