--- a/galenashed/consensus/_core.py
+++ b/galenashed/consensus/_core.py
@@ -22,7 +22,10 @@
 
 MAX_APPEND_BYTES = 256 * 1024
 MAX_INFLIGHT_ENTRIES = 4096
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
+SNAPSHOT_CHUNK_BYTES = 64 * 1024
+# A chunk without an answer is repeated after an election timeout, and after
+# twice as long each further time, up to this many times as long.
+MAX_REPEAT_FACTOR = 4
 
 
 class Core:
@@ -535,8 +538,11 @@
         if self.role is not _state.Role.LEADER or reply.term != self.term:
             return
         progress = self._followers[reply.sender]
+        was_silent = now - progress.last_contact > self.election_timeout
         progress.last_contact = now
         if progress.snapshot_offset is not None:
+            if was_silent:
+                progress.repeat_factor = 1
             return
         if not reply.ok:
             self._on_append_rejected(progress, reply)
@@ -578,6 +584,7 @@
             prev_index = self.snapshot.index
         prev_term = self.log.term_at(prev_index)
         if prev_term is None:
+            progress.repeat_factor = 1
             self._send_chunk(peer, progress, offset=0)
             return
         entries: list[wire.Entry] = []
@@ -639,13 +646,22 @@
         )
 
     def _repeat_lost_chunk(self, peer: str, now: float) -> None:
-        """Sends a chunk again that had no answer for an election timeout."""
+        """Sends a chunk again that had no answer for a while.
+
+        The wait grows with each repetition, since on a slow link each one
+        delays those behind it.
+        """
         progress = self._followers[peer]
         if progress.snapshot_offset is None:
             return
         if progress.chunk_sent_by is None:
             progress.chunk_sent_by = now
-        elif now - progress.chunk_sent_by >= self.election_timeout:
+            return
+        wait = self.election_timeout * progress.repeat_factor
+        if now - progress.chunk_sent_by >= wait:
+            progress.repeat_factor = min(
+                MAX_REPEAT_FACTOR, 2 * progress.repeat_factor
+            )
             # A follower that has restarted has lost the earlier chunks.
             self._send_chunk(peer, progress, offset=progress.reported_offset)
 
@@ -708,4 +724,5 @@
         elif reply.index == self.snapshot.index:
             progress.reported_offset = reply.offset
             if reply.offset > progress.snapshot_offset:
+                progress.repeat_factor = 1
                 self._send_chunk(reply.sender, progress, offset=reply.offset)
--- a/galenashed/consensus/_followers.py
+++ b/galenashed/consensus/_followers.py
@@ -10,8 +10,9 @@
     ``snapshot_offset`` is the number of bytes of the current snapshot that
     the follower has received, None while it is served from the log.  One
     chunk is in flight at a time; ``chunk_sent_by`` is a time by which it was
-    sent, None until the next heartbeat, and ``reported_offset`` the offset
-    of the follower's last reply.
+    sent, None until the next heartbeat, ``repeat_factor`` how many election
+    timeouts it may take, and ``reported_offset`` the offset of the follower's
+    last reply.
     """
 
     __slots__ = (
@@ -20,6 +21,7 @@
         "match_index",
         "next_index",
         "probing",
+        "repeat_factor",
         "reported_offset",
         "snapshot_offset",
     )
@@ -31,6 +33,7 @@
         self.last_contact = last_contact
         self.snapshot_offset: int | None = None
         self.chunk_sent_by: float | None = None
+        self.repeat_factor = 1
         self.reported_offset = 0
 
 
