Log the framing of answers and what an incomplete event leaves over

The lines "answered" and "sending ended" could not tell whether an answer was taken for complete because its connection closed. They now have what marks the end of the target's answer (length, chunks, or the close of the connection) and the bytes after the last complete event. No logic changes.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -6,11 +6,13 @@
 from galenashed.engines._client import TargetLostError
 from galenashed.engines._connection import Connection
 from galenashed.engines._connection import ConnectionPool
+from galenashed.engines._connection import Framing
 from galenashed.engines._connection import ResponseHead
 
 __all__ = [
     "Connection",
     "ConnectionPool",
+    "Framing",
     "NotSentError",
     "ResponseHead",
     "TargetClient",
--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import enum
 import socket
 import typing
 
@@ -29,14 +30,33 @@
 MAX_KEEP_ALIVE_DIGITS = 9
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a response's body."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 class ResponseHead:
-    """Status and headers of a response; header names are lower case."""
+    """Status, headers and framing of a response.
 
-    __slots__ = ("headers", "status")
+    Header names are lower case.
+    """
+
+    __slots__ = ("framing", "headers", "status")
 
-    def __init__(self, *, status: int, headers: list[tuple[str, str]]):
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: list[tuple[str, str]],
+        framing: Framing,
+    ):
         self.status = status
         self.headers = headers
+        self.framing = framing
 
     def get(self, name: str) -> str | None:
         """Returns the first value of a header; ``name`` is lower case."""
@@ -76,7 +96,6 @@
         self._status = 0
         self._head: ResponseHead | None = None
         self._complete = False
-        self._close_delimited = False
         self._no_response_body = False
         self._error: Exception | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
@@ -99,7 +118,6 @@
         self._head = None
         self._headers = []
         self._complete = False
-        self._close_delimited = False
         self._no_response_body = no_response_body
         self._chunks.clear()
         self._unread_bytes = 0
@@ -232,7 +250,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Completes a close-delimited response, or fails the request."""
         ended_by_close = (
-            exc is None and self._head is not None and self._close_delimited
+            exc is None
+            and self._head is not None
+            and self._head.framing is Framing.CLOSE
         )
         if ended_by_close and not self._complete:
             self._complete = True
@@ -262,15 +282,13 @@
         if status < 200:
             self._headers = []
             return
-        head = ResponseHead(status=status, headers=self._headers)
-        self._head = head
-        has_no_body = self._no_response_body or status in (204, 304)
-        has_framing = (
-            head.get("content-length") is not None
-            or head.get("transfer-encoding") is not None
+        framing = self._find_framing(status)
+        head = ResponseHead(
+            status=status, headers=self._headers, framing=framing
         )
-        self._close_delimited = not has_framing and not has_no_body
-        if self._close_delimited or not self._parser.should_keep_alive():
+        self._head = head
+        closes = framing is Framing.CLOSE
+        if closes or not self._parser.should_keep_alive():
             self._mark_unusable()
         self._set_keep_alive(head.get("keep-alive"))
         if self._no_response_body:
@@ -279,6 +297,16 @@
             self._mark_unusable()
         self._wake_waiter()
 
+    def _find_framing(self, status: int) -> Framing:
+        if self._no_response_body or status in (204, 304):
+            return Framing.NO_BODY
+        names = {name for name, _ in self._headers}
+        if "transfer-encoding" in names:
+            return Framing.CHUNKS
+        if "content-length" in names:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
     def _set_keep_alive(self, value: str | None) -> None:
         for part in (value or "").split(","):
             name, _, seconds = part.strip().partition("=")
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -301,6 +301,8 @@
                 target=target.name,
                 ending=outcome.value,
                 reason=context.last_error,
+                framing=relay.framing,
+                unfinished=relay.unfinished_bytes,
                 sent=len(context.attempted_targets),
                 left=round(context.time_left(), 3),
             )
@@ -335,6 +337,8 @@
             status=relay.status,
             first_event=first,
             events=relay.event_count,
+            framing=relay.framing,
+            unfinished=relay.unfinished_bytes,
             reserved=context.reservation.tokens,
             after=_elapsed_seconds(context.request),
         )
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -32,6 +32,7 @@
         "_splitter",
         "context",
         "first_event_at",
+        "framing",
         "started",
         "status",
         "writer",
@@ -42,6 +43,8 @@
         self.writer = writer
         self.started = False
         self.status = 0
+        # Framing of the latest response of a target.
+        self.framing: engines.Framing | None = None
         # Monotonic time at which the first event arrived.
         self.first_event_at: float | None = None
         self._splitter = _events.EventSplitter()
@@ -57,6 +60,11 @@
         """The number of events that were forwarded."""
         return self._splitter.count
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The size of an event that has no end yet."""
+        return len(self._splitter.partial())
+
     async def forward(
         self,
         head: engines.ResponseHead,
@@ -68,6 +76,7 @@
         ``on_event`` is called when events of this target arrive.  Raises
         TargetLostError if the connection breaks.
         """
+        self.framing = head.framing
         if head.status >= SERVER_ERROR and self._retries_server_errors():
             return await self._buffer_error(head, conn)
         if self.started and head.status != 200:
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -302,6 +302,7 @@
         head = engines.ResponseHead(
             status=status,
             headers=[(n.replace("_", "-"), v) for n, v in headers.items()],
+            framing=engines.Framing.LENGTH,
         )
         return _targets.PlatformTargetCodec().decode(head)
 
