--- a/galenashed/gateway/tests/test_endless_responses.py
+++ b/galenashed/gateway/tests/test_endless_responses.py
@@ -1,29 +1,20 @@
 """Requests to targets that send bytes without end."""
 
 import asyncio
-import random
 import time
 
 import testtools
 
-from galenashed import engines
-from galenashed import gateway
-from galenashed.protocol import gossip
+from galenashed.gateway.tests import _fixture
 from galenashed.protocol import routes
-from galenashed import routing
-from galenashed import telemetry
 from galenashed import web
 
-TIME_LIMIT_SECONDS = 10.0
 # A third of the time limit: far from it, and from the time that the first
 # bytes take on a busy machine.
-PROMPT_SECONDS = TIME_LIMIT_SECONDS / 3
-# What the target sends at most, so that a test that fails uses little memory.
-OFFERED_BYTES = 32 * 2**20
+PROMPT_SECONDS = _fixture.TIME_LIMIT_SECONDS / 3
 # What a closed connection may have taken: a limit of the connection or of an
 # event, one read, and the buffers of both sockets.
 TAKEN_BYTES = 12 * 2**20
-PIECE_BYTES = 64 * 1024
 
 CHUNKED_EVENTS = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
@@ -44,214 +35,15 @@
 )
 
 
-class Target:
-    """Answers with ``first``, then ``repeated`` until the connection closes.
-
-    It answers once ``may_answer`` is set.
-    """
-
-    def __init__(self, first, repeated=b""):
-        self.first = first
-        self.piece = repeated * (PIECE_BYTES // max(1, len(repeated)))
-        self.may_answer = asyncio.Event()
-        self.requests = []
-        self.sent_bytes = 0
-        self.closed_at = None
-        self.server = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
-                await self.may_answer.wait()
-                writer.write(self.first)
-                await self.send_pieces(writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            self.closed_at = time.monotonic()
-            writer.close()
-
-    async def send_pieces(self, writer):
-        while self.piece and self.sent_bytes < OFFERED_BYTES:
-            writer.write(self.piece)
-            await writer.drain()
-            self.sent_bytes += len(self.piece)
-
-
-class TargetCodec:
-    """Encodes a minimal request."""
-
-    def encode(self, attempt):
-        return b"GET /%s HTTP/1.1\r\nhost: x\r\n\r\n" % (
-            (attempt.resume_after or "").encode()
-        )
-
-    def decode(self, head):
-        return gateway.TargetResponse(
-            request_id=None, not_executed=False, misdirected=False, load=None
-        )
-
-
-class PrepaidReservation:
-    """A request that needs no tokens."""
-
-    tokens = 0
-    event_count = 0
-    may_have_run = False
-
-    def close(self, request, tokens_per_event):
-        pass
-
-
-class PrepaidReserver:
-    async def open(self, request, team, objective):
-        return PrepaidReservation()
-
-
-class ResponseWriter:
-    """Keeps the start of the response; ``may_write`` stops the caller."""
-
-    def __init__(self):
-        self.body = b""
-        self.size = 0
-        self.finished = False
-        self.aborted = False
-        self.may_write = asyncio.Event()
-        self.may_write.set()
-
-    async def start(self, head, *, with_content_length):
-        pass
-
-    async def write(self, data):
-        await self.may_write.wait()
-        self.size += len(data)
-        self.body += data[: 1024 - len(self.body)]
-
-    async def finish(self):
-        self.finished = True
-
-    def abort(self):
-        self.aborted = True
-
-
-class Fixture:
-    """A gateway with a service under test and one without faults."""
-
-    def __init__(self, *, kind, resumable=False, time_limit):
-        self.route = routes.Route(
-            name="r",
-            host="h",
-            prefix="/",
-            kind=kind,
-            shares=[routes.WeightedService(service="s", weight=1)],
-            time_limit=time_limit,
-            max_targets=3,
-            resumable=resumable,
-        )
-        self.healthy_route = routes.Route(
-            name="healthy",
-            host="h",
-            prefix="/healthy/",
-            kind=routes.RouteKind.IDEMPOTENT,
-            shares=[routes.WeightedService(service="healthy", weight=1)],
-            time_limit=time_limit,
-        )
-        self.targets = gateway.Targets(domain="east")
-        self.pool = engines.ConnectionPool(connect_timeout=1.0)
-        self.gateway = gateway.Gateway(
-            targets=self.targets,
-            prepaid=PrepaidReserver(),
-            pool=self.pool,
-            codec=TargetCodec(),
-            retries=routing.RetryBudget(share=1.0, max_saved=10.0),
-            log=telemetry.NullDecisionLog(),
-            metrics=telemetry.NullMetrics(),
-            rng=random.Random(1),
-        )
-        self.gateway.apply_routing_table(
-            routes.RoutingTable(
-                version=1,
-                routes=[self.route, self.healthy_route],
-                services=[
-                    routes.RoutedService(name="s"),
-                    routes.RoutedService(name="healthy"),
-                ],
-            )
-        )
-        self.servers = []
-
-    async def add(self, target, *, service="s"):
-        """Starts a target and adds it to a service."""
-        address = await target.start()
-        self.servers.append(target)
-        self.targets.update(
-            gossip.Target(
-                name=f"t{len(self.servers)}",
-                incarnation="1",
-                started=0.0,
-                sequence=1,
-                service=service,
-                address=address,
-                failure_domain="east",
-                state="ready",
-                slots=8,
-            )
-        )
-        return target
-
-    async def start_request(self, writer, bad, other):
-        """Returns the task of a request that ``bad`` begins to answer.
-
-        ``other`` becomes available after ``bad`` has the request.
-        """
-        await self.add(bad)
-        task = asyncio.create_task(self.handle(writer))
-        await wait_until(lambda: bad.requests)
-        other.may_answer.set()
-        await self.add(other)
-        bad.may_answer.set()
-        return task
-
-    def handle(self, writer, route=None):
-        request = gateway.Request(
-            id=f"r{time.monotonic_ns()}",
-            method="GET",
-            host="h",
-            path="/",
-            request_target="/",
-            headers=[],
-            body=b"",
-            arrived_at=time.monotonic(),
-        )
-        return self.gateway.handle(request, route or self.route, None, writer)
-
-    async def close(self):
-        await self.pool.close()
-        for target in self.servers:
-            target.server.close()
-
-
-async def wait_until(condition):
-    async with asyncio.timeout(TIME_LIMIT_SECONDS):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 class TestEndlessResponses(testtools.TestCase):
     """The target is disconnected, and the caller gets a true answer soon."""
 
     def run_test(self, scenario, **options):
         options.setdefault("kind", routes.RouteKind.AT_MOST_ONCE)
-        options.setdefault("time_limit", TIME_LIMIT_SECONDS)
+        options.setdefault("time_limit", _fixture.TIME_LIMIT_SECONDS)
 
         async def run():
-            fixture = Fixture(**options)
+            fixture = _fixture.Fixture(**options)
             try:
                 await scenario(fixture)
             finally:
@@ -260,7 +52,7 @@
         asyncio.run(run())
 
     async def check_disconnected(self, target, started):
-        await wait_until(lambda: target.closed_at is not None)
+        await _fixture.wait_until(lambda: target.closed_at is not None)
         self.assertLess(target.sent_bytes, TAKEN_BYTES)
         self.assertLess(target.closed_at - started, PROMPT_SECONDS)
 
@@ -268,8 +60,13 @@
         """Checks the answer to a request that must not be repeated."""
 
         async def scenario(fixture):
-            bad, other = Target(first, repeated), Target(ANSWER)
-            task = await fixture.start_request(ResponseWriter(), bad, other)
+            bad, other = (
+                _fixture.Target(first, repeated),
+                _fixture.Target(ANSWER),
+            )
+            task = await fixture.start_request(
+                _fixture.ResponseWriter(), bad, other
+            )
             started = time.monotonic()
             (error,) = await asyncio.gather(task, return_exceptions=True)
             self.assertLess(time.monotonic() - started, PROMPT_SECONDS)
@@ -285,8 +82,11 @@
         """Checks a stream that must not be resumed."""
 
         async def scenario(fixture):
-            bad, other = Target(first, repeated), Target(ANSWER)
-            writer = ResponseWriter()
+            bad, other = (
+                _fixture.Target(first, repeated),
+                _fixture.Target(ANSWER),
+            )
+            writer = _fixture.ResponseWriter()
             task = await fixture.start_request(writer, bad, other)
             started = time.monotonic()
             await task
@@ -303,9 +103,9 @@
         """Checks a stream that another target can resume."""
 
         async def scenario(fixture):
-            bad = Target(first, repeated)
-            other = Target(EVENTS_AFTER_THE_FIRST)
-            writer = ResponseWriter()
+            bad = _fixture.Target(first, repeated)
+            other = _fixture.Target(EVENTS_AFTER_THE_FIRST)
+            writer = _fixture.ResponseWriter()
             task = await fixture.start_request(writer, bad, other)
             started = time.monotonic()
             await task
@@ -341,9 +141,11 @@
 
     def test_idempotent_request_is_sent_to_another_target(self):
         async def scenario(fixture):
-            bad = Target(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n")
-            writer = ResponseWriter()
-            task = await fixture.start_request(writer, bad, Target(ANSWER))
+            bad = _fixture.Target(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n")
+            writer = _fixture.ResponseWriter()
+            task = await fixture.start_request(
+                writer, bad, _fixture.Target(ANSWER)
+            )
             started = time.monotonic()
             await task
             self.assertLess(time.monotonic() - started, PROMPT_SECONDS)
@@ -373,19 +175,22 @@
         """Checks the delay of requests to targets without faults."""
 
         async def scenario(fixture):
-            bad, healthy = Target(first, repeated), Target(ANSWER)
+            bad, healthy = (
+                _fixture.Target(first, repeated),
+                _fixture.Target(ANSWER),
+            )
             healthy.may_answer.set()
             await fixture.add(healthy, service="healthy")
             await fixture.add(bad)
             bad.may_answer.set()
             tasks = [
-                asyncio.create_task(fixture.handle(ResponseWriter()))
+                asyncio.create_task(fixture.handle(_fixture.ResponseWriter()))
                 for _ in range(8)
             ]
             slowest = 0.0
             while not all(task.done() for task in tasks):
                 started = time.monotonic()
-                writer = ResponseWriter()
+                writer = _fixture.ResponseWriter()
                 await fixture.handle(writer, fixture.healthy_route)
                 slowest = max(slowest, time.monotonic() - started)
                 self.assertEqual(b"ok", writer.body)
@@ -407,11 +212,11 @@
 
     def run_test(self, scenario, *, time_limit):
         async def run():
-            fixture = Fixture(
+            fixture = _fixture.Fixture(
                 kind=routes.RouteKind.AT_MOST_ONCE, time_limit=time_limit
             )
             try:
-                target = Target(PLAIN, b"x")
+                target = _fixture.Target(PLAIN, b"x")
                 target.may_answer.set()
                 await fixture.add(target)
                 await scenario(fixture, target)
@@ -422,38 +227,38 @@
 
     def test_caller_that_does_not_read_stops_the_target(self):
         async def scenario(fixture, target):
-            writer = ResponseWriter()
+            writer = _fixture.ResponseWriter()
             writer.may_write.clear()
             await fixture.handle(writer)
             self.assertTrue(writer.aborted)
             self.assertFalse(writer.finished)
             self.assertLess(target.sent_bytes, TAKEN_BYTES)
-            await wait_until(lambda: target.closed_at is not None)
+            await _fixture.wait_until(lambda: target.closed_at is not None)
 
         self.run_test(scenario, time_limit=1.0)
 
     def test_caller_that_has_left_disconnects_the_target(self):
         async def scenario(fixture, target):
-            writer = ResponseWriter()
+            writer = _fixture.ResponseWriter()
             task = asyncio.create_task(fixture.handle(writer))
-            await wait_until(lambda: writer.size)
+            await _fixture.wait_until(lambda: writer.size)
             task.cancel()
             started = time.monotonic()
             await asyncio.gather(task, return_exceptions=True)
-            await wait_until(lambda: target.closed_at is not None)
+            await _fixture.wait_until(lambda: target.closed_at is not None)
             self.assertLess(target.closed_at - started, PROMPT_SECONDS)
 
-        self.run_test(scenario, time_limit=TIME_LIMIT_SECONDS)
+        self.run_test(scenario, time_limit=_fixture.TIME_LIMIT_SECONDS)
 
     def test_caller_that_reads_is_cut_at_the_time_limit(self):
         async def scenario(fixture, target):
-            writer = ResponseWriter()
+            writer = _fixture.ResponseWriter()
             started = time.monotonic()
             await fixture.handle(writer)
             self.assertGreaterEqual(time.monotonic() - started, 1.0)
             self.assertTrue(writer.aborted)
             self.assertFalse(writer.finished)
             self.assertGreater(writer.size, 0)
-            await wait_until(lambda: target.closed_at is not None)
+            await _fixture.wait_until(lambda: target.closed_at is not None)
 
         self.run_test(scenario, time_limit=1.0)
