--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -42,6 +42,9 @@
         self.state = "ready"
         self.executions = []
         self.break_after = None
+        # After ``break_after`` events, an engine closes a response without
+        # length or chunks in an orderly way, in the middle of an event.
+        self.closes_inside_event = False
         self.cancelled_streams = 0
         self.reject = False
         self.delay = 0.0
@@ -137,6 +140,8 @@
         delay = float(headers.get("x-delay", self.delay))
         head = self.response_head(200, headers)
         head += "Content-Type: text/event-stream\r\n"
+        if self.closes_inside_event:
+            return await self.send_events_and_close(writer, head, first)
         head += "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
         for number in range(first, 11):
@@ -162,6 +167,14 @@
         await writer.drain()
         return True
 
+    async def send_events_and_close(self, writer, head, first):
+        writer.write(f"{head}\r\n".encode())
+        for number in range(first, self.break_after + 1):
+            writer.write(b"id: %d\ndata: token\n\n" % number)
+        writer.write(b"id: %d\nda" % (self.break_after + 1))
+        await writer.drain()
+        return False
+
     def next_heartbeat(self):
         """Returns the body of the next heartbeat."""
         self.seq += 1
--- a/galenashed/platform/tests/test_site.py
+++ b/galenashed/platform/tests/test_site.py
@@ -54,6 +54,7 @@
         for target in (*self.engines, *self.apps):
             target.executions.clear()
             target.break_after = None
+            target.closes_inside_event = False
             target.reject = False
             target.delay = 0.0
             target.cancelled_streams = 0
@@ -117,6 +118,27 @@
         )
         self.assertEqual(1, len(self.executions(self.engines)))
 
+    def test_stream_closed_inside_an_event_resumes_at_another_target(self):
+        self.site.generate()
+        (first,) = [t for t in self.engines if t.executions]
+        first.break_after = 4
+        first.closes_inside_event = True
+        response = self.site.generate()
+        self.assertEqual(
+            EVENT_IDS, [n.decode() for n in event_ids(response.body)]
+        )
+        (other,) = [t for t in self.engines if t is not first]
+        self.assertEqual("4", other.executions[0][2]["last-event-id"])
+
+    def test_stream_closed_inside_an_event_is_aborted(self):
+        for target in self.engines:
+            target.break_after = 4
+            target.closes_inside_event = True
+        self.assertRaises(
+            http.client.IncompleteRead, self.site.generate, "/n/x"
+        )
+        self.assertEqual(1, len(self.executions(self.engines)))
+
     def check_disconnected(self, targets, peak_bytes):
         """Checks that nodes closed the connections and kept few bytes."""
         runs = len(self.executions(targets))
