Recognise the end of events whose lines end with CR LF

Cause: the splitter knew only LF LF as the end of an event, so a stream with CR LF was held back until its end and forwarded as one incomplete event.

--- a/galenashed/gateway/_events.py
+++ b/galenashed/gateway/_events.py
@@ -2,7 +2,9 @@
 
 import re
 
-SEPARATOR = b"\n\n"
+# An empty line ends an event; lines end with LF or CR LF.
+SEPARATORS = (b"\n\n", b"\n\r\n")
+MAX_SEPARATOR_BYTES = 3
 # Limit of one event.  It exceeds the whole output of a long response, of
 # which an event usually carries a few tokens.
 MAX_EVENT_BYTES = 2**20
@@ -40,7 +42,7 @@
         complete = self._split(data)
         if not complete:
             return b""
-        self.count += complete.count(SEPARATOR)
+        self.count += sum(complete.count(end) for end in SEPARATORS)
         ids = _ID_FIELD.findall(complete)
         if ids:
             self.last_event_id = ids[-1].strip().decode("latin-1")
@@ -48,15 +50,14 @@
 
     def _split(self, data: bytes) -> bytes:
         partial = self._partial
-        if not partial and data.endswith(SEPARATOR):
+        if not partial and data.endswith(SEPARATORS):
             return data
         # The partial event has no separator, but it may end with the first
-        # byte of one.
-        start = max(0, len(partial) - 1)
+        # bytes of one.
+        start = max(0, len(partial) - MAX_SEPARATOR_BYTES + 1)
         partial += data
-        end = partial.rfind(SEPARATOR, start)
-        if end >= 0:
-            end += len(SEPARATOR)
+        end = _find_last_end(partial, start)
+        if end:
             complete = bytes(partial[:end])
             del partial[:end]
             return complete
@@ -74,3 +75,13 @@
     def discard_partial(self) -> None:
         """Discards a partial event; another target continues the stream."""
         self._partial.clear()
+
+
+def _find_last_end(data: bytearray, start: int) -> int:
+    """Returns the end of the last separator from ``start`` on, else 0."""
+    end = 0
+    for separator in SEPARATORS:
+        found = data.rfind(separator, start)
+        if found >= 0:
+            end = max(end, found + len(separator))
+    return end
--- a/galenashed/gateway/tests/test_events.py
+++ b/galenashed/gateway/tests/test_events.py
@@ -29,6 +29,17 @@
             self.assertEqual("59", splitter.last_event_id)
             self.assertEqual(59, splitter.count)
 
+    def test_lines_that_end_with_crlf(self):
+        stream = STREAM.replace(b"\n", b"\r\n")
+        for size in range(1, 40):
+            splitter = _events.EventSplitter()
+            out = b""
+            for start in range(0, len(stream), size):
+                out += splitter.feed(stream[start : start + size])
+            self.assertEqual(stream, out)
+            self.assertEqual("59", splitter.last_event_id)
+            self.assertEqual(59, splitter.count)
+
     def test_partial_event_is_discarded_when_the_stream_resumes(self):
         splitter = _events.EventSplitter()
         out = splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
