Treat a stream that ends inside an event as broken off

Cause: a stream with neither a length nor chunks ends with its connection. A target that crashes closes it in an orderly way, so that the end of the connection was taken as the end of the stream: the relay forwarded the rest of an incomplete event and finished the answer. Only a resumed stream was checked.

Change: whatever marks the end of the response, a stream is complete only if it ends after an event; if its connection closes before any event, it was broken off too. It is then resumed, or aborted, like one whose connection was reset. The incomplete event is not forwarded. The content type is matched without regard to case.

--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -134,11 +134,27 @@
                 if self.first_event_at is None:
                     self.first_event_at = time.monotonic()
                 await self.writer.write(events)
-        partial = self._splitter.partial()
-        if partial and resumed:
-            raise engines.TargetLostError(f"{conn.address}: incomplete event")
-        if partial:
-            await self.writer.write(partial)
+        self._check_stream_complete(head, conn.address)
+
+    def _check_stream_complete(
+        self, head: engines.ResponseHead, address: str
+    ) -> None:
+        """Raises TargetLostError if a stream was broken off.
+
+        A target that crashes may close its connection without an error, so
+        the end of a response does not prove the end of its stream.
+        """
+        if self._splitter.partial():
+            raise engines.TargetLostError(
+                f"{address}: the stream ended inside an event"
+            )
+        resumed_after = self.last_event_id or self.context.request.resume_after
+        if head.framing is engines.Framing.CLOSE and not (
+            self.event_count or resumed_after
+        ):
+            raise engines.TargetLostError(
+                f"{address}: the connection closed before any event"
+            )
 
     async def _forward_bytes(self, head, conn) -> None:
         await self._start(head, with_content_length=True)
@@ -176,4 +192,4 @@
 
 def _is_event_stream(head: engines.ResponseHead) -> bool:
     kind = head.get("content-type") or ""
-    return head.status == 200 and kind.startswith(EVENT_STREAM_TYPE)
+    return head.status == 200 and kind.lower().startswith(EVENT_STREAM_TYPE)
