Detect a reset of a response without length or chunks in entries

A call of a plain service whose target was reset midway was thus recorded, billed and answered as complete. Bodies of models are checked by their usage and end marker, and were not affected.

Change: a response knows its connection's error, and whoever reads a body to its end checks it.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -1,5 +1,6 @@
 """HTTP clients for targets, which are model engines or other services."""
 
+from galenashed.engines._client import check_complete
 from galenashed.engines._client import NotSentError
 from galenashed.engines._client import read_body
 from galenashed.engines._client import TargetClient
@@ -17,5 +18,6 @@
     "ResponseHead",
     "TargetClient",
     "TargetLostError",
+    "check_complete",
     "read_body",
 ]
--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -9,8 +9,10 @@
 
 import asyncio
 import socket
+import typing
 
 import aiohttp
+from aiohttp import client_proto
 import yarl
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -47,6 +49,50 @@
         raise TargetLostError(f"{req.url.authority}: {exc!r}") from exc
 
 
+class _TargetResponse(aiohttp.ClientResponse):
+    """A response that knows how its connection ended.
+
+    aiohttp completes a body without length or chunks when the connection is
+    lost for any reason.
+    """
+
+    _connection_state: client_proto.ResponseHandler | None = None
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        self._connection_state = connection.protocol
+        return await super().start(connection)
+
+    @property
+    def connection_error(self) -> BaseException | None:
+        """The error that ended the connection, unless the target closed it."""
+        if self._connection_state is None:
+            return None
+        error = self._connection_state.exception()
+        if isinstance(error, aiohttp.ServerDisconnectedError):
+            return None
+        return error
+
+
+def check_complete(resp: aiohttp.ClientResponse) -> None:
+    """Raises TargetLostError if a body that was read to its end is not whole.
+
+    A body without length or chunks is whole only if the target closed the
+    connection; aiohttp itself checks all others.
+    """
+    if (
+        resp.method == "HEAD"
+        or resp.status in (204, 304)
+        or "Content-Length" in resp.headers
+        or "Transfer-Encoding" in resp.headers
+    ):
+        return
+    error = typing.cast(_TargetResponse, resp).connection_error
+    if error is not None:
+        raise TargetLostError(f"{resp.url.authority}: {error!r}") from error
+
+
 async def read_body(resp: aiohttp.ClientResponse, limit: int) -> bytes:
     """Returns the body of a response.
 
@@ -61,6 +107,7 @@
                 raise TargetLostError(
                     f"{resp.url.authority}: response of over {limit} bytes"
                 )
+        check_complete(resp)
     except (aiohttp.ClientError, OSError) as exc:
         raise TargetLostError(f"{resp.url.authority}: {exc!r}") from exc
     finally:
@@ -120,6 +167,7 @@
         return aiohttp.ClientSession(
             connector=connector,
             middlewares=(_prevent_retries,),
+            response_class=_TargetResponse,
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -295,6 +295,7 @@
                     execution_status=web.ExecutionStatus.RUN,
                 )
             parts.append(chunk)
+        engines.check_complete(resp)
         return b"".join(parts)
 
 
