Treat an event stream that ends inside an event as lost in entries

A stream that ended inside an event was recorded, billed and answered as complete. Now the target counts as lost, and the call is repeated or reported as unknown.

--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -20,6 +20,8 @@
 MAX_TRIES = 4
 MAX_RESPONSE_BYTES = 16 * 2**20
 RETRY_AFTER_SECONDS = 1.0
+# An empty line ends an event; lines end with LF or CR LF.
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
 
 
 class CallHandler:
@@ -296,7 +298,20 @@
                 )
             parts.append(chunk)
         engines.check_complete(resp)
-        return b"".join(parts)
+        body = b"".join(parts)
+        if _ends_inside_event(resp, body):
+            raise engines.TargetLostError("the stream ended inside an event")
+        return body
+
+
+def _ends_inside_event(resp: aiohttp.ClientResponse, body: bytes) -> bool:
+    """Returns whether a stream of events was broken off inside one."""
+    return (
+        resp.status == 200
+        and resp.content_type == "text/event-stream"
+        and bool(body)
+        and not body.endswith(EVENT_ENDS)
+    )
 
 
 def _slot_request(call: _call.Call) -> _dispatcher.SlotRequest:
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -15,6 +15,8 @@
 
 TIME_LIMIT_SECONDS = 10.0
 PLAIN = b"HTTP/1.1 200 OK\r\n%s\r\n"
+EVENTS = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n%s\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
 
 
 class Service:
@@ -122,3 +124,14 @@
     def test_response_with_a_length_is_complete_before_a_reset(self):
         data = PLAIN % b"content-length: 3\r\n" + b"abc"
         self.assertEqual(b"abc", self.call(data, reset=True).body)
+
+    def test_stream_that_closes_inside_an_event_is_incomplete(self):
+        self.check_lost(EVENTS % b"" + EVENT + b"id: 2\nda")
+
+    def test_stream_with_a_length_that_ends_inside_an_event_is_incomplete(
+        self,
+    ):
+        self.check_lost(EVENTS % b"content-length: 4\r\n" + b"id: ")
+
+    def test_stream_that_closes_after_an_event_is_complete(self):
+        self.assertEqual(EVENT, self.call(EVENTS % b"" + EVENT).body)
