Do not repeat a request whose answer has begun and can't be continued

The relay then started the answer again, which the HTTP server refuses with an exception, so that the caller's connection was cut.

Cause: whether an attempt may follow was decided by the route alone. What the caller already has decides too: only a stream can be continued, and only from an event with an id. Without one a resumable stream was repeated from its start, after events that the caller had.

Change: the relay says whether it can continue, and is asked before a repeat.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -306,7 +306,7 @@
                 sent=len(context.attempted_targets),
                 left=round(context.time_left(), 3),
             )
-            allowed = _attempts.may_retry(
+            allowed = relay.can_continue and _attempts.may_retry(
                 context.route, context.attempts, outcome, context.time_left()
             )
             # An attempt without a connection puts no load on a target, so
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_buffered_error",
+        "_is_stream",
         "_splitter",
         "context",
         "first_event_at",
@@ -47,6 +48,7 @@
         self.framing: engines.Framing | None = None
         # Monotonic time at which the first event arrived.
         self.first_event_at: float | None = None
+        self._is_stream = False
         self._splitter = _events.EventSplitter()
         self._buffered_error: tuple[engines.ResponseHead, bytes] | None = None
 
@@ -65,6 +67,19 @@
         """The size of an event that has no end yet."""
         return len(self._splitter.partial())
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether another target's response can still answer the request.
+
+        A response that has started is continued only if it is a stream, and
+        only from an event with an id.
+        """
+        if not self.started:
+            return True
+        if not self._is_stream:
+            return False
+        return self.event_count == 0 or self.last_event_id is not None
+
     async def forward(
         self,
         head: engines.ResponseHead,
@@ -79,10 +94,10 @@
         self.framing = head.framing
         if head.status >= SERVER_ERROR and self._retries_server_errors():
             return await self._buffer_error(head, conn)
-        if self.started and head.status != 200:
-            # An error response cannot continue a stream that has started.
+        if self.started and not _is_event_stream(head):
+            # Only events can continue a stream that has started.
             self.context.last_error = (
-                f"resumption failed with status {head.status}"
+                f"resumption got no events and status {head.status}"
             )
             return _attempts.AttemptOutcome.FAILED
         if _is_event_stream(head):
@@ -166,6 +181,7 @@
     ) -> None:
         self.started = True
         self.status = head.status
+        self._is_stream = _is_event_stream(head)
         await self.writer.start(head, with_content_length=with_content_length)
 
     async def finish_after_failure(self) -> bool:
--- a/galenashed/gateway/tests/test_broken_streams.py
+++ b/galenashed/gateway/tests/test_broken_streams.py
@@ -53,12 +53,20 @@
 class TestBrokenStreams(testtools.TestCase):
     """A stream that is broken off never reaches the caller as complete."""
 
-    def relay(self, first, *, other=None, resumable=False, reset=False):
+    def relay(
+        self,
+        first,
+        *,
+        other=None,
+        kind=routes.RouteKind.STREAM,
+        resumable=False,
+        reset=False,
+    ):
         """Returns the response to the caller and the other target."""
 
         async def run():
             fixture = _fixture.Fixture(
-                kind=routes.RouteKind.STREAM,
+                kind=kind,
                 resumable=resumable,
                 time_limit=_fixture.TIME_LIMIT_SECONDS,
             )
@@ -75,11 +83,12 @@
 
         return asyncio.run(run())
 
-    def check_cut(self, first, **options):
+    def check_cut(self, first, *, body=STREAM, **options):
+        """Checks that the caller got only a first part of ``body``."""
         writer, other = self.relay(first, **options)
         self.assertTrue(writer.aborted)
         self.assertFalse(writer.finished)
-        self.assertTrue(STREAM.startswith(writer.body))
+        self.assertTrue(body.startswith(writer.body))
         self.assertEqual(0, len(other.requests))
 
     def check_resumed(self, first, *, after=b"1", **options):
@@ -165,3 +174,20 @@
         )
         self.assertTrue(writer.finished)
         self.assertEqual(STREAM, writer.body)
+
+    def test_stream_without_event_ids_is_not_repeated_after_an_event(self):
+        event = b"data: x\n\n"
+        self.check_cut(head() + event + HALF_EVENT, body=event, resumable=True)
+
+    def check_plain_cut(self, first, **options):
+        self.check_cut(
+            first, body=b"abc", kind=routes.RouteKind.IDEMPOTENT, **options
+        )
+
+    def test_plain_response_that_has_begun_is_not_repeated(self):
+        self.check_plain_cut(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc"
+        )
+
+    def test_plain_response_that_is_reset_is_not_repeated(self):
+        self.check_plain_cut(b"HTTP/1.1 200 OK\r\n\r\nabc", reset=True)
