Log the shared parts of prompts whose target was lost

The log could not tell which parts the requests had that were lost with a target, nor which of these had begun an answer without a complete event. The line "sending ended" now has both.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -302,7 +302,9 @@
                 ending=outcome.value,
                 reason=context.last_error,
                 framing=relay.framing,
+                events=relay.attempt_event_count,
                 unfinished=relay.unfinished_bytes,
+                parts=[part.id for part in context.request.shared_parts],
                 sent=len(context.attempted_targets),
                 left=round(context.time_left(), 3),
             )
@@ -369,6 +371,7 @@
         Returns None once the response is complete, else why there was none.
         """
         context.attempted_targets.append(target.name)
+        relay.begin_attempt()
         now = time.monotonic()
         self.log.write(
             "sent",
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_buffered_error",
+        "_earlier_event_count",
         "_is_stream",
         "_splitter",
         "context",
@@ -44,10 +45,11 @@
         self.writer = writer
         self.started = False
         self.status = 0
-        # Framing of the latest response of a target.
+        # Framing of the response to the current attempt, once it has a head.
         self.framing: engines.Framing | None = None
         # Monotonic time at which the first event arrived.
         self.first_event_at: float | None = None
+        self._earlier_event_count = 0
         self._is_stream = False
         self._splitter = _events.EventSplitter()
         self._buffered_error: tuple[engines.ResponseHead, bytes] | None = None
@@ -62,6 +64,16 @@
         """The number of events that were forwarded."""
         return self._splitter.count
 
+    @property
+    def attempt_event_count(self) -> int:
+        """The number of events of the current attempt."""
+        return self.event_count - self._earlier_event_count
+
+    def begin_attempt(self) -> None:
+        """Notes that the request is sent to another target."""
+        self.framing = None
+        self._earlier_event_count = self.event_count
+
     @property
     def unfinished_bytes(self) -> int:
         """The size of an event that has no end yet."""
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -80,6 +80,11 @@
         self.prompt = prompt
         self.resume_after = resume_after
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts of the prompt that other requests may have too."""
+        return self.prompt[:-1]
+
 
 class Attempt(typing.NamedTuple):
     """One attempt to send a request to a target.
