--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -45,6 +45,12 @@
         # After ``break_after`` events, an engine closes a response without
         # length or chunks in an orderly way, in the middle of an event.
         self.closes_inside_event = False
+        # An engine crashes when it begins to answer a request with this part
+        # of its prompt, and starts again after ``restart_seconds``.
+        self.deadly_part = None
+        self.restart_seconds = 0.5
+        self.crashes = 0
+        self.writers = set()
         self.cancelled_streams = 0
         self.reject = False
         self.delay = 0.0
@@ -61,13 +67,26 @@
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
 
+    async def crash(self):
+        """Closes all connections and refuses new ones for a time."""
+        self.crashes += 1
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        await asyncio.sleep(self.restart_seconds)
+        self.born = int(time.time() * 1000)
+        self.seq = 0
+        await self.start()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while await self.serve_one(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def serve_one(self, reader, writer):
@@ -140,6 +159,11 @@
         delay = float(headers.get("x-delay", self.delay))
         head = self.response_head(200, headers)
         head += "Content-Type: text/event-stream\r\n"
+        prompt = headers.get("x-prefix-hash", "")
+        if self.deadly_part and f"{self.deadly_part}:" in prompt:
+            writer.write(f"{head}\r\nid: 1\n".encode())
+            await self.crash()
+            return False
         if self.closes_inside_event:
             return await self.send_events_and_close(writer, head, first)
         head += "Transfer-Encoding: chunked\r\n\r\n"
