--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -18,6 +18,7 @@
         "connected",
         "index",
         "last_seen",
+        "quarantine_due",
         "recalls",
         "replicas",
         "report",
@@ -35,6 +36,7 @@
         self.recalls: set[str] = set()
         self.replicas: dict[str, str] = {}
         self.suspects_due = True
+        self.quarantine_due = True
         self.wake = asyncio.Event()
 
 
@@ -84,6 +86,12 @@
             stream.suspects_due = True
             stream.wake.set()
 
+    def on_quarantine(self) -> None:
+        """Makes every stream send the quarantine."""
+        for stream in self._streams.values():
+            stream.quarantine_due = True
+            stream.wake.set()
+
     # Streams to entries
 
     async def serve(self, requests, context):
@@ -142,6 +150,10 @@
         if stream.suspects_due:
             stream.suspects_due = False
             suspects = self.state_machine.suspects()
+        quarantine = None
+        if stream.quarantine_due:
+            stream.quarantine_due = False
+            quarantine = self.state_machine.quarantine()
         recalls, stream.recalls = sorted(stream.recalls), set()
         return wire.FollowEvent(
             age=age,
@@ -149,6 +161,7 @@
             notes=notes,
             recalls=recalls,
             suspects=suspects,
+            quarantine=quarantine,
             replicas=replicas,
             routes=routes,
         )
--- /dev/null
+++ b/galenashed/control/_quarantine.py
@@ -0,0 +1,228 @@
+"""Parts of prompts and requests that crash targets, in the replicated state.
+
+A target that crashes leaves requests without an answer.  One of them may have
+caused the crash, by a part of its prompt that other requests have too, or as a
+whole.  All are suspects, each by the evidence against it, until an answer to a
+request with the suspect begins.
+
+A suspect is quarantined once ``QUARANTINE_CRASHES`` crashes count against it.
+What makes this precise:
+
+- A request whose answer had begun without a complete event explains its crash;
+  other requests that were lost with the target are no longer suspected of it.
+- Crashes under a suspect in quarantine are explained by it.
+- Different requests have to crash different targets before a part that they
+  share is quarantined.  Targets that fail at the same time take many requests
+  with them, so the later request must have been sent when the earlier crash
+  was known; if its answer had begun, a later crash is sufficient.
+- If the evidence against several parts is sufficient at the same time, the
+  last of them in the prompt is quarantined, as it is the most specific.
+
+A suspect is released from quarantine after a time that doubles, and then
+quarantined again by a single crash.
+"""
+
+from galenashed.control import _state
+from galenashed.protocol import control as wire
+
+QUARANTINE_CRASHES = 2
+QUARANTINE_SECONDS = 20.0
+MAX_QUARANTINE_SECONDS = 3600.0
+SUSPECT_RETENTION_SECONDS = 600.0
+# Crashes within this time may have a cause of their own in common.
+CORRELATED_SECONDS = 0.3
+# The whole list is sent to every entry when it changes.
+MAX_SUSPECTS = 500
+MAX_EVIDENCE = 8
+
+
+def report(
+    state: _state.ControlState, cmd: wire.ReportLostTarget, index: int
+) -> list[str]:
+    """Adds evidence; returns the suspects that are now quarantined by it."""
+    names = [wire.name_part(part) for part in cmd.parts]
+    names.append(wire.name_request(cmd.request))
+    quarantined = [name for name in names if _is_quarantined(state, name)]
+    if quarantined:
+        names = quarantined
+    elif _is_explained(state, cmd):
+        return []
+    if cmd.begun:
+        _remove_evidence(state, {cmd.target}, begun=False)
+    evidence = _state.Evidence(
+        cmd.target, cmd.request, cmd.begun, cmd.known, index, state.now
+    )
+    for name in names:
+        _add(state, name, evidence)
+    state.quarantine_index = index
+    added = [] if quarantined else _quarantine(state, names)
+    _limit(state)
+    return added
+
+
+def _is_quarantined(state: _state.ControlState, name: str) -> bool:
+    record = state.suspects.get(name)
+    return record is not None and record.quarantined
+
+
+def _is_explained(
+    state: _state.ControlState, cmd: wire.ReportLostTarget
+) -> bool:
+    """Whether the crash is already blamed on another request."""
+    return any(
+        item.target == cmd.target
+        and (record.quarantined or (item.begun and not cmd.begun))
+        for record in state.suspects.values()
+        for item in record.evidence
+    )
+
+
+def _add(
+    state: _state.ControlState, name: str, evidence: _state.Evidence
+) -> None:
+    record = state.suspects.get(name)
+    if record is None:
+        record = _state.SuspectRecord(evidence=[], at=state.now)
+        state.suspects[name] = record
+    known = {(item.target, item.request) for item in record.evidence}
+    if (evidence.target, evidence.request) not in known:
+        record.evidence = [*record.evidence, evidence][-MAX_EVIDENCE:]
+        record.at = state.now
+
+
+def _quarantine(state: _state.ControlState, names: list[str]) -> list[str]:
+    """Quarantines the last part, or else the request, that is to blame."""
+    *parts, request = names
+    for name in (*reversed(parts), request):
+        record = state.suspects[name]
+        is_request = name == request
+        crashes = count_crashes(record.evidence, of_one_request=is_request)
+        if crashes < QUARANTINE_CRASHES:
+            continue
+        record.quarantined = True
+        targets = {item.target for item in record.evidence}
+        if not is_request:
+            _remove_evidence(state, targets, kept=name)
+        return [name]
+    return []
+
+
+def count_crashes(
+    evidence: list[_state.Evidence], *, of_one_request: bool
+) -> int:
+    """Returns the number of crashes that count against a suspect.
+
+    With ``of_one_request`` the suspect is a request, so that all evidence is
+    about the same one.
+    """
+    counted: list[_state.Evidence] = []
+    for item in evidence:
+        if any(item.target == other.target for other in counted):
+            continue
+        if not of_one_request and any(
+            item.request == other.request for other in counted
+        ):
+            continue
+        if counted and not _is_later(item, counted[-1]):
+            continue
+        counted.append(item)
+    return len(counted)
+
+
+def _is_later(item: _state.Evidence, other: _state.Evidence) -> bool:
+    """Whether a crash is independent of another one before it."""
+    if item.known >= other.index:
+        return True
+    return item.begun and item.at - other.at >= CORRELATED_SECONDS
+
+
+def _remove_evidence(
+    state: _state.ControlState,
+    targets: set[str],
+    *,
+    begun: bool = True,
+    kept: str = "",
+) -> None:
+    """Removes the evidence from crashes that are explained.
+
+    Without ``begun``, evidence from answers that had begun is kept, as is all
+    against ``kept`` and what is quarantined.
+    """
+    for name, record in list(state.suspects.items()):
+        if name == kept or record.quarantined:
+            continue
+        record.evidence = [
+            item
+            for item in record.evidence
+            if item.target not in targets or (item.begun and not begun)
+        ]
+        if not record.evidence:
+            del state.suspects[name]
+
+
+def _limit(state: _state.ControlState) -> None:
+    """Forgets the oldest suspects beyond ``MAX_SUSPECTS``."""
+    excess = len(state.suspects) - MAX_SUSPECTS
+    if excess <= 0:
+        return
+    by_age = sorted(
+        state.suspects,
+        key=lambda name: (
+            state.suspects[name].quarantined,
+            state.suspects[name].at,
+        ),
+    )
+    for name in by_age[:excess]:
+        del state.suspects[name]
+
+
+def clear(
+    state: _state.ControlState, cmd: wire.ClearSuspects, index: int
+) -> list[str]:
+    """Forgets suspects; returns those that were quarantined."""
+    released = []
+    for name in cmd.suspects:
+        record = state.suspects.pop(name, None)
+        if record is None:
+            continue
+        state.quarantine_index = index
+        if record.quarantined:
+            released.append(name)
+    return released
+
+
+def list_suspects(state: _state.ControlState) -> wire.Quarantine:
+    """Returns the suspects."""
+    suspected: list[str] = []
+    quarantined: list[str] = []
+    for name, record in state.suspects.items():
+        (quarantined if record.quarantined else suspected).append(name)
+    return wire.Quarantine(
+        index=state.quarantine_index,
+        suspected=suspected,
+        quarantined=quarantined,
+    )
+
+
+def expire(state: _state.ControlState, index: int) -> bool:
+    """Releases and forgets suspects; returns whether there were any."""
+    changed = False
+    for name, record in list(state.suspects.items()):
+        age = state.now - record.at
+        if record.quarantined and age >= quarantine_seconds(record.releases):
+            record.quarantined = False
+            record.releases += 1
+            record.evidence = record.evidence[-1:]
+            record.at = state.now
+            changed = True
+        elif not record.quarantined and age >= SUSPECT_RETENTION_SECONDS:
+            del state.suspects[name]
+            changed = True
+    if changed:
+        state.quarantine_index = index
+    return changed
+
+
+def quarantine_seconds(releases: int) -> float:
+    """Returns the time in quarantine after this many releases."""
+    return min(MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2.0**releases)
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -98,6 +98,34 @@
     trial_at: float = 0.0
 
 
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of a target under a request with a suspect.
+
+    ``begun`` and ``known`` are those of :class:`wire.ReportLostTarget`;
+    ``index`` is the log index of the report and ``at`` its time.
+    """
+
+    target: str
+    request: str
+    begun: bool
+    known: int
+    index: int
+    at: float
+
+
+class SuspectRecord(msgspec.Struct, kw_only=True):
+    """The evidence against a part of prompts or a request.
+
+    ``at`` is the time of the latest change, ``releases`` the number of times
+    that the suspect was released from quarantine.
+    """
+
+    evidence: list[Evidence]
+    at: float
+    releases: int = 0
+    quarantined: bool = False
+
+
 class NoteRecord(msgspec.Struct, kw_only=True):
     """Record of an accepted release note."""
 
@@ -113,7 +141,8 @@
     ``now`` is the latest timestamp of any command, in seconds since the
     epoch; it never decreases.  ``recent_notes`` holds every note accepted
     after log index ``notes_complete_after``.  ``suspects_index`` is the log
-    index of the last change of ``crashes``.  ``retired_replicas`` lists the
+    index of the last change of ``crashes``, ``quarantine_index`` that of the
+    last change of ``suspects``.  ``retired_replicas`` lists the
     names of removed replicas, which can't be used again.
     """
 
@@ -131,6 +160,8 @@
     recent_bills: list[wire.Bill] = []
     crashes: dict[str, CrashRecord] = {}
     suspects_index: int = 0
+    suspects: dict[str, SuspectRecord] = {}
+    quarantine_index: int = 0
     retired_replicas: list[str] = []
     routes: routes_wire.RoutingTable = routes_wire.RoutingTable()
     routes_source: bytes = b""
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -7,6 +7,7 @@
 from galenashed.control import _budgets
 from galenashed.control import _calls
 from galenashed.control import _notes
+from galenashed.control import _quarantine
 from galenashed.control import _state
 from galenashed.control import _suspects
 from galenashed.protocol import control as wire
@@ -35,6 +36,9 @@
     def on_suspects(self) -> None:
         """Called when the set of suspected requests changes."""
 
+    def on_quarantine(self) -> None:
+        """Called when the quarantine or what is suspected changes."""
+
 
 class ControlStateMachine:
     """Applies committed commands to the control state.
@@ -69,6 +73,8 @@
             wire.ReportCrash: self._report_crash,
             wire.BeginTrial: self._begin_trial,
             wire.EndTrial: self._end_trial,
+            wire.ReportLostTarget: self._report_lost_target,
+            wire.ClearSuspects: self._clear_suspects,
             wire.ChangeReplicas: self._change_replicas,
             wire.Barrier: self._barrier,
         }
@@ -100,6 +106,7 @@
         if self.listener is not None:
             self.listener.on_release()
             self.listener.on_suspects()
+            self.listener.on_quarantine()
 
     # Queries
 
@@ -153,6 +160,10 @@
         """Returns the suspected requests and their crash counts."""
         return _suspects.list_suspects(self.state)
 
+    def quarantine(self) -> wire.Quarantine:
+        """Returns what is suspected of crashing targets."""
+        return _quarantine.list_suspects(self.state)
+
     def budget_totals(self) -> dict[str, int]:
         """Returns the sums over all budgets, in tokens."""
         return _budgets.compute_totals(self.state)
@@ -381,6 +392,40 @@
             self.listener.on_suspects()
         return wire.Done(index=index)
 
+    def _report_lost_target(
+        self, index: int, cmd: wire.ReportLostTarget
+    ) -> wire.Reply:
+        quarantined = _quarantine.report(self.state, cmd, index)
+        for suspect in quarantined:
+            self._audit(
+                index,
+                actor="system",
+                action="quarantine",
+                subject=suspect,
+                digest=cmd.request,
+                result=f"target {cmd.target} crashed",
+            )
+        return self._make_quarantine_reply(index)
+
+    def _clear_suspects(
+        self, index: int, cmd: wire.ClearSuspects
+    ) -> wire.Reply:
+        for suspect in _quarantine.clear(self.state, cmd, index):
+            self._audit(
+                index,
+                actor="system",
+                action="release from quarantine",
+                subject=suspect,
+                digest="",
+                result="answered",
+            )
+        return self._make_quarantine_reply(index)
+
+    def _make_quarantine_reply(self, index: int) -> wire.Quarantine:
+        if self.state.quarantine_index == index and self.listener is not None:
+            self.listener.on_quarantine()
+        return self.quarantine()
+
     def _change_replicas(
         self, index: int, cmd: wire.ChangeReplicas
     ) -> wire.Reply:
@@ -419,3 +464,5 @@
         _calls.expire(self.state)
         if _suspects.expire(self.state) and self.listener is not None:
             self.listener.on_suspects()
+        if _quarantine.expire(self.state, index) and self.listener is not None:
+            self.listener.on_quarantine()
--- /dev/null
+++ b/galenashed/control/tests/test_quarantine.py
@@ -0,0 +1,199 @@
+"""Which parts of prompts and requests are quarantined after crashes."""
+
+import msgspec
+import testtools
+
+from galenashed import control
+from galenashed.control import _quarantine
+from galenashed.protocol import control as wire
+
+DEADLY = "deadly"
+
+
+class TestQuarantine(testtools.TestCase):
+    """Evidence is reported crash by crash, with the time between them."""
+
+    def setUp(self):
+        super().setUp()
+        self.state_machine = control.ControlStateMachine()
+        self.index = 0
+        self.now = 0.0
+        self.targets = 0
+
+    def apply(self, command):
+        self.index += 1
+        stamped = wire.TimestampedCommand(self.now, command)
+        return self.state_machine.apply(
+            self.index, msgspec.msgpack.encode(stamped)
+        )
+
+    def report(
+        self, request, *parts, target=None, begun=True, known=None, pause=1.0
+    ):
+        """Reports that a target, by default a new one, crashed."""
+        self.now += pause
+        if target is None:
+            self.targets += 1
+            target = f"t{self.targets}"
+        return self.apply(
+            wire.ReportLostTarget(
+                target=target,
+                request=request,
+                parts=list(parts),
+                begun=begun,
+                known=self.index if known is None else known,
+            )
+        )
+
+    def answer(self, request, *parts):
+        """Reports that a target began an answer to a request."""
+        names = [wire.name_part(part) for part in parts]
+        return self.apply(
+            wire.ClearSuspects(suspects=[*names, wire.name_request(request)])
+        )
+
+    def assert_quarantined(self, *names):
+        quarantine = self.state_machine.quarantine()
+        self.assertEqual(list(names), quarantine.quarantined)
+
+    def test_first_crash_quarantines_nothing(self):
+        reply = self.report("r1", "a", DEADLY)
+        self.assertEqual([], reply.quarantined)
+        self.assertEqual(
+            ["part:a", "part:deadly", "request:r1"], reply.suspected
+        )
+
+    def test_part_of_two_requests_that_crash_targets(self):
+        self.report("r1", "a", DEADLY)
+        reply = self.report("r2", "b", DEADLY)
+        self.assertEqual(["part:deadly"], reply.quarantined)
+        self.assertEqual([], reply.suspected)
+
+    def test_first_part_of_two_requests_that_crash_targets(self):
+        self.report("r1", DEADLY, "a")
+        self.report("r2", DEADLY, "b")
+        self.assert_quarantined("part:deadly")
+
+    def test_last_of_the_parts_with_the_same_evidence(self):
+        self.report("r1", "a", "b", DEADLY)
+        self.report("r2", "a", "b", DEADLY)
+        self.assert_quarantined("part:deadly")
+
+    def test_part_is_found_although_a_later_one_was_blamed_first(self):
+        self.report("r1", DEADLY, "a")
+        self.report("r2", DEADLY, "a")
+        self.assert_quarantined("part:a")
+        self.report("r3", DEADLY, "b")
+        self.report("r4", DEADLY, "c")
+        self.assert_quarantined("part:a", "part:deadly")
+
+    def test_answered_parts_are_cleared(self):
+        self.report("r1", "a", DEADLY)
+        self.answer("r2", "a")
+        self.report("r3", "a", "b")
+        self.assert_quarantined()
+
+    def test_request_that_crashes_two_targets(self):
+        self.report("r1", "a")
+        self.report("r1", "a")
+        self.assert_quarantined("request:r1")
+
+    def test_request_without_a_prompt_that_crashes_two_targets(self):
+        self.report("r1", begun=False)
+        self.report("r1", begun=False)
+        self.assert_quarantined("request:r1")
+
+    def test_requests_lost_with_one_target(self):
+        for number in range(9):
+            self.report(f"r{number}", "a", target="t", begun=False, pause=0.0)
+        self.assert_quarantined()
+
+    def test_requests_lost_with_targets_that_fail_together(self):
+        for begun in (True, False):
+            for number in range(9):
+                self.report(
+                    f"r{number}", "a", begun=begun, known=0, pause=0.01
+                )
+            self.assert_quarantined()
+
+    def test_requests_lost_while_waiting_before_the_crash_was_known(self):
+        self.report("r1", "a", begun=False)
+        self.report("r2", "a", begun=False, known=0)
+        self.assert_quarantined()
+
+    def test_requests_lost_while_waiting_after_the_crash_was_known(self):
+        self.report("r1", "a", begun=False)
+        self.report("r2", "a", begun=False)
+        self.assert_quarantined("part:a")
+
+    def test_begun_answer_explains_the_crash(self):
+        self.report("r1", "a", target="t1", begun=False)
+        self.report("r2", "b", DEADLY, target="t1")
+        self.report("r3", "c", target="t1", begun=False)
+        suspected = self.state_machine.quarantine().suspected
+        self.assertNotIn("part:a", suspected)
+        self.assertNotIn("part:c", suspected)
+        self.assertIn("part:deadly", suspected)
+
+    def test_crash_under_a_quarantined_part_is_explained(self):
+        self.report("r1", "a", DEADLY)
+        self.report("r2", "b", DEADLY)
+        self.report("r3", "c", DEADLY, target="t")
+        self.report("r4", "c", target="t")
+        self.report("r5", "d", target="t", begun=False)
+        self.assertEqual([], self.state_machine.quarantine().suspected)
+
+    def test_repeated_report_counts_once(self):
+        for _ in range(3):
+            self.report("r1", "a", target="t")
+        self.assert_quarantined()
+
+    def quarantine_deadly(self):
+        self.report("r1", "a", DEADLY)
+        self.report("r2", "b", DEADLY)
+        self.assert_quarantined("part:deadly")
+
+    def wait(self, seconds):
+        self.now += seconds
+        self.apply(wire.Barrier())
+
+    def test_one_crash_after_the_release_is_sufficient(self):
+        self.quarantine_deadly()
+        self.wait(_quarantine.QUARANTINE_SECONDS - 1.0)
+        self.assert_quarantined("part:deadly")
+        self.wait(20.0)
+        self.assert_quarantined()
+        self.report("r3", "c", DEADLY)
+        self.assert_quarantined("part:deadly")
+        self.wait(2 * _quarantine.QUARANTINE_SECONDS - 1.0)
+        self.assert_quarantined("part:deadly")
+
+    def test_answer_releases_from_quarantine(self):
+        self.quarantine_deadly()
+        self.answer("r3", DEADLY)
+        self.assert_quarantined()
+        self.report("r4", DEADLY)
+        self.assert_quarantined()
+
+    def test_suspects_are_forgotten(self):
+        self.report("r1", "a")
+        self.wait(_quarantine.SUSPECT_RETENTION_SECONDS + 1.0)
+        self.assertEqual([], self.state_machine.quarantine().suspected)
+
+    def test_number_of_suspects_is_limited(self):
+        self.quarantine_deadly()
+        for number in range(_quarantine.MAX_SUSPECTS):
+            self.report(f"x{number}", f"p{number}", pause=0.0)
+        quarantine = self.state_machine.quarantine()
+        self.assertEqual(["part:deadly"], quarantine.quarantined)
+        self.assertEqual(
+            _quarantine.MAX_SUSPECTS - 1, len(quarantine.suspected)
+        )
+
+    def test_quarantine_is_part_of_the_snapshot(self):
+        self.quarantine_deadly()
+        restored = control.ControlStateMachine()
+        restored.restore(self.index, self.state_machine.snapshot())
+        self.assertEqual(
+            self.state_machine.quarantine(), restored.quarantine()
+        )
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -317,6 +317,39 @@
     answered: bool
 
 
+class ReportLostTarget(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Reports that a target crashed with a request that it had not answered.
+
+    ``request`` is the digest of the request and ``parts`` are the ids of the
+    parts of its prompt that other requests may share.  ``begun`` tells
+    whether the target had begun the answer, without a complete event.
+    ``known`` is the index of the :class:`Quarantine` that the sender knew
+    when it sent the request to the target.
+    """
+
+    target: str
+    request: str
+    parts: list[str]
+    begun: bool
+    known: int
+
+
+def name_part(part: str) -> str:
+    """Returns the name of a part of prompts as a suspect."""
+    return f"part:{part}"
+
+
+def name_request(digest: str) -> str:
+    """Returns the name of a request as a suspect."""
+    return f"request:{digest}"
+
+
+class ClearSuspects(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Reports that a target has begun an answer in spite of the suspects."""
+
+    suspects: list[str]
+
+
 class ChangeReplicas(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Changes the membership of the control replicas.
 
@@ -350,6 +383,8 @@
     | ReportCrash
     | BeginTrial
     | EndTrial
+    | ReportLostTarget
+    | ClearSuspects
     | ChangeReplicas
     | Barrier
 )
@@ -454,6 +489,18 @@
     count: int
 
 
+class Quarantine(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """What is suspected of crashing targets, as of log index ``index``.
+
+    A suspect is a part of prompts or a whole request.  Requests with a
+    suspect in ``quarantined`` must not run.
+    """
+
+    index: int
+    suspected: list[str] = []
+    quarantined: list[str] = []
+
+
 Reply = (
     Done
     | Refused
@@ -465,6 +512,7 @@
     | Succession
     | Crashes
     | Trial
+    | Quarantine
 )
 
 
@@ -607,7 +655,8 @@
     seconds; infinite if it has not been since it started, in which case the
     event has no changes.  A change is sent as the complete ``release`` or as
     the ``notes`` accepted since the last event.  ``recalls`` names the budgets
-    of which the entry should return idle tokens.  ``replicas`` maps the names
+    of which the entry should return idle tokens.  ``quarantine`` is the whole
+    list, sent when it changes.  ``replicas`` maps the names
     of the voting replicas to their addresses.  ``routes`` is the routing table
     if it is newer than the entry's.
     """
@@ -617,6 +666,7 @@
     notes: list[AcceptedNote] = []
     recalls: list[str] = []
     suspects: Suspects | None = None
+    quarantine: Quarantine | None = None
     replicas: dict[str, str] | None = None
     routes: routes_wire.RoutingTable | None = None
 
