Quarantine parts of prompts under which targets crash

Cause: the gateway counted a lost target against the target alone. Nothing linked it with what had run there, and each instance saw only its own losses.

Change: an attempt that is lost before its first event, at a target whose address then refuses connections, is reported to control with the shared parts of its prompt and whether the answer had begun. Control weighs the evidence of all instances and sends every entry what is quarantined. Requests with it end at once with 422 "quarantined", which names the part; a request whose answer had begun is not repeated. The first event of an answer clears what is suspected in it. An instance that is cut off counts what it saw itself.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -23,6 +23,8 @@
 # Limit of the bytes that a target may send without any bytes of a body among
 # them: a head with the interim responses before it, a chunk header, trailers.
 MAX_FRAMING_BYTES = 64 * 1024
+# How long a probe of an address waits for its connection.
+PROBE_SECONDS = 0.2
 # Idle time after which a connection is not reused, unless the target sends a
 # timeout in a Keep-Alive header.
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
@@ -404,6 +406,26 @@
             raise _client.NotSentError(f"{address}: {exc!r}") from exc
         return new_conn
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Returns whether an address refuses connections: it is down.
+
+        A target that is out of reach, or that answers too late, is not known
+        to be down.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(PROBE_SECONDS):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, host, int(port)
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError, ValueError):
+            return False
+        transport.abort()
+        return False
+
     def release(self, conn: Connection) -> None:
         """Ends the request; keeps the connection if it can be reused."""
         now = asyncio.get_running_loop().time()
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -8,6 +8,7 @@
 from galenashed import engines
 from galenashed.gateway import _attempts
 from galenashed.gateway import _prepaid
+from galenashed.gateway import _quarantine
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
 from galenashed.gateway import _table
@@ -28,11 +29,14 @@
     ``deadline`` is the earlier of the route's and the caller's time limit, on
     the monotonic clock.  ``attempted_targets`` names the targets in the order
     of the attempts; ``last_error`` says why the last attempt failed.
+    ``crashed_target`` is set if a target crashed when it had begun the answer,
+    before a complete event: most likely because of the request.
     """
 
     __slots__ = (
         "attempted_targets",
         "attempts",
+        "crashed_target",
         "deadline",
         "last_error",
         "request",
@@ -55,6 +59,7 @@
         self.deadline = _deadline(request, route)
         self.attempts = _attempts.AttemptCounts()
         self.attempted_targets: list[str] = []
+        self.crashed_target = False
         self.last_error = ""
 
     @property
@@ -96,6 +101,8 @@
         Provides connections to targets.
     codec : TargetCodec
         Encodes requests to targets and decodes their response headers.
+    quarantine : Quarantine
+        Refuses requests under which targets crash.
     retries : RetryBudget
         Bounds the retries.
     log : DecisionLog
@@ -113,6 +120,7 @@
         prepaid: _prepaid.PrepaidReserver,
         pool: engines.ConnectionPool,
         codec: _request.TargetCodec,
+        quarantine: _quarantine.Quarantine,
         retries: routing.RetryBudget,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
         metrics: telemetry.Metrics,
@@ -122,6 +130,7 @@
         self.prepaid = prepaid
         self.pool = pool
         self.codec = codec
+        self.quarantine = quarantine
         self.retries = retries
         self.log = log
         self.metrics = metrics
@@ -241,6 +250,9 @@
             _deadline(request, route), time.monotonic()
         ):
             raise _stopping_error()
+        suspect = self.quarantine.find_quarantined(request)
+        if suspect is not None:
+            raise _quarantine.make_error(suspect, executed=False)
         service = _table.select_service(route, request.id)
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
@@ -285,6 +297,13 @@
     ) -> None:
         """Tries targets until one answers or no retry is allowed."""
         while True:
+            suspect = self.quarantine.find_quarantined(context.request)
+            if suspect is not None:
+                if not await relay.finish_after_failure():
+                    raise _quarantine.make_error(
+                        suspect, executed=bool(context.attempts.runs)
+                    )
+                return
             target = self._choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
@@ -308,8 +327,15 @@
                 sent=len(context.attempted_targets),
                 left=round(context.time_left(), 3),
             )
-            allowed = relay.can_continue and _attempts.may_retry(
-                context.route, context.attempts, outcome, context.time_left()
+            allowed = (
+                relay.can_continue
+                and not context.crashed_target
+                and _attempts.may_retry(
+                    context.route,
+                    context.attempts,
+                    outcome,
+                    context.time_left(),
+                )
             )
             # An attempt without a connection puts no load on a target, so
             # repeating it does not use the retry budget.
@@ -392,8 +418,11 @@
             target, context.request.id, context.request.prompt
         )
         failed = True
+        known = self.quarantine.index
         try:
             outcome = await self._exchange(context, target, relay)
+            if outcome is _attempts.AttemptOutcome.LOST:
+                await self._check_crashed(context, target, relay, known)
             failed = outcome in (
                 _attempts.AttemptOutcome.NOT_SENT,
                 _attempts.AttemptOutcome.LOST,
@@ -410,6 +439,40 @@
                 target, context.request.id, failed=failed, now=time.monotonic()
             )
 
+    async def _check_crashed(
+        self,
+        context: RequestContext,
+        target: _targets.TargetState,
+        relay: _relay.Relay,
+        known: int,
+    ) -> None:
+        """Reports the request if the target crashed without an answer to it.
+
+        ``known`` is the index of the quarantine when the request was sent.
+        """
+        if relay.attempt_event_count:
+            return
+        announced = target.announced
+        if not await self.pool.refuses_connections(announced.address):
+            return
+        self.targets.eject(target, time.monotonic())
+        begun = relay.framing is not None
+        context.crashed_target = begun
+        self.metrics.count("gateway.target_crashed")
+        self.log.write(
+            "target crashed",
+            request=context.request.id,
+            target=target.name,
+            begun=begun,
+            parts=[part.id for part in context.request.shared_parts],
+        )
+        await self.quarantine.report_crash(
+            context.request,
+            f"{target.name}/{announced.incarnation}",
+            begun=begun,
+            known=known,
+        )
+
     async def _exchange(self, context, target, relay):
         new_connection = not context.route.repeatable
         address = target.announced.address
@@ -468,9 +531,20 @@
             )
             return _attempts.AttemptOutcome.REJECTED
         context.reservation.may_have_run = True
-        return await relay.forward(
-            head, conn, lambda: target.pending_prompts.end(context.request.id)
-        )
+
+        answered = False
+
+        def on_answer() -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                target.pending_prompts.end(context.request.id)
+                self.quarantine.on_answer_begun(context.request)
+
+        outcome = await relay.forward(head, conn, on_answer)
+        if outcome is None:
+            on_answer()
+        return outcome
 
     def _timeout_error(self, context: RequestContext) -> web.ApiError:
         if not context.attempted_targets:
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -2,7 +2,10 @@
 
 import typing
 
+import xxhash
+
 from galenashed import engines
+from galenashed.protocol import control as control_wire
 from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import routes as routes_wire
 
@@ -34,6 +37,7 @@
     """
 
     __slots__ = (
+        "_digest",
         "arrived_at",
         "body",
         "caller_timeout",
@@ -79,6 +83,31 @@
         self.usage = usage
         self.prompt = prompt
         self.resume_after = resume_after
+        self._digest: str | None = None
+
+    @property
+    def digest(self) -> str:
+        """Identifies the content, which a repeat by the caller shares."""
+        if self._digest is None:
+            state = xxhash.xxh3_128()
+            prompt = ",".join(part.id for part in self.prompt)
+            for field in (
+                self.key,
+                self.method,
+                self.host,
+                self.request_target,
+                prompt,
+            ):
+                state.update(f"{field}\0".encode())
+            state.update(self.body)
+            self._digest = state.hexdigest()
+        return self._digest
+
+    @property
+    def suspect_names(self) -> list[str]:
+        """What may crash a target: each shared part, and the whole."""
+        names = [control_wire.name_part(part.id) for part in self.shared_parts]
+        return [*names, control_wire.name_request(self.digest)]
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -4,8 +4,12 @@
 import random
 import time
 
+import msgspec
+
+from galenashed import control
 from galenashed import engines
 from galenashed import gateway
+from galenashed.protocol import control as control_wire
 from galenashed.protocol import gossip
 from galenashed.protocol import routes
 from galenashed import routing
@@ -87,6 +91,35 @@
         return PrepaidReservation()
 
 
+class Control:
+    """A control replica that commits at once while it is ``reachable``."""
+
+    class UnavailableError(Exception):
+        pass
+
+    def __init__(self):
+        self.state_machine = control.ControlStateMachine()
+        self.index = 0
+        self.reachable = True
+
+    async def propose(self, command, *, timeout):
+        if not self.reachable:
+            raise self.UnavailableError
+        self.index += 1
+        stamped = control_wire.TimestampedCommand(time.time(), command)
+        return self.state_machine.apply(
+            self.index, msgspec.msgpack.encode(stamped)
+        )
+
+
+def make_quarantine(replica):
+    return gateway.Quarantine(
+        control=replica,
+        unavailable=replica.UnavailableError,
+        log=telemetry.NullDecisionLog(),
+    )
+
+
 class ResponseWriter:
     """Keeps the start of the response; ``may_write`` stops the caller."""
 
@@ -142,6 +175,7 @@
             prepaid=PrepaidReserver(),
             pool=self.pool,
             codec=TargetCodec(),
+            quarantine=make_quarantine(Control()),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
             metrics=telemetry.NullMetrics(),
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -143,6 +143,11 @@
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
+        self.quarantine = gateway.Quarantine(
+            control=self.control_client,
+            unavailable=control.ControlUnavailableError,
+            log=log,
+        )
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=gateway.PrepaidReserver(
@@ -150,6 +155,7 @@
             ),
             pool=self._pool,
             codec=codec,
+            quarantine=self.quarantine,
             retries=routing.RetryBudget(
                 share=cfg.retry_share, max_saved=MIN_SAVED_RETRIES
             ),
@@ -316,6 +322,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.quarantine.close()
         await self._gossiper.close()
         await self._feed_client.close()
         await self.control_client.close()
@@ -394,6 +401,8 @@
             self.control_client.set_replicas(event.replicas)
         for name in event.recalls:
             self.budget_manager.recall(name)
+        if event.quarantine is not None:
+            self.quarantine.apply(event.quarantine)
         if event.routes is not None and self.gateway.apply_routing_table(
             event.routes
         ):
