Test what an entry reports of crashes and refuses because of them

With a replica that commits at once or is out of reach: entries share what is quarantined, an entry that is cut off counts what it saw itself, answers clear, and a lost connection to a running target is no crash. 15 tests.

--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -170,12 +170,13 @@
         )
         self.targets = gateway.Targets(domain="east")
         self.pool = engines.ConnectionPool(connect_timeout=1.0)
+        self.control = Control()
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=PrepaidReserver(),
             pool=self.pool,
             codec=TargetCodec(),
-            quarantine=make_quarantine(Control()),
+            quarantine=make_quarantine(self.control),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
             metrics=telemetry.NullMetrics(),
--- /dev/null
+++ b/galenashed/gateway/tests/test_quarantine.py
@@ -0,0 +1,257 @@
+"""Reports of crashes, and what an entry refuses because of them."""
+
+import asyncio
+import time
+
+import testtools
+
+from galenashed import gateway
+from galenashed.gateway.tests import _fixture
+from galenashed.protocol import routes
+
+
+def make_request(*parts, body=b""):
+    prompt = [gateway.PromptPart(part, 100) for part in (*parts, "own")]
+    return gateway.Request(
+        id=f"r{time.monotonic_ns()}",
+        method="POST",
+        host="h",
+        path="/",
+        request_target="/",
+        headers=[],
+        body=body,
+        arrived_at=time.monotonic(),
+        prompt=tuple(prompt),
+    )
+
+
+class TestQuarantine(testtools.TestCase):
+    """Entries that share a control replica."""
+
+    def run_test(self, scenario):
+        async def run():
+            self.control = _fixture.Control()
+            self.entries = [
+                _fixture.make_quarantine(self.control) for _ in range(2)
+            ]
+            try:
+                await scenario(*self.entries)
+            finally:
+                for entry in self.entries:
+                    await entry.close()
+
+        asyncio.run(run())
+
+    async def report(self, entry, target, request, *, begun=True, known=None):
+        await entry.report_crash(
+            request,
+            target,
+            begun=begun,
+            known=entry.index if known is None else known,
+        )
+
+    def feed(self):
+        for entry in self.entries:
+            entry.apply(self.control.state_machine.quarantine())
+
+    def is_quarantined(self, entry, *parts, body=b""):
+        request = make_request(*parts, body=body)
+        return entry.find_quarantined(request) is not None
+
+    async def crash_twice(self, first, second):
+        await self.report(first, "t1", make_request("a", "x", body=b"1"))
+        self.feed()
+        await self.report(second, "t2", make_request("b", "x", body=b"2"))
+        self.feed()
+
+    def test_part_is_refused_by_every_entry(self):
+        async def scenario(first, second):
+            await self.crash_twice(first, second)
+            for entry in self.entries:
+                self.assertTrue(self.is_quarantined(entry, "c", "x"))
+                self.assertFalse(self.is_quarantined(entry, "a", "c"))
+
+        self.run_test(scenario)
+
+    def test_last_part_is_not_a_suspect_of_its_own(self):
+        async def scenario(first, second):
+            await self.report(first, "t1", make_request(body=b"1"))
+            await self.report(first, "t2", make_request(body=b"2"))
+            self.assertFalse(self.is_quarantined(first, body=b"3"))
+
+        self.run_test(scenario)
+
+    def test_repeat_of_a_request_that_crashed_two_targets(self):
+        async def scenario(first, second):
+            for target in ("t1", "t2"):
+                await self.report(first, target, make_request(body=b"1"))
+            self.feed()
+            self.assertTrue(self.is_quarantined(second, body=b"1"))
+            self.assertFalse(self.is_quarantined(second, body=b"2"))
+
+        self.run_test(scenario)
+
+    def test_answer_clears_its_parts_everywhere(self):
+        async def scenario(first, second):
+            await self.report(first, "t1", make_request("a", "x", body=b"1"))
+            self.feed()
+            second.on_answer_begun(make_request("a", body=b"2"))
+            await asyncio.sleep(0.01)
+            suspected = self.control.state_machine.quarantine().suspected
+            self.assertIn("part:x", suspected)
+            self.assertNotIn("part:a", suspected)
+
+        self.run_test(scenario)
+
+    def test_entry_that_is_cut_off_counts_what_it_saw(self):
+        async def scenario(first, second):
+            self.control.reachable = False
+            await self.report(first, "t1", make_request("x", body=b"1"))
+            self.assertFalse(self.is_quarantined(first, "x"))
+            await self.report(first, "t2", make_request("x", body=b"2"))
+            self.assertTrue(self.is_quarantined(first, "x"))
+            self.assertFalse(self.is_quarantined(second, "x"))
+
+        self.run_test(scenario)
+
+    def test_entry_that_is_cut_off_adds_to_what_it_knew(self):
+        async def scenario(first, second):
+            await self.report(second, "t1", make_request("x", body=b"1"))
+            self.feed()
+            self.control.reachable = False
+            await self.report(first, "t2", make_request("x", body=b"2"))
+            self.assertTrue(self.is_quarantined(first, "x"))
+
+        self.run_test(scenario)
+
+    def test_entry_that_is_cut_off_takes_an_answer_as_proof(self):
+        async def scenario(first, second):
+            self.control.reachable = False
+            for number in range(2):
+                await self.report(
+                    first, f"t{number}", make_request("a", body=b"%d" % number)
+                )
+            self.assertTrue(self.is_quarantined(first, "a"))
+            first.on_answer_begun(make_request("a", body=b"3"))
+            self.assertFalse(self.is_quarantined(first, "a"))
+
+        self.run_test(scenario)
+
+    def test_targets_that_fail_together_at_an_entry_that_is_cut_off(self):
+        async def scenario(first, second):
+            self.control.reachable = False
+            for number in range(9):
+                await self.report(
+                    first,
+                    f"t{number}",
+                    make_request("a", body=b"%d" % number),
+                    begun=False,
+                )
+            self.assertFalse(self.is_quarantined(first, "a"))
+
+        self.run_test(scenario)
+
+    def test_report_is_repeated_until_control_answers(self):
+        async def scenario(first, second):
+            self.control.reachable = False
+            await self.report(first, "t1", make_request("x"))
+            self.control.reachable = True
+            async with asyncio.timeout(5.0):
+                while not self.control.state_machine.quarantine().suspected:
+                    await asyncio.sleep(0.02)
+
+        self.run_test(scenario)
+
+    def test_requests_that_waited_at_one_target_are_reported_in_part(self):
+        async def scenario(first, second):
+            for number in range(50):
+                await self.report(
+                    first,
+                    "t1",
+                    make_request(body=b"%d" % number),
+                    begun=False,
+                )
+            self.assertLess(self.control.index, 20)
+
+        self.run_test(scenario)
+
+    def test_older_list_is_ignored(self):
+        async def scenario(first, second):
+            older = self.control.state_machine.quarantine()
+            await self.crash_twice(first, second)
+            first.apply(older)
+            self.assertTrue(self.is_quarantined(first, "x"))
+
+        self.run_test(scenario)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+class BreakingTarget(_fixture.Target):
+    """Sends ``first`` and closes the connection; a crash closes all."""
+
+    def __init__(self, first, *, crashes):
+        super().__init__(first)
+        self.crashes = crashes
+
+    async def send_pieces(self, writer):
+        await writer.drain()
+        if self.crashes:
+            self.server.close()
+        raise ConnectionError
+
+
+class TestCrashReports(testtools.TestCase):
+    """What a gateway takes for a crash under a request."""
+
+    def relay(self, first, *, crashes):
+        """Returns the requests that reached another target, and suspects."""
+
+        async def run():
+            fixture = _fixture.Fixture(
+                kind=routes.RouteKind.STREAM,
+                resumable=True,
+                time_limit=_fixture.TIME_LIMIT_SECONDS,
+            )
+            other = _fixture.Target(HEAD + EVENT)
+            target = BreakingTarget(first, crashes=crashes)
+            try:
+                task = await fixture.start_request(
+                    _fixture.ResponseWriter(), target, other
+                )
+                # The other target answers, and so would clear the suspects.
+                fixture.gateway.quarantine.on_answer_begun = lambda req: None
+                async with asyncio.timeout(_fixture.TIME_LIMIT_SECONDS):
+                    while not task.done() and not other.requests:
+                        await asyncio.sleep(0.01)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+            finally:
+                await fixture.close()
+            quarantine = fixture.control.state_machine.quarantine()
+            return len(other.requests), quarantine.suspected
+
+        return asyncio.run(run())
+
+    def test_crash_before_the_answer_is_repeated_and_reported(self):
+        repeats, suspected = self.relay(b"", crashes=True)
+        self.assertEqual(1, repeats)
+        self.assertEqual(1, len(suspected))
+
+    def test_crash_under_a_begun_answer_is_reported_and_not_repeated(self):
+        repeats, suspected = self.relay(HEAD, crashes=True)
+        self.assertEqual(0, repeats)
+        self.assertEqual(1, len(suspected))
+
+    def test_crash_after_an_event_is_not_reported(self):
+        repeats, suspected = self.relay(HEAD + EVENT + b"id", crashes=True)
+        self.assertEqual(1, repeats)
+        self.assertEqual([], suspected)
+
+    def test_lost_connection_to_a_running_target_is_not_reported(self):
+        for first in (b"", HEAD):
+            repeats, suspected = self.relay(first, crashes=False)
+            self.assertEqual(1, repeats)
+            self.assertEqual([], suspected)
