Let one request at a time try a quarantined suspect

Cause: a suspect was released after a time, and one more crash quarantined it again.

Change: the suspect stays in quarantine, and once a trial is due, control allows a single request. Its answer clears the suspect, a crash doubles the time, and without either another may begin after 10 s.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -18,8 +18,8 @@
 - If the evidence against several parts is sufficient at the same time, the
   last of them in the prompt is quarantined, as it is the most specific.
 
-A suspect is released from quarantine after a time that doubles, and then
-quarantined again by a single crash.
+After a time in quarantine that doubles with each failure, a single request
+with the suspect may run as a trial.  Its answer clears the suspect.
 """
 
 from galenashed.control import _state
@@ -28,6 +28,8 @@
 QUARANTINE_CRASHES = 2
 QUARANTINE_SECONDS = 20.0
 MAX_QUARANTINE_SECONDS = 3600.0
+# After this time without an answer or a crash, another trial may begin.
+TRIAL_SECONDS = 10.0
 SUSPECT_RETENTION_SECONDS = 600.0
 # Crashes within this time may have a cause of their own in common.
 CORRELATED_SECONDS = 0.3
@@ -85,9 +87,14 @@
         record = _state.SuspectRecord(evidence=[], at=state.now)
         state.suspects[name] = record
     known = {(item.target, item.request) for item in record.evidence}
-    if (evidence.target, evidence.request) not in known:
-        record.evidence = [*record.evidence, evidence][-MAX_EVIDENCE:]
-        record.at = state.now
+    if (evidence.target, evidence.request) in known:
+        return
+    record.evidence = [*record.evidence, evidence][-MAX_EVIDENCE:]
+    record.at = state.now
+    if record.quarantined:
+        record.failed_trials += 1
+        record.trial_due = False
+        record.trial_at = None
 
 
 def _quarantine(state: _state.ControlState, names: list[str]) -> list[str]:
@@ -191,38 +198,60 @@
     return released
 
 
+def begin_trial(
+    state: _state.ControlState, cmd: wire.BeginSuspectTrial, index: int
+) -> bool:
+    """Returns whether a request with the suspect may run."""
+    record = state.suspects.get(cmd.suspect)
+    if record is None or not record.quarantined:
+        return True
+    if not record.trial_due:
+        return False
+    record.trial_due = False
+    record.trial_at = state.now
+    state.quarantine_index = index
+    return True
+
+
 def list_suspects(state: _state.ControlState) -> wire.Quarantine:
     """Returns the suspects."""
-    suspected: list[str] = []
-    quarantined: list[str] = []
-    for name, record in state.suspects.items():
-        (quarantined if record.quarantined else suspected).append(name)
+    suspects = state.suspects
     return wire.Quarantine(
         index=state.quarantine_index,
-        suspected=suspected,
-        quarantined=quarantined,
+        suspected=[n for n, r in suspects.items() if not r.quarantined],
+        quarantined=[n for n, r in suspects.items() if r.quarantined],
+        trials_due=[n for n, r in suspects.items() if r.trial_due],
     )
 
 
 def expire(state: _state.ControlState, index: int) -> bool:
-    """Releases and forgets suspects; returns whether there were any."""
+    """Makes trials due and forgets suspects; returns whether any changed."""
     changed = False
     for name, record in list(state.suspects.items()):
         age = state.now - record.at
-        if record.quarantined and age >= quarantine_seconds(record.releases):
-            record.quarantined = False
-            record.releases += 1
-            record.evidence = record.evidence[-1:]
-            record.at = state.now
-            changed = True
-        elif not record.quarantined and age >= SUSPECT_RETENTION_SECONDS:
+        retention = SUSPECT_RETENTION_SECONDS
+        if record.quarantined:
+            retention += quarantine_seconds(record.failed_trials)
+        if age >= retention:
             del state.suspects[name]
             changed = True
+        elif record.quarantined and _is_trial_due(record, state.now):
+            record.trial_due = True
+            changed = True
     if changed:
         state.quarantine_index = index
     return changed
 
 
-def quarantine_seconds(releases: int) -> float:
-    """Returns the time in quarantine after this many releases."""
-    return min(MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2.0**releases)
+def _is_trial_due(record: _state.SuspectRecord, now: float) -> bool:
+    """Whether a trial becomes due."""
+    if record.trial_due:
+        return False
+    if record.trial_at is not None and now - record.trial_at < TRIAL_SECONDS:
+        return False
+    return now - record.at >= quarantine_seconds(record.failed_trials)
+
+
+def quarantine_seconds(failed_trials: int) -> float:
+    """Returns the time in quarantine before a trial."""
+    return min(MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2.0**failed_trials)
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -116,14 +116,17 @@
 class SuspectRecord(msgspec.Struct, kw_only=True):
     """The evidence against a part of prompts or a request.
 
-    ``at`` is the time of the latest change, ``releases`` the number of times
-    that the suspect was released from quarantine.
+    ``at`` is the time of the latest evidence and ``failed_trials`` the number
+    of crashes after the suspect was quarantined.  ``trial_at`` is the time of
+    the latest trial.
     """
 
     evidence: list[Evidence]
     at: float
-    releases: int = 0
     quarantined: bool = False
+    failed_trials: int = 0
+    trial_due: bool = False
+    trial_at: float | None = None
 
 
 class NoteRecord(msgspec.Struct, kw_only=True):
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -75,6 +75,7 @@
             wire.EndTrial: self._end_trial,
             wire.ReportLostTarget: self._report_lost_target,
             wire.ClearSuspects: self._clear_suspects,
+            wire.BeginSuspectTrial: self._begin_suspect_trial,
             wire.ChangeReplicas: self._change_replicas,
             wire.Barrier: self._barrier,
         }
@@ -421,10 +422,21 @@
             )
         return self._make_quarantine_reply(index)
 
+    def _begin_suspect_trial(
+        self, index: int, cmd: wire.BeginSuspectTrial
+    ) -> wire.Reply:
+        allowed = _quarantine.begin_trial(self.state, cmd, index)
+        self._notify_quarantine(index)
+        return wire.Trial(allowed=allowed, count=0)
+
     def _make_quarantine_reply(self, index: int) -> wire.Quarantine:
+        self._notify_quarantine(index)
+        return self.quarantine()
+
+    def _notify_quarantine(self, index: int) -> None:
+        """Notifies the listener if this command changed the quarantine."""
         if self.state.quarantine_index == index and self.listener is not None:
             self.listener.on_quarantine()
-        return self.quarantine()
 
     def _change_replicas(
         self, index: int, cmd: wire.ChangeReplicas
--- a/galenashed/control/tests/test_quarantine.py
+++ b/galenashed/control/tests/test_quarantine.py
@@ -157,16 +157,54 @@
         self.now += seconds
         self.apply(wire.Barrier())
 
-    def test_one_crash_after_the_release_is_sufficient(self):
+    def begin_trial(self, request="r"):
+        reply = self.apply(
+            wire.BeginSuspectTrial(suspect="part:deadly", request=request)
+        )
+        return reply.allowed
+
+    def trials_due(self):
+        return self.state_machine.quarantine().trials_due
+
+    def test_trial_is_allowed_after_a_time(self):
         self.quarantine_deadly()
         self.wait(_quarantine.QUARANTINE_SECONDS - 1.0)
-        self.assert_quarantined("part:deadly")
+        self.assertFalse(self.begin_trial())
         self.wait(20.0)
-        self.assert_quarantined()
-        self.report("r3", "c", DEADLY)
+        self.assertEqual(["part:deadly"], self.trials_due())
         self.assert_quarantined("part:deadly")
+        self.assertTrue(self.begin_trial())
+
+    def test_one_trial_at_a_time(self):
+        self.quarantine_deadly()
+        self.wait(40.0)
+        self.assertTrue(self.begin_trial("r1"))
+        self.assertFalse(self.begin_trial("r2"))
+        self.assertEqual([], self.trials_due())
+
+    def test_trial_without_an_outcome_is_followed_by_another(self):
+        self.quarantine_deadly()
+        self.wait(40.0)
+        self.assertTrue(self.begin_trial())
+        self.wait(_quarantine.TRIAL_SECONDS + 10.0)
+        self.assertTrue(self.begin_trial())
+
+    def test_crash_in_a_trial_doubles_the_time(self):
+        self.quarantine_deadly()
+        self.wait(40.0)
+        self.assertTrue(self.begin_trial())
+        self.report("r3", "c", DEADLY)
         self.wait(2 * _quarantine.QUARANTINE_SECONDS - 1.0)
+        self.assertFalse(self.begin_trial())
+        self.wait(20.0)
+        self.assertTrue(self.begin_trial())
+
+    def test_quarantine_is_forgotten_without_requests(self):
+        self.quarantine_deadly()
+        self.wait(_quarantine.SUSPECT_RETENTION_SECONDS)
         self.assert_quarantined("part:deadly")
+        self.wait(2 * _quarantine.QUARANTINE_SECONDS)
+        self.assert_quarantined()
 
     def test_answer_releases_from_quarantine(self):
         self.quarantine_deadly()
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -38,6 +38,7 @@
         "attempts",
         "crashed_target",
         "deadline",
+        "in_trial",
         "last_error",
         "request",
         "reservation",
@@ -48,7 +49,15 @@
     )
 
     def __init__(
-        self, *, request, route, team, service, tokens_per_event, reservation
+        self,
+        *,
+        request,
+        route,
+        team,
+        service,
+        tokens_per_event,
+        reservation,
+        in_trial,
     ):
         self.request: _request.Request = request
         self.route: wire.Route = route
@@ -58,6 +67,9 @@
         self.reservation: _prepaid.PrepaidReservation = reservation
         self.deadline = _deadline(request, route)
         self.attempts = _attempts.AttemptCounts()
+        # Whether the request is the trial of a quarantined suspect, which is
+        # sent to one target.
+        self.in_trial: bool = in_trial
         self.attempted_targets: list[str] = []
         self.crashed_target = False
         self.last_error = ""
@@ -251,8 +263,11 @@
         ):
             raise _stopping_error()
         suspect = self.quarantine.find_quarantined(request)
+        in_trial = False
         if suspect is not None:
-            raise _quarantine.make_error(suspect, executed=False)
+            in_trial = await self.quarantine.begin_trial(request)
+            if not in_trial:
+                raise _quarantine.make_error(suspect, executed=False)
         service = _table.select_service(route, request.id)
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
@@ -264,6 +279,7 @@
             service=service,
             tokens_per_event=engine.tokens_per_event if engine else 1,
             reservation=reservation,
+            in_trial=in_trial,
         )
         self.retries.on_request()
         relay = _relay.Relay(context=context, writer=writer)
@@ -298,7 +314,8 @@
         """Tries targets until one answers or no retry is allowed."""
         while True:
             suspect = self.quarantine.find_quarantined(context.request)
-            if suspect is not None:
+            starts_trial = context.in_trial and not context.attempted_targets
+            if suspect is not None and not starts_trial:
                 if not await relay.finish_after_failure():
                     raise _quarantine.make_error(
                         suspect, executed=bool(context.attempts.runs)
--- a/galenashed/gateway/_quarantine.py
+++ b/galenashed/gateway/_quarantine.py
@@ -13,7 +13,8 @@
 
 LOG = loguru.logger
 
-# Until control has answered, a repeat waits this long for its verdict.
+# How long a request waits for the verdict of control before it is repeated, or
+# run as a trial.
 VERDICT_SECONDS = 0.25
 COMMAND_SECONDS = 2.0
 RETRY_SECONDS = 0.2
@@ -78,6 +79,8 @@
         self.index = 0
         self._suspected: frozenset[str] = frozenset()
         self._quarantined: frozenset[str] = frozenset()
+        self._trials_due: frozenset[str] = frozenset()
+        self._asking: set[str] = set()
         self._pending: list[_PendingReport] = []
         self._clearing: set[str] = set()
         self._report_counts: collections.OrderedDict[str, int] = (
@@ -106,6 +109,7 @@
         self.index = update.index
         self._quarantined = quarantined
         self._suspected = frozenset(update.suspected)
+        self._trials_due = frozenset(update.trials_due)
         self._clearing &= self._suspected | self._quarantined
 
     # Requests
@@ -132,6 +136,33 @@
         crashes = min(len(targets), len(requests))
         return crashes > 0 and crashes + known >= QUARANTINE_CRASHES
 
+    async def begin_trial(self, request: _request.Request) -> bool:
+        """Returns whether a quarantined request may run, as a trial."""
+        names = self._quarantined.intersection(request.suspect_names)
+        if not names or not names <= self._trials_due - self._asking:
+            return False
+        self._asking |= names
+        try:
+            for name in sorted(names):
+                command = wire.BeginSuspectTrial(
+                    suspect=name, request=request.digest
+                )
+                reply = await self.control.propose(
+                    command, timeout=VERDICT_SECONDS
+                )
+                assert isinstance(reply, wire.Trial)
+                if not reply.allowed:
+                    return False
+        except self.unavailable:
+            LOG.info("no trial of {}: control does not answer", sorted(names))
+            return False
+        finally:
+            self._asking -= names
+        self.log.write(
+            "trial begun", request=request.id, suspects=sorted(names)
+        )
+        return True
+
     def on_answer_begun(self, request: _request.Request) -> None:
         """Clears what was suspected in a request that a target answers."""
         if not (self._suspected or self._quarantined or self._pending):
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -101,12 +101,15 @@
         self.state_machine = control.ControlStateMachine()
         self.index = 0
         self.reachable = True
+        self.now = 0.0
 
     async def propose(self, command, *, timeout):
         if not self.reachable:
             raise self.UnavailableError
         self.index += 1
-        stamped = control_wire.TimestampedCommand(time.time(), command)
+        # Crashes under these tests are a second apart.
+        self.now += 1.0
+        stamped = control_wire.TimestampedCommand(self.now, command)
         return self.state_machine.apply(
             self.index, msgspec.msgpack.encode(stamped)
         )
--- a/galenashed/gateway/tests/test_quarantine.py
+++ b/galenashed/gateway/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 
 from galenashed import gateway
 from galenashed.gateway.tests import _fixture
+from galenashed.protocol import control as wire
 from galenashed.protocol import routes
 
 
@@ -175,6 +176,54 @@
 
         self.run_test(scenario)
 
+    async def wait_until_trial_is_due(self):
+        self.control.now += 60.0
+        await self.control.propose(wire.Barrier(), timeout=1.0)
+        self.feed()
+
+    async def begin_trials(self, count):
+        """Returns how many of the requests may run."""
+        trials = [
+            entry.begin_trial(make_request("c", "x", body=b"%d" % number))
+            for number in range(count)
+            for entry in self.entries
+        ]
+        return sum(await asyncio.gather(*trials))
+
+    def test_one_of_many_requests_runs_as_a_trial(self):
+        async def scenario(first, second):
+            await self.crash_twice(first, second)
+            self.assertEqual(0, await self.begin_trials(5))
+            await self.wait_until_trial_is_due()
+            self.assertEqual(1, await self.begin_trials(5))
+            self.feed()
+            self.assertEqual(0, await self.begin_trials(5))
+            self.assertTrue(self.is_quarantined(first, "c", "x"))
+
+        self.run_test(scenario)
+
+    def test_answer_in_a_trial_ends_the_quarantine(self):
+        async def scenario(first, second):
+            await self.crash_twice(first, second)
+            await self.wait_until_trial_is_due()
+            request = make_request("c", "x")
+            self.assertTrue(await first.begin_trial(request))
+            first.on_answer_begun(request)
+            await asyncio.sleep(0.01)
+            self.feed()
+            self.assertFalse(self.is_quarantined(second, "c", "x"))
+
+        self.run_test(scenario)
+
+    def test_no_trial_without_control(self):
+        async def scenario(first, second):
+            await self.crash_twice(first, second)
+            await self.wait_until_trial_is_due()
+            self.control.reachable = False
+            self.assertEqual(0, await self.begin_trials(5))
+
+        self.run_test(scenario)
+
     def test_older_list_is_ignored(self):
         async def scenario(first, second):
             older = self.control.state_machine.quarantine()
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -350,6 +350,16 @@
     suspects: list[str]
 
 
+class BeginSuspectTrial(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Asks whether a single request with a quarantined suspect may run.
+
+    ``request`` is the digest of the request.  The reply is a :class:`Trial`.
+    """
+
+    suspect: str
+    request: str
+
+
 class ChangeReplicas(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Changes the membership of the control replicas.
 
@@ -385,6 +395,7 @@
     | EndTrial
     | ReportLostTarget
     | ClearSuspects
+    | BeginSuspectTrial
     | ChangeReplicas
     | Barrier
 )
@@ -493,12 +504,14 @@
     """What is suspected of crashing targets, as of log index ``index``.
 
     A suspect is a part of prompts or a whole request.  Requests with a
-    suspect in ``quarantined`` must not run.
+    suspect in ``quarantined`` must not run.  For those that are also in
+    ``trials_due``, control may allow one by :class:`BeginSuspectTrial`.
     """
 
     index: int
     suspected: list[str] = []
     quarantined: list[str] = []
+    trials_due: list[str] = []
 
 
 Reply = (
