Move the quarantine of crashes to a package of its own

Entries of the model API need it as well. It reads of a request only its id, its digest and the ids of its shared parts. No behaviour changes.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -9,7 +9,6 @@
 from galenashed.gateway._handler import Gateway
 from galenashed.gateway._handler import PlannedStop
 from galenashed.gateway._prepaid import PrepaidReserver
-from galenashed.gateway._quarantine import Quarantine
 from galenashed.gateway._request import Attempt
 from galenashed.gateway._request import PromptPart
 from galenashed.gateway._request import Request
@@ -28,7 +27,6 @@
     "PlannedStop",
     "PrepaidReserver",
     "PromptPart",
-    "Quarantine",
     "Request",
     "ResponseWriter",
     "RouteIndex",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -8,12 +8,12 @@
 from galenashed import engines
 from galenashed.gateway import _attempts
 from galenashed.gateway import _prepaid
-from galenashed.gateway import _quarantine
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
 from galenashed.gateway import _table
 from galenashed.gateway import _targets
 from galenashed.protocol import routes as wire
+from galenashed import quarantine
 from galenashed import routing
 from galenashed import telemetry
 from galenashed import web
@@ -113,7 +113,7 @@
         Provides connections to targets.
     codec : TargetCodec
         Encodes requests to targets and decodes their response headers.
-    quarantine : Quarantine
+    crash_quarantine : Quarantine
         Refuses requests under which targets crash.
     retries : RetryBudget
         Bounds the retries.
@@ -132,7 +132,7 @@
         prepaid: _prepaid.PrepaidReserver,
         pool: engines.ConnectionPool,
         codec: _request.TargetCodec,
-        quarantine: _quarantine.Quarantine,
+        crash_quarantine: quarantine.Quarantine,
         retries: routing.RetryBudget,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
         metrics: telemetry.Metrics,
@@ -142,7 +142,7 @@
         self.prepaid = prepaid
         self.pool = pool
         self.codec = codec
-        self.quarantine = quarantine
+        self.quarantine = crash_quarantine
         self.retries = retries
         self.log = log
         self.metrics = metrics
@@ -267,7 +267,7 @@
         if suspect is not None:
             in_trial = await self.quarantine.begin_trial(request)
             if not in_trial:
-                raise _quarantine.make_error(suspect, executed=False)
+                raise quarantine.make_error(suspect, executed=False)
         service = _table.select_service(route, request.id)
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
@@ -317,7 +317,7 @@
             starts_trial = context.in_trial and not context.attempted_targets
             if suspect is not None and not starts_trial:
                 if not await relay.finish_after_failure():
-                    raise _quarantine.make_error(
+                    raise quarantine.make_error(
                         suspect, executed=bool(context.attempts.runs)
                     )
                 return
@@ -340,7 +340,7 @@
                 framing=relay.framing,
                 events=relay.attempt_event_count,
                 unfinished=relay.unfinished_bytes,
-                parts=[part.id for part in context.request.shared_parts],
+                parts=context.request.part_ids,
                 sent=len(context.attempted_targets),
                 left=round(context.time_left(), 3),
             )
@@ -481,7 +481,7 @@
             request=context.request.id,
             target=target.name,
             begun=begun,
-            parts=[part.id for part in context.request.shared_parts],
+            parts=context.request.part_ids,
         )
         await self.quarantine.report_crash(
             context.request,
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -5,7 +5,6 @@
 import xxhash
 
 from galenashed import engines
-from galenashed.protocol import control as control_wire
 from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import routes as routes_wire
 
@@ -103,17 +102,16 @@
             self._digest = state.hexdigest()
         return self._digest
 
-    @property
-    def suspect_names(self) -> list[str]:
-        """What may crash a target: each shared part, and the whole."""
-        names = [control_wire.name_part(part.id) for part in self.shared_parts]
-        return [*names, control_wire.name_request(self.digest)]
-
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """The parts of the prompt that other requests may have too."""
         return self.prompt[:-1]
 
+    @property
+    def part_ids(self) -> list[str]:
+        """The ids of the shared parts."""
+        return [part.id for part in self.shared_parts]
+
 
 class Attempt(typing.NamedTuple):
     """One attempt to send a request to a target.
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -4,14 +4,11 @@
 import random
 import time
 
-import msgspec
-
-from galenashed import control
 from galenashed import engines
 from galenashed import gateway
-from galenashed.protocol import control as control_wire
 from galenashed.protocol import gossip
 from galenashed.protocol import routes
+from galenashed.quarantine.tests import _fixture as quarantine_fixture
 from galenashed import routing
 from galenashed import telemetry
 
@@ -91,38 +88,6 @@
         return PrepaidReservation()
 
 
-class Control:
-    """A control replica that commits at once while it is ``reachable``."""
-
-    class UnavailableError(Exception):
-        pass
-
-    def __init__(self):
-        self.state_machine = control.ControlStateMachine()
-        self.index = 0
-        self.reachable = True
-        self.now = 0.0
-
-    async def propose(self, command, *, timeout):
-        if not self.reachable:
-            raise self.UnavailableError
-        self.index += 1
-        # Crashes under these tests are a second apart.
-        self.now += 1.0
-        stamped = control_wire.TimestampedCommand(self.now, command)
-        return self.state_machine.apply(
-            self.index, msgspec.msgpack.encode(stamped)
-        )
-
-
-def make_quarantine(replica):
-    return gateway.Quarantine(
-        control=replica,
-        unavailable=replica.UnavailableError,
-        log=telemetry.NullDecisionLog(),
-    )
-
-
 class ResponseWriter:
     """Keeps the start of the response; ``may_write`` stops the caller."""
 
@@ -173,13 +138,13 @@
         )
         self.targets = gateway.Targets(domain="east")
         self.pool = engines.ConnectionPool(connect_timeout=1.0)
-        self.control = Control()
+        self.control = quarantine_fixture.Control()
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=PrepaidReserver(),
             pool=self.pool,
             codec=TargetCodec(),
-            quarantine=make_quarantine(self.control),
+            crash_quarantine=quarantine_fixture.make_quarantine(self.control),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
             metrics=telemetry.NullMetrics(),
--- /dev/null
+++ b/galenashed/gateway/tests/test_crashes.py
@@ -0,0 +1,79 @@
+"""What a gateway takes for a crash of a target under a request."""
+
+import asyncio
+
+import testtools
+
+from galenashed.gateway.tests import _fixture
+from galenashed.protocol import routes
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+class BreakingTarget(_fixture.Target):
+    """Sends ``first`` and closes the connection; a crash closes all."""
+
+    def __init__(self, first, *, crashes):
+        super().__init__(first)
+        self.crashes = crashes
+
+    async def send_pieces(self, writer):
+        await writer.drain()
+        if self.crashes:
+            self.server.close()
+        raise ConnectionError
+
+
+class TestCrashReports(testtools.TestCase):
+    """Requests that are lost with a target, or with a connection only."""
+
+    def relay(self, first, *, crashes):
+        """Returns the requests that reached another target, and suspects."""
+
+        async def run():
+            fixture = _fixture.Fixture(
+                kind=routes.RouteKind.STREAM,
+                resumable=True,
+                time_limit=_fixture.TIME_LIMIT_SECONDS,
+            )
+            other = _fixture.Target(HEAD + EVENT)
+            target = BreakingTarget(first, crashes=crashes)
+            try:
+                task = await fixture.start_request(
+                    _fixture.ResponseWriter(), target, other
+                )
+                # The other target answers, and so would clear the suspects.
+                fixture.gateway.quarantine.on_answer_begun = lambda req: None
+                async with asyncio.timeout(_fixture.TIME_LIMIT_SECONDS):
+                    while not task.done() and not other.requests:
+                        await asyncio.sleep(0.01)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+            finally:
+                await fixture.close()
+            quarantine = fixture.control.state_machine.quarantine()
+            return len(other.requests), quarantine.suspected
+
+        return asyncio.run(run())
+
+    def test_crash_before_the_answer_is_repeated_and_reported(self):
+        repeats, suspected = self.relay(b"", crashes=True)
+        self.assertEqual(1, repeats)
+        self.assertEqual(1, len(suspected))
+
+    def test_crash_under_a_begun_answer_is_reported_and_not_repeated(self):
+        repeats, suspected = self.relay(HEAD, crashes=True)
+        self.assertEqual(0, repeats)
+        self.assertEqual(1, len(suspected))
+
+    def test_crash_after_an_event_is_not_reported(self):
+        repeats, suspected = self.relay(HEAD + EVENT + b"id", crashes=True)
+        self.assertEqual(1, repeats)
+        self.assertEqual([], suspected)
+
+    def test_lost_connection_to_a_running_target_is_not_reported(self):
+        for first in (b"", HEAD):
+            repeats, suspected = self.relay(first, crashes=False)
+            self.assertEqual(1, repeats)
+            self.assertEqual([], suspected)
--- a/galenashed/gateway/tests/test_handler.py
+++ b/galenashed/gateway/tests/test_handler.py
@@ -8,9 +8,9 @@
 
 from galenashed import engines
 from galenashed import gateway
-from galenashed.gateway.tests import _fixture
 from galenashed.protocol import gossip
 from galenashed.protocol import routes
+from galenashed.quarantine.tests import _fixture
 from galenashed import routing
 from galenashed import telemetry
 
@@ -135,7 +135,7 @@
             prepaid=PrepaidReserver(),
             pool=pool,
             codec=TargetCodec(),
-            quarantine=_fixture.make_quarantine(_fixture.Control()),
+            crash_quarantine=_fixture.make_quarantine(_fixture.Control()),
             retries=routing.RetryBudget(share=0.1, max_saved=1.0),
             log=telemetry.NullDecisionLog(),
             metrics=telemetry.NullMetrics(),
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -31,6 +31,7 @@
 from galenashed.protocol import methods
 from galenashed.protocol import routes as routes_wire
 from galenashed.protocol import rpc
+from galenashed import quarantine
 from galenashed import routing
 from galenashed import telemetry
 
@@ -143,7 +144,7 @@
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
-        self.quarantine = gateway.Quarantine(
+        self.quarantine = quarantine.Quarantine(
             control=self.control_client,
             unavailable=control.ControlUnavailableError,
             log=log,
@@ -155,7 +156,7 @@
             ),
             pool=self._pool,
             codec=codec,
-            quarantine=self.quarantine,
+            crash_quarantine=self.quarantine,
             retries=routing.RetryBudget(
                 share=cfg.retry_share, max_saved=MIN_SAVED_RETRIES
             ),
--- a/galenashed/gateway/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -6,7 +6,6 @@
 
 import loguru
 
-from galenashed.gateway import _request
 from galenashed.protocol import control as wire
 from galenashed import telemetry
 from galenashed import web
@@ -36,6 +35,27 @@
         """Returns the reply to a command."""
 
 
+class SuspectedRequest(typing.Protocol):
+    """What the quarantine needs to know of a request."""
+
+    @property
+    def id(self) -> str: ...
+
+    @property
+    def digest(self) -> str:
+        """Identifies the content, which repeats share."""
+
+    @property
+    def part_ids(self) -> typing.Sequence[str]:
+        """The parts of the prompt that other requests may have too."""
+
+
+def _suspect_names(request: SuspectedRequest) -> list[str]:
+    """What may crash a target: each shared part, and the whole."""
+    names = [wire.name_part(part) for part in request.part_ids]
+    return [*names, wire.name_request(request.digest)]
+
+
 class _PendingReport:
     """A report that control has not acknowledged.
 
@@ -114,11 +134,11 @@
 
     # Requests
 
-    def find_quarantined(self, request: _request.Request) -> str | None:
+    def find_quarantined(self, request: SuspectedRequest) -> str | None:
         """Returns the suspect for which a request must not run, if any."""
         if not self._quarantined and not self._pending:
             return None
-        for name in request.suspect_names:
+        for name in _suspect_names(request):
             if name in self._quarantined or self._crashes_twice(name):
                 return name
         return None
@@ -136,9 +156,9 @@
         crashes = min(len(targets), len(requests))
         return crashes > 0 and crashes + known >= QUARANTINE_CRASHES
 
-    async def begin_trial(self, request: _request.Request) -> bool:
+    async def begin_trial(self, request: SuspectedRequest) -> bool:
         """Returns whether a quarantined request may run, as a trial."""
-        names = self._quarantined.intersection(request.suspect_names)
+        names = self._quarantined.intersection(_suspect_names(request))
         if not names or not names <= self._trials_due - self._asking:
             return False
         self._asking |= names
@@ -163,11 +183,11 @@
         )
         return True
 
-    def on_answer_begun(self, request: _request.Request) -> None:
+    def on_answer_begun(self, request: SuspectedRequest) -> None:
         """Clears what was suspected in a request that a target answers."""
         if not (self._suspected or self._quarantined or self._pending):
             return
-        names = set(request.suspect_names)
+        names = set(_suspect_names(request))
         for report in self._pending:
             report.names -= names
         names &= self._suspected | self._quarantined
@@ -178,7 +198,7 @@
 
     async def report_crash(
         self,
-        request: _request.Request,
+        request: SuspectedRequest,
         target: str,
         *,
         begun: bool,
@@ -199,11 +219,11 @@
             command=wire.ReportLostTarget(
                 target=target,
                 request=request.digest,
-                parts=[part.id for part in request.shared_parts],
+                parts=list(request.part_ids),
                 begun=begun,
                 known=known,
             ),
-            names=set(request.suspect_names),
+            names=set(_suspect_names(request)),
         )
         self._pending.append(report)
         task = self._start(self._report(report), "crash report")
--- /dev/null
+++ b/galenashed/quarantine/tests/_fixture.py
@@ -0,0 +1,40 @@
+"""A control replica in this process, and quarantines that use it."""
+
+import msgspec
+
+from galenashed import control
+from galenashed.protocol import control as wire
+from galenashed import quarantine
+from galenashed import telemetry
+
+
+class Control:
+    """A control replica that commits at once while it is ``reachable``."""
+
+    class UnavailableError(Exception):
+        pass
+
+    def __init__(self):
+        self.state_machine = control.ControlStateMachine()
+        self.index = 0
+        self.reachable = True
+        self.now = 0.0
+
+    async def propose(self, command, *, timeout):
+        if not self.reachable:
+            raise self.UnavailableError
+        self.index += 1
+        # Crashes under these tests are a second apart.
+        self.now += 1.0
+        stamped = wire.TimestampedCommand(self.now, command)
+        return self.state_machine.apply(
+            self.index, msgspec.msgpack.encode(stamped)
+        )
+
+
+def make_quarantine(replica):
+    return quarantine.Quarantine(
+        control=replica,
+        unavailable=replica.UnavailableError,
+        log=telemetry.NullDecisionLog(),
+    )
