Refuse model requests with a message under which engines crash

Change: it reports every message but the last as a part of the prompt to the same quarantine, checks it before each try, and clears what an answer has in common.

--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -104,6 +104,7 @@
         if service is None:
             raise _no_service(request.model.name)
         suspected = self.quarantine.check_suspected(request.digest)
+        part_trial = await self.quarantine.check_parts(request)
         reservation = await self.reservations.reserve(
             budget_name, request.token_bound
         )
@@ -114,7 +115,7 @@
             prefix=request.prefix,
             exclusive=suspected,
         )
-        return _runs.ModelRun(
+        run = _runs.ModelRun(
             request=request,
             team=team,
             service=service,
@@ -123,6 +124,8 @@
                 requirements=requirements, team=team, priority=request.priority
             ),
         )
+        run.part_trial = part_trial
+        return run
 
     # Responses without streaming
 
@@ -142,6 +145,7 @@
                 await self.runner.on_target_lost(run, exc)
                 continue
             run.end_slot()
+            self.quarantine.on_answer_begun(run)
             self.quarantine.end_trial(run, answered=True)
             self._bill(run, *usage)
             await self.reservations.wait_until_durable()
--- a/galenashed/entry/_requests.py
+++ b/galenashed/entry/_requests.py
@@ -34,6 +34,7 @@
         "keyed",
         "max_output",
         "model",
+        "part_ids",
         "path",
         "prefix",
         "priority",
@@ -62,6 +63,11 @@
         self.prompt_bound = len(whole)
         self.token_bound = self.prompt_bound + self.max_output
         self.digest = hashlib.sha256(whole).hexdigest()
+        # The last message is the request's own.
+        self.part_ids = [
+            hashlib.sha256(msgspec.json.encode(message)).hexdigest()[:32]
+            for message in fields.get("messages", ())[:-1]
+        ]
         self.attempt = uuid.uuid4().hex
         self.id = self.attempt
         self.keyed = False
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -24,12 +24,23 @@
 
 
 class ModelRun:
-    """The state of one admitted request across its tries."""
+    """The state of one admitted request across its tries.
+
+    ``answer_begun`` and ``answered`` tell of the current try whether its
+    response has a head, and a part that shows that the engine did not crash
+    on the request.  ``part_trial`` is set if a message of the request is
+    quarantined and this is the one request that may try it.
+    ``quarantine_index`` is that of the quarantine when it was last sent.
+    """
 
     __slots__ = (
+        "answer_begun",
+        "answered",
         "caller_disconnected",
         "in_trial",
         "last_chunk_at",
+        "part_trial",
+        "quarantine_index",
         "request",
         "reservation",
         "sent",
@@ -51,6 +62,10 @@
         self.tries = 0
         self.sent = False
         self.in_trial = False
+        self.part_trial = False
+        self.answer_begun = False
+        self.answered = False
+        self.quarantine_index = 0
         self.caller_disconnected = False
         self.started_at = time.monotonic()
         self.last_chunk_at = self.started_at
@@ -96,6 +111,12 @@
     async def begin_trial(self, run: ModelRun) -> None:
         """Waits until a suspected request may run; may raise ApiError."""
 
+    def begin_try(self, run: ModelRun) -> None:
+        """Prepares a try; raises ApiError if the request must not run."""
+
+    def on_answer_begun(self, run: ModelRun) -> None:
+        """Called when a target has begun an answer without crashing."""
+
 
 class EngineRunner:
     """Sends model requests to engines, and retries where that is safe.
@@ -131,6 +152,7 @@
             if run.slot_request.requirements.exclusive:
                 await self.crash_handler.begin_trial(run)
             run.slot = await self._acquire(run)
+            self.crash_handler.begin_try(run)
             run.tries += 1
             try:
                 resp = await self._send(run, first_event)
@@ -144,6 +166,7 @@
                 await self.on_target_lost(run, exc)
                 continue
             run.sent = True
+            run.answer_begun = True
             if resp.status == 200:
                 return resp
             await self._on_error_status(run, resp)
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -28,6 +28,7 @@
 from galenashed.protocol import gossip as wire
 from galenashed.protocol import methods
 from galenashed.protocol import rpc
+from galenashed import quarantine
 from galenashed import routing
 from galenashed import telemetry
 from galenashed import web
@@ -98,6 +99,11 @@
         self.control_client = control.ControlClient(
             replicas=cfg.replicas, key=cfg.peer_key
         )
+        self.quarantine = quarantine.Quarantine(
+            control=self.control_client,
+            unavailable=control.ControlUnavailableError,
+            log=_suspects.QuarantineLog(),
+        )
         self._feed_client = control.FeedClient(
             client=self.control_client,
             report=self._follow_report,
@@ -172,17 +178,18 @@
         reservations = _reservations.Reservations(
             budget_manager=self.budget_manager, metrics=self._metrics
         )
-        quarantine = _suspects.CrashQuarantine(
+        crash_quarantine = _suspects.CrashQuarantine(
             control_client=self.control_client,
             configuration=self.configuration,
             alive_entries=lambda: self.instance_directory.alive(
                 time.monotonic()
             ),
+            parts=self.quarantine,
         )
         runner = _runs.EngineRunner(
             dispatcher=self.dispatcher,
             client=self._client,
-            crash_handler=quarantine,
+            crash_handler=crash_quarantine,
             metrics=self._metrics,
         )
         return _app.EntryApp(
@@ -193,7 +200,7 @@
                 dispatcher=self.dispatcher,
                 reservations=reservations,
                 runner=runner,
-                quarantine=quarantine,
+                quarantine=crash_quarantine,
                 metrics=self._metrics,
             ),
             calls=_calls.CallHandler(
@@ -259,6 +266,7 @@
         await self._witness_links.close()
         await self._gossiper.close()
         await self.dispatcher.close()
+        await self.quarantine.close()
         await self._feed_client.close()
         await self.control_client.close()
         await self._peers.close()
@@ -321,6 +329,8 @@
         number = self.configuration.release.number
         if number != previous:
             LOG.info("release note {} is in force", number)
+        if event.quarantine is not None:
+            self.quarantine.apply(event.quarantine)
         if event.replicas is not None:
             self.control_client.set_replicas(event.replicas)
         for name in event.recalls:
--- a/galenashed/entry/_streams.py
+++ b/galenashed/entry/_streams.py
@@ -187,6 +187,8 @@
             raise engines.TargetLostError("the caller disconnected")
         first = scanner.events == 0
         data = scanner.feed(chunk)
+        if data and not run.answered:
+            self.runner.crash_handler.on_answer_begun(run)
         if first and scanner.events:
             elapsed = run.last_chunk_at - run.started_at
             self.metrics.duration("model.first_token", elapsed)
--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -8,9 +8,11 @@
 
 from galenashed import control
 from galenashed.entry import _configuration
+from galenashed.entry import _requests
 from galenashed.entry import _runs
 from galenashed.protocol import control as wire
 from galenashed.protocol import gossip as gossip_wire
+from galenashed import quarantine
 from galenashed import telemetry
 from galenashed import web
 
@@ -26,9 +28,19 @@
 RETRY_AFTER_SECONDS = 1.0
 
 
+class QuarantineLog:
+    """Writes the decisions of a quarantine to the log of the process."""
+
+    def write(self, event: str, **fields) -> None:
+        """See :class:`galenashed.telemetry.DecisionLog`."""
+        LOG.info("{}: {}", event, fields)
+
+
 class CrashQuarantine:
     """Ensures that one request crashes at most two targets.
 
+    Requests that share a message under which targets crash are also refused.
+
     Every connected entry learns of the first crash before the request runs
     again, and it runs again only in a trial that control admits.  A retry
     through another entry can therefore not crash a third target.  If not
@@ -43,6 +55,8 @@
         Holds the crash counts that this entry knows.
     alive_entries : callable
         Returns the instances of the entries that may be alive.
+    parts : Quarantine
+        Quarantines messages that several requests share.
     """
 
     def __init__(
@@ -51,10 +65,12 @@
         control_client: control.ControlClient,
         configuration: _configuration.Configuration,
         alive_entries: typing.Callable[[], list[gossip_wire.Instance]],
+        parts: quarantine.Quarantine,
     ):
         self.control_client = control_client
         self.configuration = configuration
         self.alive_entries = alive_entries
+        self.parts = parts
         # Reports that control has not acknowledged, by request digest.
         self._unacknowledged: dict[str, list[wire.ReportCrash]] = {}
         # Index of the latest crash that this entry reported.
@@ -74,6 +90,33 @@
             return True
         return self.configuration.crash_count(digest) > 0
 
+    async def check_parts(self, request: _requests.ModelRequest) -> bool:
+        """Returns whether the request is the trial of a shared message.
+
+        Raises ApiError if targets crash under requests with one.
+        """
+        suspect = self.parts.find_quarantined(request)
+        if suspect is None:
+            return False
+        if not await self.parts.begin_trial(request):
+            raise quarantine.make_error(suspect, executed=False)
+        return True
+
+    def begin_try(self, run: _runs.ModelRun) -> None:
+        """See :class:`galenashed.entry._runs.CrashHandler`."""
+        run.answer_begun = False
+        run.answered = False
+        run.quarantine_index = self.parts.index
+        suspect = self.parts.find_quarantined(run.request)
+        starts_trial = run.part_trial and not run.tries
+        if suspect is not None and not starts_trial:
+            raise quarantine.make_error(suspect, executed=run.sent)
+
+    def on_answer_begun(self, run: _runs.ModelRun) -> None:
+        """See :class:`galenashed.entry._runs.CrashHandler`."""
+        run.answered = True
+        self.parts.on_answer_begun(run.request)
+
     def _is_quarantined(self, digest: str) -> bool:
         return self.configuration.crash_count(digest) >= QUARANTINE_CRASHES
 
@@ -89,6 +132,13 @@
         )
         run.in_trial = False
         run.slot_request.requirements.exclusive = True
+        if not run.answered:
+            await self.parts.report_crash(
+                run.request,
+                command.target,
+                begun=run.answer_begun,
+                known=run.quarantine_index,
+            )
         commands = self._unacknowledged.setdefault(run.request.digest, [])
         commands.append(command)
         await self._send_reports(run)
--- a/galenashed/entry/tests/test_endless_responses.py
+++ b/galenashed/entry/tests/test_endless_responses.py
@@ -85,6 +85,9 @@
     async def report_crash(self, run, target):
         pass
 
+    def begin_try(self, run):
+        pass
+
 
 def make_run():
     return _runs.ModelRun(
--- a/galenashed/entry/tests/test_suspects.py
+++ b/galenashed/entry/tests/test_suspects.py
@@ -11,6 +11,7 @@
 from galenashed.entry import _suspects
 from galenashed.protocol import control as wire
 from galenashed.protocol import gossip as gossip_wire
+from galenashed.quarantine.tests import _fixture
 from galenashed import web
 
 CRASH_INDEX = 7
@@ -83,8 +84,10 @@
 class FakeRequest:
     """The part of a request that the quarantine reads."""
 
+    id = "request"
     digest = "digest"
     attempt = "attempt"
+    part_ids = ("message",)
 
 
 class FakeTarget:
@@ -135,6 +138,7 @@
                 max_stale=10.0, serve_when_stale=False
             ),
             alive_entries=lambda: [make_instance(name) for name in alive],
+            parts=_fixture.make_quarantine(_fixture.Control()),
         )
 
     def make_run(self) -> _runs.ModelRun:
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -35,6 +35,13 @@
         """Returns the reply to a command."""
 
 
+class Log(typing.Protocol):
+    """Receives a line for each decision."""
+
+    def write(self, event: str, **fields) -> None:
+        """Writes a line."""
+
+
 class SuspectedRequest(typing.Protocol):
     """What the quarantine needs to know of a request."""
 
@@ -82,8 +89,8 @@
         Receives reports.
     unavailable : type of Exception
         Raised by ``control`` if it does not answer in time.
-    log : DecisionLog
-        Receives a line for each change.
+    log : Log
+        Receives a line for each change and each trial.
     """
 
     def __init__(
@@ -91,7 +98,7 @@
         *,
         control: ControlClient,
         unavailable: type[Exception],
-        log: telemetry.DecisionLog | telemetry.NullDecisionLog,
+        log: Log,
     ):
         self.control = control
         self.unavailable = unavailable
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -83,6 +83,29 @@
         self.assertEqual(200, self.fleet.ask("e1", "innocent").status)
         self.assertEqual(0, self.tokens_billed_for(crashing_prompt))
 
+    def test_requests_with_a_crashing_message_stop_three_engines(self):
+        message = {"role": "system", "content": _engine.CRASH_MARKER}
+        statuses = []
+        for number in range(4):
+            question = {"role": "user", "content": f"question {number}"}
+            response = self.fleet.ask(
+                ("e1", "e2")[number % 2], messages=[message, question]
+            )
+            statuses.append(response.status)
+        self.assertEqual(3, len(self.exited_engines()))
+        self.assertEqual([422] * 4, statuses)
+        question = {"role": "user", "content": "question"}
+        other = {"role": "system", "content": "be brief"}
+        response = self.fleet.ask("e2", messages=[other, question])
+        self.assertEqual(200, response.status)
+
+    def exited_engines(self) -> list[str]:
+        return [
+            name
+            for name in self.fleet.engine_names
+            if self.fleet.processes[name].popen.poll() is not None
+        ]
+
     def test_crashing_request_stops_two_engines_with_delayed_control(self):
         # e2 acquires tokens before its links to control are delayed.
         self.assertEqual(200, self.fleet.ask("e2", "innocent").status)
