Require crashes some time apart before a part is quarantined

Cause, found by reading: targets that fail shortly one after the other, as in a rolling failure, could quarantine a popular part by requests that merely waited there, and a request that was repeated from one such target to the next was refused as a whole. Callers of sound requests would get 422.

Change: crashes count only 0.3 s apart, 1 s if the answers had not begun, and a request as a whole needs three.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -12,9 +12,12 @@
   other requests that were lost with the target are no longer suspected of it.
 - Crashes under a suspect in quarantine are explained by it.
 - Different requests have to crash different targets before a part that they
-  share is quarantined.  Targets that fail at the same time take many requests
-  with them, so the later request must have been sent when the earlier crash
-  was known; if its answer had begun, a later crash is sufficient.
+  share is quarantined.  Targets that fail together, or shortly after one
+  another, take many requests with them, so crashes must be some time apart.
+  A request whose answer had not begun must have been sent when the crash
+  before was known.
+- A request as a whole is quarantined by one more crash, since a repeat may be
+  lost with two targets by chance.
 - If the evidence against several parts is sufficient at the same time, the
   last of them in the prompt is quarantined, as it is the most specific.
 
@@ -26,13 +29,16 @@
 from galenashed.protocol import control as wire
 
 QUARANTINE_CRASHES = 2
+REQUEST_QUARANTINE_CRASHES = 3
 QUARANTINE_SECONDS = 20.0
 MAX_QUARANTINE_SECONDS = 3600.0
 # After this time without an answer or a crash, another trial may begin.
 TRIAL_SECONDS = 10.0
 SUSPECT_RETENTION_SECONDS = 600.0
-# Crashes within this time may have a cause of their own in common.
+# Crashes within this time may have a cause of their own in common.  The time
+# is longer for answers that had not begun, as any of them may be lost then.
 CORRELATED_SECONDS = 0.3
+CORRELATED_WAITING_SECONDS = 1.0
 # The whole list is sent to every entry when it changes.
 MAX_SUSPECTS = 500
 MAX_EVIDENCE = 8
@@ -104,7 +110,10 @@
         record = state.suspects[name]
         is_request = name == request
         crashes = count_crashes(record.evidence, of_one_request=is_request)
-        if crashes < QUARANTINE_CRASHES:
+        needed = (
+            REQUEST_QUARANTINE_CRASHES if is_request else QUARANTINE_CRASHES
+        )
+        if crashes < needed:
             continue
         record.quarantined = True
         targets = {item.target for item in record.evidence}
@@ -138,9 +147,10 @@
 
 def _is_later(item: _state.Evidence, other: _state.Evidence) -> bool:
     """Whether a crash is independent of another one before it."""
-    if item.known >= other.index:
-        return True
-    return item.begun and item.at - other.at >= CORRELATED_SECONDS
+    elapsed = item.at - other.at
+    if item.begun:
+        return elapsed >= CORRELATED_SECONDS
+    return elapsed >= CORRELATED_WAITING_SECONDS and item.known >= other.index
 
 
 def _remove_evidence(
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -92,6 +92,8 @@
                 ("e1", "e2")[number % 2], messages=[message, question]
             )
             statuses.append(response.status)
+            # Crashes within a second may have another cause in common.
+            time.sleep(1.0)
         self.assertEqual(3, len(self.exited_engines()))
         self.assertEqual([422] * 4, statuses)
         question = {"role": "user", "content": "question"}
