Count own reports against a suspect only while control is silent

Cause, found by reading: a report that control had recorded, but whose reply had not come yet, counted twice once the feed showed the suspect: as known, and as pending. A part that sound requests share was then refused by that entry until the reply came.

Change: pending reports count once their reply is overdue. The test failed before.

--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -66,22 +66,24 @@
 class _PendingReport:
     """A report that control has not acknowledged.
 
-    ``names`` are the suspects in it that no answer has cleared since.
+    ``names`` are the suspects in it that no answer has cleared since, and
+    ``overdue`` tells whether the reply did not come in the usual time.
     """
 
-    __slots__ = ("command", "names")
+    __slots__ = ("command", "names", "overdue")
 
     def __init__(self, *, command: wire.ReportLostTarget, names: set[str]):
         self.command = command
         self.names = names
+        self.overdue = False
 
 
 class Quarantine:
     """Reports requests under which targets crash, and refuses them.
 
     What is quarantined is decided in the replicated state, for all entries.
-    Crashes under answers that had begun, which this entry has reported and
-    control has not acknowledged, count here as well.
+    While control does not answer, crashes under answers that had begun count
+    here as soon as this entry has reported them.
 
     Parameters
     ----------
@@ -155,7 +157,7 @@
         commands = [
             report.command
             for report in self._pending
-            if report.command.begun and name in report.names
+            if report.overdue and report.command.begun and name in report.names
         ]
         targets = {command.target for command in commands}
         requests = {command.request for command in commands}
@@ -235,6 +237,7 @@
         self._pending.append(report)
         task = self._start(self._report(report), "crash report")
         await asyncio.wait({task}, timeout=VERDICT_SECONDS)
+        report.overdue = not task.done()
 
     def _may_report(self, target: str) -> bool:
         count = self._report_counts.get(target, 0)
--- a/galenashed/quarantine/tests/_fixture.py
+++ b/galenashed/quarantine/tests/_fixture.py
@@ -1,5 +1,7 @@
 """A control replica in this process, and quarantines that use it."""
 
+import asyncio
+
 import msgspec
 
 from galenashed import control
@@ -18,6 +20,7 @@
         self.state_machine = control.ControlStateMachine()
         self.index = 0
         self.reachable = True
+        self.reply_seconds = 0.0
         self.now = 0.0
 
     async def propose(self, command, *, timeout):
@@ -27,9 +30,11 @@
         # Crashes under these tests are a second apart.
         self.now += 1.0
         stamped = wire.TimestampedCommand(self.now, command)
-        return self.state_machine.apply(
+        reply = self.state_machine.apply(
             self.index, msgspec.msgpack.encode(stamped)
         )
+        await asyncio.sleep(self.reply_seconds)
+        return reply
 
 
 def make_quarantine(replica):
--- a/galenashed/quarantine/tests/test_quarantine.py
+++ b/galenashed/quarantine/tests/test_quarantine.py
@@ -108,6 +108,20 @@
 
         self.run_test(scenario)
 
+    def test_crash_that_the_feed_shows_before_the_reply_counts_once(self):
+        async def scenario(first, second):
+            self.control.reply_seconds = 0.1
+            report = asyncio.create_task(
+                self.report(first, "t1", make_request("x", body=b"1"))
+            )
+            while not self.control.state_machine.quarantine().suspected:
+                await asyncio.sleep(0.01)
+            self.feed()
+            self.assertFalse(self.is_quarantined(first, "x"))
+            await report
+
+        self.run_test(scenario)
+
     def test_entry_that_is_cut_off_adds_to_what_it_knew(self):
         async def scenario(first, second):
             await self.report(second, "t1", make_request("x", body=b"1"))
