Lengthen a quarantine only after a failed trial

Cause, found by reading: requests that were under way when their part was quarantined crash targets too, and each doubled the time to the first trial, to minutes for a part in many requests. Sound requests with a part that is wrongly quarantined would wait as long.

Change: the time doubles only if a trial was in progress. The test failed before.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -97,10 +97,10 @@
         return
     record.evidence = [*record.evidence, evidence][-MAX_EVIDENCE:]
     record.at = state.now
-    if record.quarantined:
+    if record.trial_at is not None:
         record.failed_trials += 1
-        record.trial_due = False
-        record.trial_at = None
+    record.trial_due = False
+    record.trial_at = None
 
 
 def _quarantine(state: _state.ControlState, names: list[str]) -> list[str]:
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -116,9 +116,8 @@
 class SuspectRecord(msgspec.Struct, kw_only=True):
     """The evidence against a part of prompts or a request.
 
-    ``at`` is the time of the latest evidence and ``failed_trials`` the number
-    of crashes after the suspect was quarantined.  ``trial_at`` is the time of
-    the latest trial.
+    ``at`` is the time of the latest evidence.  ``trial_at`` is the time at
+    which a trial that may still be in progress began.
     """
 
     evidence: list[Evidence]
--- a/galenashed/control/tests/test_quarantine.py
+++ b/galenashed/control/tests/test_quarantine.py
@@ -210,6 +210,13 @@
         self.wait(20.0)
         self.assertTrue(self.begin_trial())
 
+    def test_crashes_that_were_under_way_do_not_prolong_the_quarantine(self):
+        self.quarantine_deadly()
+        for number in range(3):
+            self.report(f"u{number}", "c", DEADLY)
+        self.wait(_quarantine.QUARANTINE_SECONDS + 10.0)
+        self.assertTrue(self.begin_trial())
+
     def test_quarantine_is_forgotten_without_requests(self):
         self.quarantine_deadly()
         self.wait(_quarantine.SUSPECT_RETENTION_SECONDS)
