Show how a stream ended that was to be complete

A test that failed once beside load kept neither the status nor the error of the stream that did not finish, so its failure can't be traced. The check is the same.

--- a/galenashed/tests/test_instances_fail.py
+++ b/galenashed/tests/test_instances_fail.py
@@ -57,7 +57,8 @@
             for entry in ("e2", "e3")
         ]
         for stream in repeated:
-            self.assertTrue(stream.finished)
+            outcome = (stream.status, stream.error, len(stream.words))
+            self.assertTrue(stream.finished, outcome)
             self.assertEqual(expected.words, stream.words)
         # Each entry answers once control has acknowledged its own bills; those
         # of the killed one are recovered by its witnesses.
