Check that each note is accepted once, also if it is sent again

test_second_disk_loss_right_after_a_replacement failed once beside load: note 4 stood twice in the audit. An operator's client repeats a note whose answer it did not get, and the audit records that as well. A new test sends a note twice: four records for three notes, the extra one "already accepted".

The check read the subjects of all records.

--- a/galenashed/tests/test_replicas.py
+++ b/galenashed/tests/test_replicas.py
@@ -43,9 +43,27 @@
         )
         return before + used_tokens
 
-    def note_subjects(self) -> list[str]:
+    def accepted_notes(self) -> list[str]:
+        """Returns the notes that were accepted, in order.
+
+        Checks that any other record is that of a note which was sent again.
+        """
+        result = self.fleet.run_operator_cli("note", "history", "--json")
+        accepted = []
+        for record in json.loads(result.stdout):
+            if record["result"] == "accepted":
+                accepted.append(record["subject"])
+            else:
+                self.assertIn("already accepted", record["result"])
+                self.assertIn(record["subject"], accepted)
+        return accepted
+
+    def test_note_that_is_sent_again_is_accepted_once(self):
+        for number in (2, 2, 3):
+            self.fleet.publish(make_note(number))
+        self.assertEqual(["note 1", "note 2", "note 3"], self.accepted_notes())
         result = self.fleet.run_operator_cli("note", "history", "--json")
-        return [record["subject"] for record in json.loads(result.stdout)]
+        self.assertEqual(4, len(json.loads(result.stdout)))
 
     def test_second_disk_loss_right_after_a_replacement(self):
         for number in range(2, 6):
@@ -58,7 +76,7 @@
         self.fleet.delete_replica_data("c2")
         self.assertEqual(settled, self.settled_tokens())
         expected = [f"note {number}" for number in range(1, 6)]
-        self.assertEqual(expected, self.note_subjects())
+        self.assertEqual(expected, self.accepted_notes())
         self.fleet.publish(make_note(6))
         self.assertGreater(self.send_and_settle("second"), settled)
 
@@ -103,7 +121,7 @@
         self.fleet.control_names.remove(leader)
         self.fleet.write_operator_config()
         self.fleet.publish(make_note(2), "--timeout", "15")
-        self.assertIn("note 2", self.note_subjects())
+        self.assertIn("note 2", self.accepted_notes())
 
     def test_entries_discover_replicas_missing_from_their_settings(self):
         for old, new in (("c1", "c4"), ("c2", "c5"), ("c3", "c6")):
