--- a/galenashed/gateway/tests/test_handler.py
+++ b/galenashed/gateway/tests/test_handler.py
@@ -8,9 +8,10 @@
 
 from galenashed import engines
 from galenashed import gateway
+from galenashed.gateway.tests import _fixture
 from galenashed.protocol import gossip
 from galenashed.protocol import routes
-from galenashed.quarantine.tests import _fixture
+from galenashed.quarantine.tests import _fixture as quarantine_fixture
 from galenashed import routing
 from galenashed import telemetry
 
@@ -45,51 +46,6 @@
         writer.close()
 
 
-class TargetCodec:
-    """Encodes a minimal request."""
-
-    def encode(self, attempt):
-        return b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
-
-    def decode(self, head):
-        return gateway.TargetResponse(
-            request_id=None, not_executed=False, misdirected=False, load=None
-        )
-
-
-class PrepaidReservation:
-    """A request that needs no tokens."""
-
-    tokens = 0
-    event_count = 0
-    may_have_run = False
-
-    def close(self, request, tokens_per_event):
-        pass
-
-
-class PrepaidReserver:
-    async def open(self, request, team, objective):
-        return PrepaidReservation()
-
-
-class ResponseWriter:
-    def __init__(self):
-        self.body = b""
-
-    async def start(self, head, *, with_content_length):
-        pass
-
-    async def write(self, data):
-        self.body += data
-
-    async def finish(self):
-        pass
-
-    def abort(self):
-        pass
-
-
 def route():
     return routes.Route(
         name="r",
@@ -132,10 +88,12 @@
         pool = engines.ConnectionPool(connect_timeout=1.0)
         handler = gateway.Gateway(
             targets=targets,
-            prepaid=PrepaidReserver(),
+            prepaid=_fixture.PrepaidReserver(),
             pool=pool,
-            codec=TargetCodec(),
-            crash_quarantine=_fixture.make_quarantine(_fixture.Control()),
+            codec=_fixture.TargetCodec(),
+            crash_quarantine=quarantine_fixture.make_quarantine(
+                quarantine_fixture.Control()
+            ),
             retries=routing.RetryBudget(share=0.1, max_saved=1.0),
             log=telemetry.NullDecisionLog(),
             metrics=telemetry.NullMetrics(),
@@ -159,7 +117,7 @@
             arrived_at=time.monotonic(),
             prompt=PROMPT,
         )
-        writer = ResponseWriter()
+        writer = _fixture.ResponseWriter()
         fut = asyncio.ensure_future(
             handler.handle(request, route(), None, writer)
         )
