Treat a resumption that closes before any event as broken off

Targets that crash under a part of a prompt do this: their answers had a head and nothing more.

Cause: events of the earlier targets, or of an earlier request of the caller, counted as a proof that this response had come to its end.

Change: a response that ends by its connection needs an event of its own. One that is empty because nothing was missing is then cut too; the caller sees it as incomplete and may ask again. The test failed before.

--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -175,10 +175,8 @@
             raise engines.TargetLostError(
                 f"{address}: the stream ended inside an event"
             )
-        resumed_after = self.last_event_id or self.context.request.resume_after
-        if head.framing is engines.Framing.CLOSE and not (
-            self.event_count or resumed_after
-        ):
+        closed = head.framing is engines.Framing.CLOSE
+        if closed and not self.attempt_event_count:
             raise engines.TargetLostError(
                 f"{address}: the connection closed before any event"
             )
--- a/galenashed/gateway/tests/test_broken_streams.py
+++ b/galenashed/gateway/tests/test_broken_streams.py
@@ -71,7 +71,7 @@
                 time_limit=_fixture.TIME_LIMIT_SECONDS,
             )
             writer = _fixture.ResponseWriter()
-            other_target = _fixture.Target(other or head())
+            other_target = BreakingTarget(other or head())
             try:
                 task = await fixture.start_request(
                     writer, BreakingTarget(first, reset=reset), other_target
@@ -175,6 +175,15 @@
         self.assertTrue(writer.finished)
         self.assertEqual(STREAM, writer.body)
 
+    def test_resumption_that_closes_before_any_event_is_cut(self):
+        writer, other = self.relay(
+            head() + EVENTS[0] + HALF_EVENT, other=head(), resumable=True
+        )
+        self.assertEqual(1, len(other.requests))
+        self.assertTrue(writer.aborted)
+        self.assertFalse(writer.finished)
+        self.assertEqual(EVENTS[0], writer.body)
+
     def test_stream_without_event_ids_is_not_repeated_after_an_event(self):
         event = b"data: x\n\n"
         self.check_cut(head() + event + HALF_EVENT, body=event, resumable=True)
