Treat an event stream that closes before any event as lost in entries

The same gap as in the gateway, in calls of plain services: a stream whose connection closed after the head was recorded and answered as complete. The test failed before; a stream with a length of zero stays complete.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -1,6 +1,7 @@
 """HTTP clients for targets, which are model engines or other services."""
 
 from galenashed.engines._client import check_complete
+from galenashed.engines._client import is_close_delimited
 from galenashed.engines._client import NotSentError
 from galenashed.engines._client import read_body
 from galenashed.engines._client import TargetClient
@@ -19,5 +20,6 @@
     "TargetClient",
     "TargetLostError",
     "check_complete",
+    "is_close_delimited",
     "read_body",
 ]
--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -75,18 +75,23 @@
         return error
 
 
+def is_close_delimited(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether the body of a response ends with its connection."""
+    return not (
+        resp.method == "HEAD"
+        or resp.status in (204, 304)
+        or "Content-Length" in resp.headers
+        or "Transfer-Encoding" in resp.headers
+    )
+
+
 def check_complete(resp: aiohttp.ClientResponse) -> None:
     """Raises TargetLostError if a body that was read to its end is not whole.
 
     A body without length or chunks is whole only if the target closed the
     connection; aiohttp itself checks all others.
     """
-    if (
-        resp.method == "HEAD"
-        or resp.status in (204, 304)
-        or "Content-Length" in resp.headers
-        or "Transfer-Encoding" in resp.headers
-    ):
+    if not is_close_delimited(resp):
         return
     error = typing.cast(_TargetResponse, resp).connection_error
     if error is not None:
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -20,6 +20,7 @@
 MAX_TRIES = 4
 MAX_RESPONSE_BYTES = 16 * 2**20
 RETRY_AFTER_SECONDS = 1.0
+EVENT_STREAM_TYPE = "text/event-stream"
 # An empty line ends an event; lines end with LF or CR LF.
 EVENT_ENDS = (b"\n\n", b"\n\r\n")
 
@@ -299,19 +300,17 @@
             parts.append(chunk)
         engines.check_complete(resp)
         body = b"".join(parts)
-        if _ends_inside_event(resp, body):
-            raise engines.TargetLostError("the stream ended inside an event")
+        if resp.status == 200 and resp.content_type == EVENT_STREAM_TYPE:
+            _check_stream_complete(resp, body)
         return body
 
 
-def _ends_inside_event(resp: aiohttp.ClientResponse, body: bytes) -> bool:
-    """Returns whether a stream of events was broken off inside one."""
-    return (
-        resp.status == 200
-        and resp.content_type == "text/event-stream"
-        and bool(body)
-        and not body.endswith(EVENT_ENDS)
-    )
+def _check_stream_complete(resp: aiohttp.ClientResponse, body: bytes) -> None:
+    """Raises TargetLostError if a stream of events was broken off."""
+    if body and not body.endswith(EVENT_ENDS):
+        raise engines.TargetLostError("the stream ended inside an event")
+    if not body and engines.is_close_delimited(resp):
+        raise engines.TargetLostError("the stream ended before any event")
 
 
 def _slot_request(call: _call.Call) -> _dispatcher.SlotRequest:
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -133,5 +133,12 @@
     ):
         self.check_lost(EVENTS % b"content-length: 4\r\n" + b"id: ")
 
+    def test_stream_that_closes_before_any_event_is_incomplete(self):
+        self.check_lost(EVENTS % b"")
+
+    def test_stream_with_a_length_of_zero_is_complete(self):
+        head = EVENTS % b"content-length: 0\r\n"
+        self.assertEqual(b"", self.call(head).body)
+
     def test_stream_that_closes_after_an_event_is_complete(self):
         self.assertEqual(EVENT, self.call(EVENTS % b"" + EVENT).body)
