Wait for both engines before a test that resumes a stream

Cause, reproduced in a chosen order of tests (2 failed, 4 passed): tests that abort streams right before make one engine fail three times, so that the node sends it nothing for 2 s and has no other target to resume at. That is what the ejection is for; the tests must not depend on those before.

Each now waits until requests have run on both engines. The checks are the same.

--- a/galenashed/platform/tests/test_site.py
+++ b/galenashed/platform/tests/test_site.py
@@ -73,12 +73,24 @@
 
         Requests with the prompt are sent there again.
         """
-        type(self).prompts += 1
-        prompt = f"a{self.prompts}:60,b{self.prompts}:30,cc:10"
-        self.site.generate(X_Prefix_Hash=prompt)
+        # An engine that failed in other tests gets no requests for a time.
+        _fleet.wait_for(self.has_run_on_all_engines, "both engines")
+        for target in self.engines:
+            target.executions.clear()
+        prompt = self.send_new_prompt()
         (engine,) = [t for t in self.engines if t.executions]
         return engine, prompt
 
+    def send_new_prompt(self):
+        type(self).prompts += 1
+        prompt = f"a{self.prompts}:60,b{self.prompts}:30,cc:10"
+        self.assertEqual(200, self.site.generate(X_Prefix_Hash=prompt).status)
+        return prompt
+
+    def has_run_on_all_engines(self):
+        self.send_new_prompt()
+        return all(target.executions for target in self.engines)
+
     def test_request_reaches_a_target_unchanged(self):
         response = self.site.call(
             "/o/a%20b/c?q=1&r=%2F", node=3, body=b"order", X_Own="kept"
