--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -482,6 +482,8 @@
             target=target.name,
             begun=begun,
             parts=context.request.part_ids,
+            digest=context.request.digest,
+            known=known,
         )
         await self.quarantine.report_crash(
             context.request,
