Add failing tests of a lookup that crashes target after target

What callers saw: a lookup (a GET without prompt or body) comes again and again, and each target that begins to run it ends without a response head.

--- a/galenashed/control/tests/test_quarantine.py
+++ b/galenashed/control/tests/test_quarantine.py
@@ -15,6 +15,9 @@
 
     def setUp(self):
         super().setUp()
+        self.reset()
+
+    def reset(self):
         self.state_machine = control.ControlStateMachine()
         self.index = 0
         self.now = 0.0
@@ -106,6 +109,64 @@
             self.report("r1", begun=False)
         self.assert_quarantined("request:r1")
 
+    def crashes_until_quarantined(self, pause, *, attempts=1, pairs_apart=0.1):
+        """Returns how many targets end under one request, at most 20."""
+        crashes = 0
+        while crashes < 20:
+            for attempt in range(attempts):
+                self.report(
+                    "r1",
+                    begun=False,
+                    known=0 if attempt else None,
+                    pause=pairs_apart if attempt else pause,
+                )
+                crashes += 1
+                if self.state_machine.quarantine().quarantined:
+                    return crashes
+        return crashes
+
+    def test_repeats_in_quick_succession_end_three_targets(self):
+        for pause in (0.05, 0.5, 1.5, 4.0):
+            for attempts in (1, 2):
+                self.reset()
+                crashes = self.crashes_until_quarantined(
+                    pause, attempts=attempts
+                )
+                self.assertEqual(3, crashes, (pause, attempts))
+
+    def test_request_that_crashes_targets_beside_begun_answers(self):
+        for number in range(3):
+            self.report(f"s{number}", "a", target=f"t{number}")
+            self.report("r1", "b", target=f"t{number}", begun=False)
+            self.answer(f"o{number}", "a", "b")
+        self.assert_quarantined("request:r1")
+
+    def test_request_counts_although_a_part_is_quarantined_first(self):
+        self.report("r1", "a", begun=False, target="t1")
+        self.report("r1", "a", begun=False, target="t2")
+        self.report("r2", "a", begun=False, target="t3")
+        self.assert_quarantined("part:a")
+        self.report("r1", "a", begun=False, target="t4")
+        self.answer("r3", "a")
+        self.assert_quarantined("request:r1")
+
+    def test_part_in_requests_that_crash_targets_every_tenth_of_a_second(self):
+        for number in range(20):
+            self.report(f"r{number}", "a", begun=False, pause=0.1)
+        self.assert_quarantined("part:a")
+
+    def test_request_that_keeps_crashing_gets_two_trials(self):
+        trials = 0
+        for _ in range(3):
+            self.report("r1", begun=False)
+        # A day, in steps of 10 s.
+        for _ in range(8640):
+            self.wait(10.0)
+            if self.trials_due():
+                trials += self.begin_trial(suspect="request:r1")
+                self.report("r1", begun=False, pause=0.1)
+        self.assertEqual(2, trials)
+
     def test_requests_lost_with_one_target(self):
         for number in range(9):
             self.report(f"r{number}", "a", target="t", begun=False, pause=0.0)
@@ -168,9 +229,9 @@
         self.now += seconds
         self.apply(wire.Barrier())
 
-    def begin_trial(self, request="r"):
+    def begin_trial(self, request="r", suspect="part:deadly"):
         reply = self.apply(
-            wire.BeginSuspectTrial(suspect="part:deadly", request=request)
+            wire.BeginSuspectTrial(suspect=suspect, request=request)
         )
         return reply.allowed
 
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -48,6 +48,9 @@
         # An engine crashes when it begins to answer a request with this part
         # of its prompt, and starts again after ``restart_seconds``.
         self.deadly_part = None
+        # A target crashes without a response head when it begins to run a
+        # request for this path.
+        self.deadly_path = None
         self.restart_seconds = 0.5
         self.crashes = 0
         self.writers = set()
@@ -110,6 +113,9 @@
             )
             return True
         self.executions.append((method, path, headers, body))
+        if path == self.deadly_path:
+            await self.crash()
+            return False
         if self.service == "engines":
             return await self.send_events(writer, headers)
         if self.endless:
--- a/galenashed/platform/tests/test_quarantine.py
+++ b/galenashed/platform/tests/test_quarantine.py
@@ -79,3 +79,56 @@
 
     def test_deadly_part_in_streams_that_run_once(self):
         self.check("/n/x")
+
+
+DEADLY_PATH = "/l/deadly"
+# The third crash quarantines the request; one more is under way meanwhile.
+MAX_LOOKUP_CRASHES = 4
+
+
+class TestDeadlyLookup(testtools.TestCase):
+    """One lookup, sent again and again by several callers at all nodes."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = _site.Site()
+        self.site.__enter__()
+        self.addCleanup(self.site.close)
+        self.apps = [self.site.add_target("app", n) for n in range(3)]
+        for node in range(4):
+            _fleet.wait_for(
+                lambda node=node: self.reaches_all_targets(node), "all targets"
+            )
+        for target in self.apps:
+            target.deadly_path = DEADLY_PATH
+
+    def reaches_all_targets(self, node):
+        for target in self.apps:
+            target.executions.clear()
+        statuses = {self.look("/l/sound", node=node) for _ in range(20)}
+        return statuses == {200} and all(t.executions for t in self.apps)
+
+    def look(self, path, *, node):
+        return self.site.call(path, node=node, method="GET", body=b"").status
+
+    def count_crashes(self, pause):
+        """Returns the crashes while the lookup comes every ``pause`` s."""
+        sent_until = time.monotonic() + 6.0
+        number = 0
+        while time.monotonic() < sent_until:
+            self.look(DEADLY_PATH, node=number % 4)
+            number += 1
+            time.sleep(pause)
+        return sum(target.crashes for target in self.apps)
+
+    def check(self, pause):
+        self.assertLessEqual(self.count_crashes(pause), MAX_LOOKUP_CRASHES)
+        self.assertEqual(422, self.look(DEADLY_PATH, node=2))
+        for node in range(4):
+            self.assertEqual(200, self.look("/l/sound", node=node))
+
+    def test_lookup_that_is_repeated_at_once(self):
+        self.check(0.05)
+
+    def test_lookup_that_is_repeated_twice_a_second(self):
+        self.check(0.5)
--- a/galenashed/quarantine/tests/test_quarantine.py
+++ b/galenashed/quarantine/tests/test_quarantine.py
@@ -183,6 +183,36 @@
 
         self.run_test(scenario)
 
+    def test_request_lost_among_many_at_each_crash_is_reported(self):
+        async def scenario(first, second):
+            culprit = make_request(body=b"culprit")
+            for crash in range(4):
+                for number in range(20):
+                    await self.report(
+                        first,
+                        f"t{crash}",
+                        make_request(body=b"%d" % (100 * crash + number)),
+                        begun=False,
+                    )
+                await self.report(first, f"t{crash}", culprit, begun=False)
+                self.feed()
+            self.assertTrue(self.is_quarantined(second, body=b"culprit"))
+
+        self.run_test(scenario)
+
+    def test_entry_that_is_cut_off_counts_crashes_without_a_head(self):
+        async def scenario(first, second):
+            self.control.reachable = False
+            for crash in range(3):
+                self.assertFalse(self.is_quarantined(first, body=b"1"))
+                await self.report(
+                    first, f"t{crash}", make_request(body=b"1"), begun=False
+                )
+            self.assertTrue(self.is_quarantined(first, body=b"1"))
+            self.assertFalse(self.is_quarantined(first, body=b"2"))
+
+        self.run_test(scenario)
+
     async def wait_until_trial_is_due(self):
         self.control.now += 60.0
         await self.control.propose(wire.Barrier(), timeout=1.0)
--- a/galenashed/standins/_service.py
+++ b/galenashed/standins/_service.py
@@ -4,6 +4,7 @@
 
 - ``delay``: waits that many seconds before it responds.
 - ``status``: responds with that status.
+- ``crash``: begins to execute the call, then ends the process.
 - ``lose``: executes the call, then closes the connection before the body.
 - ``claim``: executes the call, but adds the header by which entries say that
   a call was not run.
@@ -11,6 +12,7 @@
 
 import asyncio
 import collections
+import os
 
 import blacksheep
 import msgspec
@@ -18,6 +20,7 @@
 from galenashed.protocol import gossip as wire
 from galenashed import web
 
+CRASH_EXIT_CODE = 17
 HTTP_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 
@@ -49,6 +52,8 @@
         query = {name: values[0] for name, values in request.query.items()}
         key = request.get_first_header(b"Idempotency-Key")
         request_id = request.get_first_header(b"X-Request-Id") or b""
+        if "crash" in query:
+            os._exit(CRASH_EXIT_CODE)
         self.running += 1
         try:
             self.executions[(key or request_id).decode()] += 1
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -342,6 +342,35 @@
         self.assertEqual(1, self.executions("frozen-1"))
 
 
+class TestLookupsCrashServices(testtools.TestCase):
+    """One lookup crashes each target of a service that runs it."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = _fleet.Fleet(entries=2, engines=0, services=5)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+
+    def look(self, entry, path):
+        return self.fleet.call_service(entry, path, method="GET", body=None)
+
+    def count_exited(self):
+        return sum(
+            self.fleet.processes[name].popen.poll() is not None
+            for name in self.fleet.service_names
+        )
+
+    def test_lookup_stops_at_most_three_targets(self):
+        for entry in ("e1", "e2", "e1", "e2"):
+            response = self.look(entry, "/unit?crash=1")
+        self.assertEqual(3, self.count_exited())
+        self.assertEqual(422, response.status)
+        self.assertEqual("not run", response.json()["error"]["run"])
+        for entry in ("e1", "e2"):
+            self.assertEqual(200, self.look(entry, "/unit").status)
+        self.assertEqual(2, self.fleet.balance()["settled"])
+
+
 class TestServiceLinksFail(testtools.TestCase):
     """Calls while the connections to targets fail."""
 
