Quarantine a request once three targets have crashed under it

Cause: a crash without a response head counted only 1 s after the crash that was counted before, and only if the request was sent when that one was known. Both attempts at one request lie a tenth of a second apart and callers repeat at once, so nothing counted; the eight latest items of evidence pushed out the one from which later crashes are counted; an entry reported eight of the requests that a target lost, whichever these were; and evidence was dropped if another request's answer had begun at that crash, or if a part was quarantined first. Class of fault: a rule against false blame is applied where it isn't needed, to the evidence of one request against itself.

Entries always report a request that they lost before, count unacknowledged crashes of a request while control is silent, and don't repeat one that was suspected when its target crashed. A response with an error status clears a request too. A request gets two trials, one after 20 s and one an hour later, as each costs a target.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -5,26 +5,33 @@
 whole.  All are suspects, each by the evidence against it, until an answer to a
 request with the suspect begins.
 
-A suspect is quarantined once ``QUARANTINE_CRASHES`` crashes count against it.
+A part is quarantined once ``QUARANTINE_CRASHES`` crashes count against it.
 What makes this precise:
 
 - A request whose answer had begun without a complete event explains its crash;
-  other requests that were lost with the target are no longer suspected of it.
+  the parts of others that were lost with the target are no longer suspected.
 - Crashes under a suspect in quarantine are explained by it.
 - Different requests have to crash different targets before a part that they
   share is quarantined.  Targets that fail together, or shortly after one
   another, take many requests with them, so crashes must be some time apart.
   A request whose answer had not begun must have been sent when the crash
   before was known.
-- A request as a whole is quarantined by one more crash, since a repeat may be
-  lost with two targets by chance.
 - If the evidence against several parts is sufficient at the same time, the
   last of them in the prompt is quarantined, as it is the most specific.
 
+A request as a whole is quarantined once ``REQUEST_QUARANTINE_CRASHES`` targets
+have crashed under it without an answer in between, however shortly after one
+another and whatever else may explain each of the crashes: all attempts at a
+crashing request may come within a second, while a sound one that waits at
+failing targets is seldom lost that often before one answers it.
+
 After a time in quarantine that doubles with each failure, a single request
-with the suspect may run as a trial.  Its answer clears the suspect.
+with the suspect may run as a trial.  Its answer clears the suspect.  A request
+as a whole gets few trials, as each costs a target.
 """
 
+import typing
+
 from galenashed.control import _state
 from galenashed.protocol import control as wire
 
@@ -32,9 +39,11 @@
 REQUEST_QUARANTINE_CRASHES = 3
 QUARANTINE_SECONDS = 20.0
 MAX_QUARANTINE_SECONDS = 3600.0
+MAX_REQUEST_TRIALS = 2
 # After this time without an answer or a crash, another trial may begin.
 TRIAL_SECONDS = 10.0
 SUSPECT_RETENTION_SECONDS = 600.0
+QUARANTINED_REQUEST_RETENTION_SECONDS = 24 * 3600.0
 # Crashes within this time may have a cause of their own in common.  The time
 # is longer for answers that had not begun, as any of them may be lost then.
 CORRELATED_SECONDS = 0.3
@@ -48,24 +57,34 @@
     state: _state.ControlState, cmd: wire.ReportLostTarget, index: int
 ) -> list[str]:
     """Adds evidence; returns the suspects that are now quarantined by it."""
-    names = [wire.name_part(part) for part in cmd.parts]
-    names.append(wire.name_request(cmd.request))
-    quarantined = [name for name in names if _is_quarantined(state, name)]
-    if quarantined:
-        names = quarantined
-    elif _is_explained(state, cmd):
-        return []
-    if cmd.begun:
-        _remove_evidence(state, {cmd.target}, begun=False)
+    request = wire.name_request(cmd.request)
+    names = [*map(wire.name_part, cmd.parts), request]
     evidence = _state.Evidence(
         cmd.target, cmd.request, cmd.begun, cmd.known, index, state.now
     )
+    quarantined = [name for name in names if _is_quarantined(state, name)]
+    if quarantined or _has_quarantined_cause(state, cmd.target):
+        # Only what is suspected already is suspected further.
+        added = {*quarantined, request} & state.suspects.keys()
+    elif _has_begun_cause(state, cmd):
+        added = {request}
+    else:
+        added = set(names)
+    if not added:
+        return []
+    if cmd.begun and not quarantined:
+        _remove_evidence_against_parts(state, cmd.target)
     for name in names:
-        _add(state, name, evidence)
+        if name in added:
+            _add(state, name, evidence)
     state.quarantine_index = index
-    added = [] if quarantined else _quarantine(state, names)
+    blamed = _quarantine(state, [name for name in names if name in added])
     _limit(state)
-    return added
+    return blamed
+
+
+def _is_request(name: str) -> bool:
+    return name.startswith(wire.name_request(""))
 
 
 def _is_quarantined(state: _state.ControlState, name: str) -> bool:
@@ -73,13 +92,21 @@
     return record is not None and record.quarantined
 
 
-def _is_explained(
+def _has_quarantined_cause(state: _state.ControlState, target: str) -> bool:
+    """Whether a target crashed under a suspect that is in quarantine."""
+    return any(
+        record.quarantined
+        and any(item.target == target for item in record.evidence)
+        for record in state.suspects.values()
+    )
+
+
+def _has_begun_cause(
     state: _state.ControlState, cmd: wire.ReportLostTarget
 ) -> bool:
-    """Whether the crash is already blamed on another request."""
-    return any(
-        item.target == cmd.target
-        and (record.quarantined or (item.begun and not cmd.begun))
+    """Whether another request, whose answer had begun, explains a crash."""
+    return not cmd.begun and any(
+        item.begun and item.target == cmd.target
         for record in state.suspects.values()
         for item in record.evidence
     )
@@ -95,7 +122,8 @@
     known = {(item.target, item.request) for item in record.evidence}
     if (evidence.target, evidence.request) in known:
         return
-    record.evidence = [*record.evidence, evidence][-MAX_EVIDENCE:]
+    # The oldest items are kept, as later crashes are counted from these.
+    record.evidence = [*record.evidence[: MAX_EVIDENCE - 1], evidence]
     record.at = state.now
     if record.trial_at is not None:
         record.failed_trials += 1
@@ -104,39 +132,35 @@
 
 
 def _quarantine(state: _state.ControlState, names: list[str]) -> list[str]:
-    """Quarantines the last part, or else the request, that is to blame."""
-    *parts, request = names
-    for name in (*reversed(parts), request):
+    """Quarantines the request, or else the last part, that is to blame.
+
+    Returns it unless it was in quarantine before.
+    """
+    for name in reversed(names):
         record = state.suspects[name]
-        is_request = name == request
-        crashes = count_crashes(record.evidence, of_one_request=is_request)
-        needed = (
-            REQUEST_QUARANTINE_CRASHES if is_request else QUARANTINE_CRASHES
-        )
-        if crashes < needed:
+        if record.quarantined or not _has_sufficient_evidence(name, record):
             continue
         record.quarantined = True
         targets = {item.target for item in record.evidence}
-        if not is_request:
-            _remove_evidence(state, targets, kept=name)
+        _remove_explained_evidence(state, targets)
         return [name]
     return []
 
 
-def count_crashes(
-    evidence: list[_state.Evidence], *, of_one_request: bool
-) -> int:
-    """Returns the number of crashes that count against a suspect.
+def _has_sufficient_evidence(name: str, record: _state.SuspectRecord) -> bool:
+    if _is_request(name):
+        targets = {item.target for item in record.evidence}
+        return len(targets) >= REQUEST_QUARANTINE_CRASHES
+    return count_crashes(record.evidence) >= QUARANTINE_CRASHES
 
-    With ``of_one_request`` the suspect is a request, so that all evidence is
-    about the same one.
-    """
+
+def count_crashes(evidence: list[_state.Evidence]) -> int:
+    """Returns the number of crashes that count against a part."""
     counted: list[_state.Evidence] = []
     for item in evidence:
-        if any(item.target == other.target for other in counted):
-            continue
-        if not of_one_request and any(
-            item.request == other.request for other in counted
+        if any(
+            item.target == other.target or item.request == other.request
+            for other in counted
         ):
             continue
         if counted and not _is_later(item, counted[-1]):
@@ -153,28 +177,48 @@
     return elapsed >= CORRELATED_WAITING_SECONDS and item.known >= other.index
 
 
-def _remove_evidence(
-    state: _state.ControlState,
-    targets: set[str],
-    *,
-    begun: bool = True,
-    kept: str = "",
+def _remove_evidence_against_parts(
+    state: _state.ControlState, target: str
+) -> None:
+    """Removes the evidence of requests that only waited at a target.
+
+    A begun answer explains its crash; evidence from other begun answers is
+    kept.
+    """
+    for name, record in list(state.suspects.items()):
+        if not record.quarantined and not _is_request(name):
+            _keep_evidence(
+                state,
+                name,
+                lambda item: item.target != target or item.begun,
+            )
+
+
+def _remove_explained_evidence(
+    state: _state.ControlState, targets: set[str]
 ) -> None:
-    """Removes the evidence from crashes that are explained.
+    """Removes the evidence from crashes under a quarantined suspect.
 
-    Without ``begun``, evidence from answers that had begun is kept, as is all
-    against ``kept`` and what is quarantined.
+    A request under which several targets have crashed stays suspected, as it
+    may have crashed them whatever its parts.
     """
     for name, record in list(state.suspects.items()):
-        if name == kept or record.quarantined:
+        crashed = {item.target for item in record.evidence}
+        if record.quarantined or (_is_request(name) and len(crashed) > 1):
             continue
-        record.evidence = [
-            item
-            for item in record.evidence
-            if item.target not in targets or (item.begun and not begun)
-        ]
-        if not record.evidence:
-            del state.suspects[name]
+        _keep_evidence(state, name, lambda item: item.target not in targets)
+
+
+def _keep_evidence(
+    state: _state.ControlState,
+    name: str,
+    predicate: typing.Callable[[_state.Evidence], bool],
+) -> None:
+    """Removes all other evidence against a suspect, which may clear it."""
+    record = state.suspects[name]
+    record.evidence = [item for item in record.evidence if predicate(item)]
+    if not record.evidence:
+        del state.suspects[name]
 
 
 def _limit(state: _state.ControlState) -> None:
@@ -219,6 +263,7 @@
         return False
     record.trial_due = False
     record.trial_at = state.now
+    record.trials += 1
     state.quarantine_index = index
     return True
 
@@ -238,14 +283,10 @@
     """Makes trials due and forgets suspects; returns whether any changed."""
     changed = False
     for name, record in list(state.suspects.items()):
-        age = state.now - record.at
-        retention = SUSPECT_RETENTION_SECONDS
-        if record.quarantined:
-            retention += quarantine_seconds(record.failed_trials)
-        if age >= retention:
+        if state.now - record.at >= _retention_seconds(name, record):
             del state.suspects[name]
             changed = True
-        elif record.quarantined and _is_trial_due(record, state.now):
+        elif record.quarantined and _is_trial_due(name, record, state.now):
             record.trial_due = True
             changed = True
     if changed:
@@ -253,10 +294,26 @@
     return changed
 
 
-def _is_trial_due(record: _state.SuspectRecord, now: float) -> bool:
+def _retention_seconds(name: str, record: _state.SuspectRecord) -> float:
+    """Returns the time after which a suspect without evidence is forgotten."""
+    if not record.quarantined:
+        return SUSPECT_RETENTION_SECONDS
+    if _is_request(name):
+        return QUARANTINED_REQUEST_RETENTION_SECONDS
+    return SUSPECT_RETENTION_SECONDS + quarantine_seconds(record.failed_trials)
+
+
+def _is_trial_due(name: str, record: _state.SuspectRecord, now: float) -> bool:
     """Whether a trial becomes due."""
     if record.trial_due:
         return False
+    if _is_request(name):
+        if record.trials >= MAX_REQUEST_TRIALS:
+            return False
+        waiting = (
+            MAX_QUARANTINE_SECONDS if record.trials else (QUARANTINE_SECONDS)
+        )
+        return now - max(record.at, record.trial_at or 0.0) >= waiting
     if record.trial_at is not None and now - record.trial_at < TRIAL_SECONDS:
         return False
     return now - record.at >= quarantine_seconds(record.failed_trials)
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -117,7 +117,8 @@
     """The evidence against a part of prompts or a request.
 
     ``at`` is the time of the latest evidence.  ``trial_at`` is the time at
-    which a trial that may still be in progress began.
+    which a trial that may still be in progress began, ``trials`` the number
+    of trials that have begun.
     """
 
     evidence: list[Evidence]
@@ -126,6 +127,7 @@
     failed_trials: int = 0
     trial_due: bool = False
     trial_at: float | None = None
+    trials: int = 0
 
 
 class NoteRecord(msgspec.Struct, kw_only=True):
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -29,8 +29,9 @@
     ``deadline`` is the earlier of the route's and the caller's time limit, on
     the monotonic clock.  ``attempted_targets`` names the targets in the order
     of the attempts; ``last_error`` says why the last attempt failed.
-    ``crashed_target`` is set if a target crashed when it had begun the answer,
-    before a complete event: most likely because of the request.
+    ``crashed_target`` is set if a target crashed and most likely because of
+    the request: the target had begun the answer, without a complete event, or
+    the request was suspected before.
     """
 
     __slots__ = (
@@ -436,10 +437,13 @@
         )
         failed = True
         known = self.quarantine.index
+        suspected = self.quarantine.is_suspected(context.request)
         try:
             outcome = await self._exchange(context, target, relay)
             if outcome is _attempts.AttemptOutcome.LOST:
-                await self._check_crashed(context, target, relay, known)
+                await self._check_crashed(
+                    context, target, relay, known, suspected=suspected
+                )
             failed = outcome in (
                 _attempts.AttemptOutcome.NOT_SENT,
                 _attempts.AttemptOutcome.LOST,
@@ -462,10 +466,13 @@
         target: _targets.TargetState,
         relay: _relay.Relay,
         known: int,
+        *,
+        suspected: bool,
     ) -> None:
         """Reports the request if the target crashed without an answer to it.
 
-        ``known`` is the index of the quarantine when the request was sent.
+        ``known`` is the index of the quarantine when the request was sent,
+        ``suspected`` tells whether other targets had crashed under it then.
         """
         if relay.attempt_event_count:
             return
@@ -474,7 +481,7 @@
             return
         self.targets.eject(target, time.monotonic())
         begun = relay.framing is not None
-        context.crashed_target = begun
+        context.crashed_target = begun or suspected
         self.metrics.count("gateway.target_crashed")
         self.log.write(
             "target crashed",
@@ -561,8 +568,7 @@
                 self.quarantine.on_answer_begun(context.request)
 
         outcome = await relay.forward(head, conn, on_answer)
-        if outcome is None:
-            on_answer()
+        on_answer()
         return outcome
 
     def _timeout_error(self, context: RequestContext) -> web.ApiError:
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -32,7 +32,8 @@
     ``headers`` are those to forward, in order.  ``arrived_at`` is the
     monotonic time of arrival, ``caller_timeout`` the seconds that the caller
     waits from then on.  ``resume_after`` is the id of the last event of the
-    stream that the caller has received.
+    stream that the caller has received.  ``team`` is the name of the caller's
+    team, empty if there is none.
     """
 
     __slots__ = (
@@ -43,12 +44,12 @@
         "headers",
         "host",
         "id",
-        "key",
         "method",
         "path",
         "prompt",
         "request_target",
         "resume_after",
+        "team",
         "usage",
     )
 
@@ -63,7 +64,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         arrived_at: float,
-        key: str = "",
+        team: str = "",
         caller_timeout: float | None = None,
         usage: TokenUsage | None = None,
         prompt: tuple[PromptPart, ...] = (),
@@ -77,7 +78,7 @@
         self.headers = headers
         self.body = body
         self.arrived_at = arrived_at
-        self.key = key
+        self.team = team
         self.caller_timeout = caller_timeout
         self.usage = usage
         self.prompt = prompt
@@ -86,12 +87,15 @@
 
     @property
     def digest(self) -> str:
-        """Identifies the content, which a repeat by the caller shares."""
+        """Identifies the content and the team, which repeats share.
+
+        A team's callers may use any of its keys.
+        """
         if self._digest is None:
             state = xxhash.xxh3_128()
             prompt = ",".join(part.id for part in self.prompt)
             for field in (
-                self.key,
+                self.team,
                 self.method,
                 self.host,
                 self.request_target,
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -128,7 +128,7 @@
             self._check_header_size(headers)
             body = await self._read_body(receive)
             request = _decode_request(
-                scope, headers, host, path, key, body, arrived_at
+                scope, headers, host, path, team, body, arrived_at
             )
         except web.ApiError as exc:
             await writer.send_error(exc)
@@ -230,7 +230,7 @@
     return ""
 
 
-def _decode_request(scope, headers, host, path, key, body, arrived_at):
+def _decode_request(scope, headers, host, path, team, body, arrived_at):
     """Returns the request; raises ApiError if a header is invalid."""
     request_id = _get_header(headers, _headers.REQUEST_ID)
     if not 0 < len(request_id) <= MAX_ID_LENGTH:
@@ -254,7 +254,7 @@
         headers=[pair for pair in headers if pair[0] not in excluded],
         body=body,
         arrived_at=arrived_at,
-        key=key,
+        team=team.name if team is not None else "",
         caller_timeout=_parse_caller_timeout(
             _get_header(headers, _headers.TIME_LEFT)
         ),
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -19,11 +19,14 @@
 RETRY_SECONDS = 0.2
 # Reports that wait for control, as when this entry is cut off.
 MAX_PENDING_REPORTS = 64
-# Requests without a begun answer that are reported of one crash; a busy
-# target loses many, of which one has caused the crash at most.
+# Requests without a begun answer that are reported of one crash unless they
+# were lost in another one before; a busy target loses many, of which one has
+# caused the crash at most.
 MAX_REPORTS_PER_CRASH = 8
 MAX_TRACKED_CRASHES = 64
+MAX_UNREPORTED_REQUESTS = 1024
 QUARANTINE_CRASHES = 2
+REQUEST_QUARANTINE_CRASHES = 3
 
 
 class ControlClient(typing.Protocol):
@@ -82,8 +85,9 @@
     """Reports requests under which targets crash, and refuses them.
 
     What is quarantined is decided in the replicated state, for all entries.
-    While control does not answer, crashes under answers that had begun count
-    here as soon as this entry has reported them.
+    While control does not answer, this entry counts those that it has
+    reported: against a part, crashes under answers that had begun, and
+    against a request as a whole, all of them.
 
     Parameters
     ----------
@@ -115,6 +119,10 @@
         self._report_counts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        # Crashes of which a request was not reported, by its digest.
+        self._unreported: collections.OrderedDict[
+            str, list[wire.ReportLostTarget]
+        ] = collections.OrderedDict()
         self._tasks: set[asyncio.Task] = set()
 
     async def close(self) -> None:
@@ -148,22 +156,37 @@
         if not self._quarantined and not self._pending:
             return None
         for name in _suspect_names(request):
-            if name in self._quarantined or self._crashes_twice(name):
+            if name in self._quarantined or self._is_to_blame(
+                name, is_part=name != wire.name_request(request.digest)
+            ):
                 return name
         return None
 
-    def _crashes_twice(self, name: str) -> bool:
-        """Whether the crashes reported by this entry alone suffice."""
+    def is_suspected(self, request: SuspectedRequest) -> bool:
+        """Whether targets have crashed under a request, without an answer."""
+        name = wire.name_request(request.digest)
+        return (
+            name in self._suspected
+            or name in self._quarantined
+            or any(name in report.names for report in self._pending)
+        )
+
+    def _is_to_blame(self, name: str, *, is_part: bool) -> bool:
+        """Whether the crashes that await acknowledgement suffice."""
         commands = [
             report.command
             for report in self._pending
-            if report.overdue and report.command.begun and name in report.names
+            if report.overdue
+            and name in report.names
+            and (report.command.begun or not is_part)
         ]
-        targets = {command.target for command in commands}
-        requests = {command.request for command in commands}
+        crashes = len({command.target for command in commands})
+        if is_part:
+            requests = {command.request for command in commands}
+            crashes = min(crashes, len(requests))
         known = 1 if name in self._suspected else 0
-        crashes = min(len(targets), len(requests))
-        return crashes > 0 and crashes + known >= QUARANTINE_CRASHES
+        needed = QUARANTINE_CRASHES if is_part else REQUEST_QUARANTINE_CRASHES
+        return crashes > 0 and crashes + known >= needed
 
     async def begin_trial(self, request: SuspectedRequest) -> bool:
         """Returns whether a quarantined request may run, as a trial."""
@@ -194,11 +217,17 @@
 
     def on_answer_begun(self, request: SuspectedRequest) -> None:
         """Clears what was suspected in a request that a target answers."""
-        if not (self._suspected or self._quarantined or self._pending):
+        if not (
+            self._suspected
+            or self._quarantined
+            or self._pending
+            or self._unreported
+        ):
             return
         names = set(_suspect_names(request))
         for report in self._pending:
             report.names -= names
+        self._unreported.pop(request.digest, None)
         names &= self._suspected | self._quarantined
         names -= self._clearing
         if names:
@@ -219,27 +248,32 @@
         it had begun an answer, and ``known`` is the ``index`` at which the
         request was sent to it.
         """
-        if not begun and not self._may_report(target):
-            return
-        if len(self._pending) >= MAX_PENDING_REPORTS:
-            LOG.warning("crash of target {} not reported: too many", target)
-            return
-        report = _PendingReport(
-            command=wire.ReportLostTarget(
-                target=target,
-                request=request.digest,
-                parts=list(request.part_ids),
-                begun=begun,
-                known=known,
-            ),
-            names=set(_suspect_names(request)),
+        command = wire.ReportLostTarget(
+            target=target,
+            request=request.digest,
+            parts=list(request.part_ids),
+            begun=begun,
+            known=known,
         )
-        self._pending.append(report)
-        task = self._start(self._report(report), "crash report")
-        await asyncio.wait({task}, timeout=VERDICT_SECONDS)
-        report.overdue = not task.done()
-
-    def _may_report(self, target: str) -> bool:
+        commands = [*self._unreported.pop(request.digest, ()), command]
+        is_sampled = begun or self._is_sampled(target)
+        if not is_sampled and not self._lost_before(request, commands):
+            self._unreported[request.digest] = commands
+            while len(self._unreported) > MAX_UNREPORTED_REQUESTS:
+                self._unreported.popitem(last=False)
+            return
+        names = set(_suspect_names(request))
+        reports = {
+            self._start(self._report(report), "crash report"): report
+            for report in self._add_pending(commands, names)
+        }
+        if reports:
+            await asyncio.wait(reports, timeout=VERDICT_SECONDS)
+        for task, report in reports.items():
+            report.overdue = not task.done()
+
+    def _is_sampled(self, target: str) -> bool:
+        """Whether a request is among the first that a target has lost."""
         count = self._report_counts.get(target, 0)
         self._report_counts[target] = count + 1
         self._report_counts.move_to_end(target)
@@ -247,6 +281,31 @@
             self._report_counts.popitem(last=False)
         return count < MAX_REPORTS_PER_CRASH
 
+    def _lost_before(
+        self,
+        request: SuspectedRequest,
+        commands: list[wire.ReportLostTarget],
+    ) -> bool:
+        """Whether a request was lost with another target before."""
+        targets = {command.target for command in commands}
+        return len(targets) > 1 or self.is_suspected(request)
+
+    def _add_pending(
+        self, commands: list[wire.ReportLostTarget], names: set[str]
+    ) -> list[_PendingReport]:
+        """Returns the reports to send, as far as there is room for them."""
+        room = MAX_PENDING_REPORTS - len(self._pending)
+        for command in commands[max(0, room) :]:
+            LOG.warning(
+                "crash of target {} not reported: too many", command.target
+            )
+        reports = [
+            _PendingReport(command=command, names=set(names))
+            for command in commands[: max(0, room)]
+        ]
+        self._pending += reports
+        return reports
+
     # Commands
 
     def _start(self, coro: typing.Coroutine, name: str) -> asyncio.Task:
