Quarantine calls under which targets of a plain service crash

Callers saw, as on the platform: one lookup ends every target of its service. The same cause was sought in the other request path: entry/ has a quarantine of model requests, but calls of plain services were sent to up to four targets each, and again with each repeat.

Change: a call that is lost with a target whose address then refuses connections is reported, and one in quarantine gets 422, "not run" if that is true. A claimed call is checked after its claim, so that "not run" holds for the call. A call that was suspected when its target crashed is not tried at another one.

--- a/galenashed/entry/_call.py
+++ b/galenashed/entry/_call.py
@@ -70,6 +70,11 @@
         self.idempotent = method in service.idempotent_methods
         self.attempt = uuid.uuid4().hex
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """A call shares no parts with others; it may be a suspect itself."""
+        return ()
+
     @property
     def id(self) -> str:
         """The identifier of the call, unique within its team."""
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -11,6 +11,7 @@
 from galenashed.entry import _dispatcher
 from galenashed.entry import _reservations
 from galenashed.protocol import control as wire
+from galenashed import quarantine
 from galenashed import routing
 from galenashed import telemetry
 from galenashed import web
@@ -38,6 +39,8 @@
         Sends calls to targets.
     claims : Claims
         Ensures that a non-idempotent call runs at most once.
+    crash_quarantine : Quarantine
+        Refuses calls under which targets crash.
     metrics : Metrics
         Counts retries.
     """
@@ -49,12 +52,14 @@
         reservations: _reservations.Reservations,
         client: engines.TargetClient,
         claims: _claims.Claims,
+        crash_quarantine: quarantine.Quarantine,
         metrics: telemetry.Metrics,
     ):
         self.dispatcher = dispatcher
         self.reservations = reservations
         self.client = client
         self.claims = claims
+        self.quarantine = crash_quarantine
         self.metrics = metrics
 
     async def handle(self, call: _call.Call) -> blacksheep.Response:
@@ -165,16 +170,26 @@
         tries = 0
         sent = False
         while True:
+            await self._check_quarantine(call, tries, sent)
             slot = await self.dispatcher.acquire(slot_request)
             tries += 1
+            suspected = self.quarantine.is_suspected(call)
             try:
                 answer = await self._send(call, slot)
-            except (engines.NotSentError, engines.TargetLostError) as exc:
-                sent = sent or isinstance(exc, engines.TargetLostError)
+            except engines.NotSentError as exc:
                 slot.end(failed=True)
                 slot_request.requirements.excluded.add(slot.target.name)
                 self._check_may_retry(tries, sent, exc)
                 continue
+            except engines.TargetLostError as exc:
+                sent = True
+                slot.end(failed=True)
+                slot_request.requirements.excluded.add(slot.target.name)
+                crashed = await self._report_crash(call, slot.target)
+                if crashed and suspected:
+                    raise _failing_error(tries, sent, exc) from None
+                self._check_may_retry(tries, sent, exc)
+                continue
             except BaseException:
                 slot.end()
                 raise
@@ -185,15 +200,32 @@
         if tries < MAX_TRIES and self.dispatcher.retry_budget.try_acquire():
             self.metrics.count("service.retry")
             return
-        raise web.ApiError(
-            status=503,
-            code="targets_failing",
-            message=f"giving up after {tries} tries: {exc}",
-            execution_status=web.ExecutionStatus.UNKNOWN
-            if sent
-            else web.ExecutionStatus.NOT_RUN,
-            retry_after=RETRY_AFTER_SECONDS,
+        raise _failing_error(tries, sent, exc)
+
+    async def _check_quarantine(
+        self, call: _call.Call, tries: int, sent: bool
+    ) -> None:
+        """Raises ApiError if targets crash under a call.
+
+        The first try may be the trial of a call in quarantine.
+        """
+        suspect = self.quarantine.find_quarantined(call)
+        if suspect is None:
+            return
+        if tries or not await self.quarantine.begin_trial(call):
+            raise quarantine.make_error(suspect, executed=sent)
+
+    async def _report_crash(self, call: _call.Call, target) -> bool:
+        """Reports a call if the target that it ran on has crashed."""
+        if not await self.client.refuses_connections(target.address):
+            return False
+        await self.quarantine.report_crash(
+            call,
+            f"{target.name}/{target.incarnation}",
+            begun=False,
+            known=self.quarantine.index,
         )
+        return True
 
     # Non-idempotent calls
 
@@ -219,6 +251,7 @@
         slot_request = _slot_request(call)
         tries = 0
         while True:
+            await self._check_quarantine(call, tries, False)
             slot = await self.dispatcher.acquire(slot_request)
             tries += 1
             try:
@@ -230,6 +263,7 @@
                 continue
             except engines.TargetLostError as exc:
                 slot.end(failed=True)
+                await self._report_crash(call, slot.target)
                 raise _call.outcome_unknown_error(str(exc)) from None
             except BaseException:
                 slot.end()
@@ -257,6 +291,7 @@
                 reuse_connection=call.idempotent,
             )
             body = await self._read_response(call, resp)
+        self.quarantine.on_answer_begun(call)
         return wire.StoredResponse(
             status=resp.status,
             headers=[
@@ -313,6 +348,18 @@
         raise engines.TargetLostError("the stream ended before any event")
 
 
+def _failing_error(tries: int, sent: bool, exc: Exception) -> web.ApiError:
+    return web.ApiError(
+        status=503,
+        code="targets_failing",
+        message=f"giving up after {tries} tries: {exc}",
+        execution_status=web.ExecutionStatus.UNKNOWN
+        if sent
+        else web.ExecutionStatus.NOT_RUN,
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
 def _slot_request(call: _call.Call) -> _dispatcher.SlotRequest:
     return _dispatcher.SlotRequest(
         requirements=routing.TargetRequirements(service=call.service),
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -208,6 +208,7 @@
                 reservations=reservations,
                 client=self._client,
                 claims=self._claims,
+                crash_quarantine=self.quarantine,
                 metrics=self._metrics,
             ),
             instances=self._instances,
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -10,6 +10,7 @@
 
 from galenashed import engines
 from galenashed.entry import _calls
+from galenashed.quarantine.tests import _fixture as quarantine_fixture
 from galenashed import telemetry
 from galenashed import web
 
@@ -93,6 +94,9 @@
                 reservations=None,
                 client=client,
                 claims=None,
+                crash_quarantine=quarantine_fixture.make_quarantine(
+                    quarantine_fixture.Control()
+                ),
                 metrics=telemetry.NullMetrics(),
             )
             try:
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -164,6 +164,8 @@
 
     def is_suspected(self, request: SuspectedRequest) -> bool:
         """Whether targets have crashed under a request, without an answer."""
+        if not (self._suspected or self._quarantined or self._pending):
+            return False
         name = wire.name_request(request.digest)
         return (
             name in self._suspected
