--- a/galenashed/membership/_directory.py
+++ b/galenashed/membership/_directory.py
@@ -95,6 +95,10 @@
         """Returns the names of all stored announcements."""
         return list(self._records)
 
+    def age(self, name: str, now: float) -> float:
+        """Returns the seconds since an announcement of a name was received."""
+        return now - self._records[name].received_at
+
     def joined_at(self, name: str) -> float:
         """Returns when the current incarnation was first received."""
         return self._records[name].joined
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -504,9 +504,19 @@
                 domain=domain,
                 entries=sorted(selected),
                 cut_off=self.is_cut_off,
+                silent=self._longest_silence(selected, now),
             )
         return selected
 
+    def _longest_silence(self, addresses: list[str], now: float) -> float:
+        """Returns the seconds since the least recently heard was heard."""
+        ages = [
+            self.instance_directory.age(entry.name, now)
+            for entry in self.instance_directory.all()
+            if entry.address in addresses
+        ]
+        return round(max(ages, default=0.0), 1)
+
     def _choose_entries(self, domain: str, region: str) -> list[str]:
         if time.time() - self.started < DISCOVERY_WARMUP_SECONDS:
             return []
