--- a/galenashed/gossip/tests/test_core.py
+++ b/galenashed/gossip/tests/test_core.py
@@ -30,6 +30,9 @@
     """One entry with its gossip state and the time of its next round."""
 
     def __init__(self, number, seeds, started):
+        self.number = number
+        self.seeds = seeds
+        self.stopped = False
         self.address = f"10.0.0.{number:03}"
         self.started = started
         self.sequence = 0
@@ -50,7 +53,7 @@
         self.sequence += 1
         return wire.Instance(
             name=self.address,
-            incarnation="1",
+            incarnation=str(self.started),
             started=self.started,
             sequence=self.sequence,
             address=self.address,
@@ -84,6 +87,17 @@
         self._first_sent_at = {}
         self._in_transit = []
 
+    def stop(self, number):
+        """Ends an entry for good."""
+        self.entries[number].stopped = True
+
+    def restart(self, number):
+        """Replaces an entry by one that has forgotten everything."""
+        self.entries[number].stopped = True
+        seeds = self.entries[number].seeds
+        self.entries[number] = Entry(number, seeds, self.now)
+        self.by_address[self.entries[number].address] = self.entries[number]
+
     def run(self, until):
         """Advances the simulation in steps of 10 ms."""
         while self.now < until:
@@ -91,10 +105,11 @@
             in_transit, self._in_transit = self._in_transit, []
             for address, message in in_transit:
                 entry = self.by_address[address]
-                if self.now >= entry.started:
+                if self.now >= entry.started and not entry.stopped:
                     entry.core.receive(message, self.now)
             for entry in self.entries:
-                self._run_if_due(entry)
+                if not entry.stopped:
+                    self._run_if_due(entry)
 
     def _run_if_due(self, entry):
         if entry.core.urgent:
@@ -115,7 +130,7 @@
         other = self.by_address[receiver]
         if receiver in self.partitioned or sender in self.partitioned:
             return False
-        if self.now < other.started:
+        if self.now < other.started or other.stopped:
             return False
         first_sent_at = self._first_sent_at.setdefault(
             (sender, receiver), self.now
@@ -174,6 +189,53 @@
             network.run(10.0 + second)
         self.assertEqual(10, network.count_knowing("t"))
 
+    def believers(self, network, name):
+        """Returns the entries that take an entry or target for alive."""
+        return [
+            entry.address
+            for entry in network.entries
+            if not entry.stopped
+            and name
+            in {
+                item.name
+                for directory in (entry.instances, entry.targets)
+                for item in directory.alive(network.now)
+            }
+        ]
+
+    def test_restarted_entries_do_not_revive_an_entry_that_is_gone(self):
+        network = Network(10)
+        network.run(3.0)
+        network.entries[2].core.announce(target("t"), network.now)
+        network.run(4.0)
+        network.stop(4)
+        gone = network.entries[4].address
+        # A lease from the last round on, and the time to reach all.
+        network.run(9.0)
+        for second in range(9, 130):
+            if second in (20, 40, 41, 60, 80):
+                for number in (0, 5, 6):
+                    network.restart(number)
+            network.run(float(second))
+            self.assertEqual([], self.believers(network, gone), second)
+            self.assertEqual([], self.believers(network, "t"), second)
+
+    def check_all_stay_alive(self, count):
+        network = Network(count)
+        network.run(4.0)
+        for step in range(16):
+            network.run(4.0 + 0.25 * step)
+            for entry in network.entries:
+                alive = entry.instances.alive(network.now)
+                self.assertEqual(count - 1, len(alive), step)
+
+    def test_entries_that_are_heard_stay_alive(self):
+        for count in (10, 96):
+            self.check_all_stay_alive(count)
+
+    def test_entries_that_are_heard_stay_alive_in_two_years(self):
+        self.check_all_stay_alive(370)
+
     def test_messages_per_entry_do_not_grow_with_entries(self):
         sent = {}
         for count in (20, 100):
--- a/galenashed/node/tests/test_node.py
+++ b/galenashed/node/tests/test_node.py
@@ -6,6 +6,7 @@
 import random
 import shutil
 import tempfile
+import time
 
 import testtools
 
@@ -14,6 +15,7 @@
 from galenashed import node
 from galenashed.platform import _targets
 from galenashed.protocol import control as wire
+from galenashed.protocol import gossip
 from galenashed.protocol import routes
 from galenashed import telemetry
 from galenashed.tests import _fleet
@@ -51,6 +53,20 @@
     )
 
 
+def make_instance(name):
+    return gossip.Instance(
+        name=name,
+        incarnation="1",
+        started=0.0,
+        sequence=1,
+        address=f"{name}:1",
+        peer_address=f"{name}:2",
+        failure_domain="east",
+        region="north",
+        replica=name,
+    )
+
+
 async def wait_until(condition, seconds=20.0):
     async with asyncio.timeout(seconds):
         while not condition():
@@ -135,6 +151,40 @@
 
         self.assertLessEqual(asyncio.run(run()), 64)
 
+    def select_while_cut_off(self, heard, *, cut_off_for):
+        """Returns the entries that a node without a replica names.
+
+        ``heard`` has the seconds since each entry with a replica was heard.
+        """
+
+        async def run():
+            served = make_node(None)
+            served.started -= 100.0
+            now = time.monotonic()
+            served._control_contact_at = now - cut_off_for
+            for name, seconds in heard.items():
+                served.instance_directory.merge(
+                    make_instance(name),
+                    now=now - seconds,
+                    from_announcer=False,
+                )
+            own = served.cfg.callers_address
+            return set(served.select_entries("east", "north")) - {own}
+
+        return asyncio.run(run())
+
+    def test_entry_that_was_lost_before_the_cut_is_not_named(self):
+        found = self.select_while_cut_off(
+            {"gone": 30.0, "serving": 5.0}, cut_off_for=4.5
+        )
+        self.assertEqual({"serving:1"}, found)
+
+    def test_entries_are_not_named_in_a_cut_that_lasts(self):
+        found = self.select_while_cut_off(
+            {"a": 40.0, "b": 40.5}, cut_off_for=40.0
+        )
+        self.assertEqual(set(), found)
+
 
 class TestResources(testtools.TestCase):
     """What a node reports of the memory that it uses."""
