Count leases of forwarded announcements from when announcers were heard

Cause, two ways. Gossip took the time at which an announcement arrived for the time at which its announcer was heard: records are kept for 50 s, and an entry that had restarted or forgotten one took it from the others as just heard. And an entry that was cut off from control named all replicas in its store, whatever their age. Class of fault: the age of knowledge is lost when it is passed on or stored.

Change: gossip messages carry the age of each forwarded announcement, for entries and targets alike and for both kinds of entry processes. A lease still begins with the receipt, as leases allow for delays, but not if the announcer was not heard within a lease; so an entry is taken for alive for two leases at most after it was last heard. An entry that is cut off names those that were alive when it lost contact, for at most 10 s of silence, and itself. Messages without ages, of an earlier build, count as before.

--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -6,6 +6,7 @@
 connections are still being established and messages are lost.
 """
 
+import itertools
 import random
 import typing
 
@@ -100,12 +101,13 @@
 
     def receive(self, message: wire.GossipMessage, now: float) -> None:
         """Merges a gossip message of another entry."""
-        for instance in (message.sender, *message.instances):
-            # The entry itself is the authority on its own state.
-            if instance.name != self.name:
-                self._merge_instance(instance, now)
-        for target in message.targets:
-            self._merge_target(target, now, from_announcer=False)
+        self._merge_instance(message.sender, now, age=0.0)
+        for instance, age in _with_ages(
+            message.instances, message.instance_ages
+        ):
+            self._merge_instance(instance, now, age=age)
+        for target, age in _with_ages(message.targets, message.target_ages):
+            self._merge_target(target, now, from_announcer=False, age=age)
         known = len(self.instances.names()) + len(self.targets.names())
         if message.known < known:
             interval = FULL_SYNC_SECONDS
@@ -122,9 +124,16 @@
             self._outdated.add(address)
             self.urgent = True
 
-    def _merge_instance(self, instance: wire.Instance, now: float) -> None:
+    def _merge_instance(
+        self, instance: wire.Instance, now: float, *, age: float
+    ) -> None:
+        if instance.name == self.name:
+            # The entry itself is the authority on its own state.
+            return
         previous = self.instances.get(instance.name)
-        if not self.instances.merge(instance, now=now, from_announcer=False):
+        if not self.instances.merge(
+            instance, now=now, from_announcer=False, age=age
+        ):
             return
         changed = (
             not isinstance(previous, wire.Instance)
@@ -135,11 +144,16 @@
         self.urgent = self.urgent or changed
 
     def _merge_target(
-        self, target, now: float, *, from_announcer: bool
+        self,
+        target: wire.Target,
+        now: float,
+        *,
+        from_announcer: bool,
+        age: float = 0.0,
     ) -> None:
         previous = self.targets.get(target.name)
         if not self.targets.merge(
-            target, now=now, from_announcer=from_announcer
+            target, now=now, from_announcer=from_announcer, age=age
         ):
             return
         changed = not isinstance(previous, wire.Target) or (
@@ -159,6 +173,7 @@
             own,
             self._target_updates.next_batch(),
             self._instance_updates.next_batch(),
+            now,
         )
         peers = self._choose_peers(own, now)
         sync_addresses, self._outdated = self._outdated, set()
@@ -173,7 +188,7 @@
         ]
         if sync_addresses:
             full_state = self._make_message(
-                own, self.targets.names(), self.instances.names()
+                own, self.targets.names(), self.instances.names(), now
             )
             messages += [
                 (address, full_state) for address in sorted(sync_addresses)
@@ -181,12 +196,22 @@
         self._expire(now)
         return messages
 
-    def _make_message(self, own, targets: list[str], instances: list[str]):
+    def _make_message(
+        self,
+        own: wire.Instance,
+        target_names: list[str],
+        instance_names: list[str],
+        now: float,
+    ) -> wire.GossipMessage:
+        targets = _get_all(self.targets, target_names)
+        instances = _get_all(self.instances, instance_names)
         return wire.GossipMessage(
             sender=own,
-            targets=_get_all(self.targets, targets),
-            instances=_get_all(self.instances, instances),
+            targets=targets,
+            instances=instances,
             known=len(self.instances.names()) + len(self.targets.names()),
+            target_ages=_ages(self.targets, targets, now),
+            instance_ages=_ages(self.instances, instances, now),
         )
 
     def _choose_peers(self, own: wire.Instance, now: float) -> list[str]:
@@ -227,3 +252,18 @@
 def _get_all(directory: membership.Directory, names: list[str]) -> list:
     found = (directory.get(name) for name in names)
     return [announced for announced in found if announced is not None]
+
+
+def _ages(
+    directory: membership.Directory, announcements: list, now: float
+) -> list[float]:
+    return [round(directory.age(item.name, now), 3) for item in announcements]
+
+
+def _with_ages(
+    announcements: list, ages: list[float]
+) -> typing.Iterator[tuple[typing.Any, float]]:
+    """Pairs announcements with their ages, 0 where the sender gives none."""
+    return itertools.zip_longest(
+        announcements, ages[: len(announcements)], fillvalue=0.0
+    )
--- a/galenashed/membership/_directory.py
+++ b/galenashed/membership/_directory.py
@@ -19,17 +19,32 @@
 class Record:
     """The latest announcement of a name and how it was received.
 
-    ``from_announcer`` tells whether it came from the announcer itself;
+    ``heard_at`` is when the announcer was heard last, by this entry or by
+    those from which the announcement came; ``renewed_at`` is when its lease
+    began.  ``from_announcer`` tells whether it came from the announcer itself;
     ``joined`` is when its incarnation was first received.
     """
 
-    __slots__ = ("announced", "from_announcer", "joined", "received_at")
+    __slots__ = (
+        "announced",
+        "from_announcer",
+        "heard_at",
+        "joined",
+        "renewed_at",
+    )
 
     def __init__(
-        self, *, announced, received_at: float, from_announcer: bool, joined
+        self,
+        *,
+        announced,
+        heard_at: float,
+        renewed_at: float,
+        from_announcer: bool,
+        joined: float,
     ):
         self.announced = announced
-        self.received_at = received_at
+        self.heard_at = heard_at
+        self.renewed_at = renewed_at
         self.from_announcer = from_announcer
         self.joined = joined
 
@@ -55,28 +70,44 @@
         self._records: dict[str, Record] = {}
 
     def merge(
-        self, announced: Announcement, *, now: float, from_announcer: bool
+        self,
+        announced: Announcement,
+        *,
+        now: float,
+        from_announcer: bool,
+        age: float = 0.0,
     ) -> bool:
         """Merges an announcement; returns whether it replaced the record.
 
-        A newer announcement of an incarnation that is leaving only keeps its
-        tombstone for longer.
+        ``age`` is the time since its announcer was heard by those who forward
+        it.  A lease begins with the receipt, as leases allow for delays, but
+        not for an announcer that was not heard within a lease: what is
+        forwarded again and again must expire.  A newer announcement of an
+        incarnation that is leaving only keeps its tombstone for longer.
         """
+        heard_at = now - max(0.0, age)
+        if now - heard_at >= TOMBSTONE_LEASES * self.lease:
+            return False
         record = self._records.get(announced.name)
         if record is not None and not _is_newer(announced, record.announced):
             return False
         joined = now
+        renewed_at = now if now - heard_at < self.lease else heard_at
         if record is not None and _same_incarnation(
             announced, record.announced
         ):
             joined = record.joined
+            heard_at = max(record.heard_at, heard_at)
+            renewed_at = max(record.renewed_at, renewed_at)
             if record.announced.state in ("leaving", "left"):
                 # An incarnation that is leaving cannot become ready again.
-                record.received_at = now
+                record.heard_at = heard_at
+                record.renewed_at = renewed_at
                 return False
         self._records[announced.name] = Record(
             announced=announced,
-            received_at=now,
+            heard_at=heard_at,
+            renewed_at=renewed_at,
             from_announcer=from_announcer,
             joined=joined,
         )
@@ -96,8 +127,16 @@
         return list(self._records)
 
     def age(self, name: str, now: float) -> float:
-        """Returns the seconds since an announcement of a name was received."""
-        return now - self._records[name].received_at
+        """Returns the seconds since an announcer was heard."""
+        return now - self._records[name].heard_at
+
+    def heard_within(self, seconds: float, now: float) -> list[typing.Any]:
+        """Returns the announcements of those heard not longer ago."""
+        return [
+            record.announced
+            for record in self._records.values()
+            if now - record.heard_at < seconds
+        ]
 
     def joined_at(self, name: str) -> float:
         """Returns when the current incarnation was first received."""
@@ -108,7 +147,7 @@
         return [
             record.announced
             for record in self._records.values()
-            if now - record.received_at < self.lease
+            if now - record.renewed_at < self.lease
         ]
 
     def received_directly(self, now: float) -> list[typing.Any]:
@@ -123,7 +162,7 @@
             leases = TOMBSTONE_LEASES if leaving else 1
             if (
                 record.from_announcer
-                and now - record.received_at < leases * self.lease
+                and now - record.heard_at < leases * self.lease
             ):
                 announcements.append(record.announced)
         return announcements
@@ -132,7 +171,7 @@
         """Deletes records that were not renewed for ``TOMBSTONE_LEASES``."""
         oldest = now - TOMBSTONE_LEASES * self.lease
         for name, record in list(self._records.items()):
-            if record.received_at < oldest:
+            if record.heard_at < oldest:
                 del self._records[name]
 
 
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -14,6 +14,7 @@
 
 import random
 
+from galenashed import membership
 from galenashed.protocol import gossip as wire
 
 # A response names at least two entries if there are as many, so that a caller
@@ -23,6 +24,9 @@
 # Share of the processor time of the entries with a replica that may be in use;
 # the rest is for bursts and for the loss of one of three such entries.
 MAX_UTILIZATION = 0.4
+# An entry that was not heard for longer may be gone for good, and is not named
+# even by those that are cut off and can't tell.
+MAX_SILENCE_SECONDS = 10.0
 
 
 def choose(
@@ -51,6 +55,18 @@
     return [entry.address for entry in chosen[:MAX_ENTRIES]]
 
 
+def last_known(
+    directory: membership.Directory, *, contact_at: float, now: float
+) -> list[wire.Instance]:
+    """Returns the entries that were alive when contact with control was lost.
+
+    ``contact_at`` is the monotonic time of the last contact.
+    """
+    cut_off_for = now - contact_at
+    silence = min(MAX_SILENCE_SECONDS, cut_off_for + directory.lease)
+    return directory.heard_within(silence, now)
+
+
 def choose_while_cut_off(
     own: wire.Instance,
     known: list[wire.Instance],
@@ -61,7 +77,8 @@
     """Returns addresses for callers of an entry that is cut off.
 
     The entry can't reach the entries with a control replica, but callers
-    may, so these are included as they were last known.  They may also have
+    may, so these are included if they are in ``known``, the entries that were
+    alive when contact was lost; see :func:`last_known`.  They may also have
     failed, so the entry includes itself, except while it ``lacks_tokens`` and
     would refuse the requests.
     """
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -521,16 +521,20 @@
         if time.time() - self.started < DISCOVERY_WARMUP_SECONDS:
             return []
         own = self.describe()
+        now = time.monotonic()
         if self.is_cut_off:
             last_refused_at = self.gateway.prepaid.last_refused_at
             return _entries.choose_while_cut_off(
                 own,
-                self.instance_directory.all(),
+                _entries.last_known(
+                    self.instance_directory,
+                    contact_at=self._control_contact_at,
+                    now=now,
+                ),
                 self.rng,
-                lacks_tokens=time.monotonic() - last_refused_at
-                < REFUSAL_BACKOFF_SECONDS,
+                lacks_tokens=now - last_refused_at < REFUSAL_BACKOFF_SECONDS,
             )
-        alive = self.instance_directory.alive(time.monotonic())
+        alive = self.instance_directory.alive(now)
         others = [entry for entry in alive if entry.name != self.cfg.name]
         return _entries.choose(
             [*others, own],
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -64,10 +64,14 @@
 class GossipMessage(msgspec.Struct, frozen=True, kw_only=True):
     """The sender's own announcement and those that it forwards.
 
-    ``known`` is the number of instances and targets that the sender knows.
+    ``target_ages`` and ``instance_ages`` are the seconds since each forwarded
+    announcement left its announcer, as far as the sender knows.  ``known`` is
+    the number of instances and targets that the sender knows.
     """
 
     sender: Instance
     targets: list[Target]
     instances: list[Instance] = []
     known: int = 0
+    target_ages: list[float] = []
+    instance_ages: list[float] = []
