--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -550,6 +550,7 @@
             raise engines.TargetLostError(
                 f"{conn.address}: response to another request"
             )
+        self._note_limit(target, answer.limit)
         if answer.not_executed:
             context.last_error = f"rejected with status {head.status}"
             self.targets.eject(
@@ -571,6 +572,13 @@
         on_answer()
         return outcome
 
+    def _note_limit(
+        self, target: _targets.TargetState, limit: float | None
+    ) -> None:
+        if limit != target.limit:
+            target.limit = limit
+            self.log.write("target limit", target=target.name, limit=limit)
+
     def _timeout_error(self, context: RequestContext) -> web.ApiError:
         if not context.attempted_targets:
             return _unavailable_error(
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -137,12 +137,15 @@
     ``request_id`` is the request id that the target returned,
     ``not_executed`` whether it states that it has not executed the request,
     ``misdirected`` whether the address belongs to another target by now.
+    ``limit`` is the number of requests a second that the target takes from
+    all entries together, None if it names none.
     """
 
     request_id: str | None
     not_executed: bool
     misdirected: bool
     load: gossip_wire.Load | None
+    limit: float | None = None
 
 
 class TargetCodec(typing.Protocol):
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -32,6 +32,7 @@
         "consecutive_failures",
         "ejected_until",
         "in_flight",
+        "limit",
         "pending_prompts",
         "report",
         "reported_at",
@@ -44,6 +45,8 @@
         self.same_domain = same_domain
         self.report = wire.Load()
         self.reported_at: float | None = None
+        # Requests a second that it takes from all entries; None if any.
+        self.limit: float | None = None
         # Updated by :meth:`Targets.set_alive`.
         self.answered_recently = False
         self.sent_since_report = 0
