--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -52,6 +52,10 @@
         # request for this path.
         self.deadly_path = None
         self.restart_seconds = 0.5
+        # The requests a second that it names as its limit, None for none, and
+        # when it got requests.
+        self.limit = None
+        self.arrivals = []
         self.crashes = 0
         self.writers = set()
         self.cancelled_streams = 0
@@ -112,6 +116,7 @@
                 writer, 503, headers, b"", not_executed=True
             )
             return True
+        self.arrivals.append(time.monotonic())
         self.executions.append((method, path, headers, body))
         if path == self.deadly_path:
             await self.crash()
@@ -147,6 +152,7 @@
             f"X-Attempt-Id: {headers.get('x-attempt-id', '')}\r\n"
             f"X-Instance-Seal: seal-of-{self.id}\r\n"
             "X-Instance-Load: 0,0,8\r\n"
+            + (f"Server-Limit: {self.limit}\r\n" if self.limit else "")
         )
 
     async def send_response(
