Test that repeats with any key of a team are one request

The tests of the ingress passed a key where a team is expected, so that four of them failed with an AttributeError; they pass a team now, and check the same.

--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -324,6 +324,10 @@
 class TestIngress(testtools.TestCase):
     """Headers of callers' requests."""
 
+    def setUp(self):
+        super().setUp()
+        self.team = wire.RoutedTeam(name="rounds", key_hashes=[])
+
     def decode(self, *headers):
         scope = {
             "method": "POST",
@@ -331,8 +335,18 @@
             "raw_path": b"/p",
         }
         return _ingress._decode_request(
-            scope, list(headers), "h", "/p", "k", b"", arrived_at=0.0
+            scope, list(headers), "h", "/p", self.team, b"", arrived_at=0.0
+        )
+
+    def test_repeat_with_another_key_of_the_team_has_the_same_digest(self):
+        first, second = (
+            self.decode((_headers.REQUEST_ID, id), (_headers.API_KEY, key))
+            for id, key in (("1", "a"), ("2", "b"))
         )
+        self.assertEqual(first.digest, second.digest)
+        self.team = wire.RoutedTeam(name="other", key_hashes=[])
+        third = self.decode((_headers.REQUEST_ID, "3"))
+        self.assertNotEqual(first.digest, third.digest)
 
     def test_hop_by_hop_headers_are_not_forwarded(self):
         req = self.decode(
