Share out the limits that targets name among entries

Callers and operators saw: a target in need that names the requests a second it takes (`Server-Limit`) gets as many as any other, from each entry.

Cause: nobody read the header. Class of fault: a bound for the whole fleet that no entry enforces, as each knows only what it sends itself.

Change: routing.TargetLimits (no I/O). Gossip tells all entries of the newest answer; a hash of target and entry selects the users of a limit among the entries with callers, as many as have requests for twice the limit and at most three more than it allows a second, each with an equal part and without saved tokens at first. Every request counts: first attempts, retries, trials and resumptions. A request goes to another target, and if all are at their limits it is refused at once, with the time until the next one is taken as Retry-After. Weighed and not taken: leases from control, a commit for a request a second that ends with a leader's loss; a part for every entry, of which 370 would save a request each and may spend these at once; a rate that each entry steers by the answers, which sees its own ones only.

--- a/galenashed/emulator/_fleet.py
+++ b/galenashed/emulator/_fleet.py
@@ -15,6 +15,7 @@
 from galenashed.emulator import _load
 from galenashed import gateway
 from galenashed.protocol import gossip as wire
+from galenashed import routing
 
 SERVICE = "engines"
 FAILURE_DOMAIN_COUNT = 3
@@ -188,7 +189,8 @@
     def _make_targets(self, entry_index: int) -> gateway.Targets:
         """Returns the targets as an entry knows them at the start."""
         targets = gateway.Targets(
-            domain=f"domain-{entry_index % FAILURE_DOMAIN_COUNT}"
+            domain=f"domain-{entry_index % FAILURE_DOMAIN_COUNT}",
+            limits=routing.TargetLimits(name=f"entry-{entry_index}"),
         )
         for position, engine in enumerate(self.engines.values()):
             targets.update(
@@ -238,7 +240,7 @@
         )
         target = self.policy.choose(targets, prompt, self.now, self.rng)
         assert target is not None
-        targets.on_request_start(target, request_id, prompt)
+        targets.on_request_start(target, request_id, prompt, self.now)
         request = _engine.EngineRequest(
             parts=list(arrival.parts),
             unique_tokens=arrival.unique_tokens,
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -19,6 +19,9 @@
 from galenashed import web
 
 RETRY_AFTER_SECONDS = 0.5
+MIN_RETRY_AFTER_SECONDS = 0.05
+# The time over which requests a second are averaged.
+RATE_SECONDS = 5.0
 # Retry-After if any other instance can serve the request at once.
 RETRY_OTHER_INSTANCE_SECONDS = 0.1
 
@@ -43,6 +46,7 @@
         "last_error",
         "request",
         "reservation",
+        "retry_after",
         "route",
         "service",
         "team",
@@ -74,6 +78,8 @@
         self.attempted_targets: list[str] = []
         self.crashed_target = False
         self.last_error = ""
+        # Retry-After, if the request is refused before a target ran it.
+        self.retry_after = RETRY_AFTER_SECONDS
 
     @property
     def priority(self) -> int:
@@ -150,6 +156,7 @@
         self.rng = rng
         self.route_index: _table.RouteIndex | None = None
         self.in_flight = 0
+        self.request_rate = telemetry.RateMeter(seconds=RATE_SECONDS)
         self._stop: PlannedStop | None = None
         self._timers: set[asyncio.Timeout] = set()
 
@@ -231,6 +238,7 @@
         A response that has started and cannot be completed is aborted.
         """
         self.in_flight += 1
+        self.request_rate.add(time.monotonic())
         try:
             await self._handle(request, route, team, writer)
         except web.ApiError as exc:
@@ -400,8 +408,20 @@
             now,
             self.rng,
         )
-        if target is None and not context.last_error:
-            context.last_error = f"service {context.service!r} has no target"
+        if target is None:
+            wait = self.targets.seconds_until_limits_allow(
+                context.service, context.attempted_targets, now
+            )
+            if wait is not None:
+                context.last_error = "the targets are at their limits"
+                # Spreads the callers that come back.
+                context.retry_after = max(
+                    MIN_RETRY_AFTER_SECONDS, wait * (1.0 + self.rng.random())
+                )
+            elif not context.last_error:
+                context.last_error = (
+                    f"service {context.service!r} has no target"
+                )
         return target
 
     async def _send(
@@ -433,7 +453,7 @@
             after=_elapsed_seconds(context.request),
         )
         self.targets.on_request_start(
-            target, context.request.id, context.request.prompt
+            target, context.request.id, context.request.prompt, now
         )
         failed = True
         known = self.quarantine.index
@@ -494,7 +514,7 @@
         )
         await self.quarantine.report_crash(
             context.request,
-            f"{target.name}/{announced.incarnation}",
+            target.incarnation_name,
             begun=begun,
             known=known,
         )
@@ -575,8 +595,7 @@
     def _note_limit(
         self, target: _targets.TargetState, limit: float | None
     ) -> None:
-        if limit != target.limit:
-            target.limit = limit
+        if self.targets.on_limit(target, limit, time.monotonic()):
             self.log.write("target limit", target=target.name, limit=limit)
 
     def _timeout_error(self, context: RequestContext) -> web.ApiError:
@@ -603,7 +622,9 @@
 
     def _attempts_failed_error(self, context: RequestContext) -> web.ApiError:
         if not context.attempts.runs:
-            return _unavailable_error(context.last_error)
+            return _unavailable_error(
+                context.last_error, retry_after=context.retry_after
+            )
         return web.ApiError(
             status=502,
             code="target_lost",
@@ -623,12 +644,14 @@
     )
 
 
-def _unavailable_error(reason: str) -> web.ApiError:
+def _unavailable_error(
+    reason: str, *, retry_after: float = RETRY_AFTER_SECONDS
+) -> web.ApiError:
     return web.ApiError(
         status=503,
         code="targets_unavailable",
         message=f"no target accepted the request: {reason}",
-        retry_after=RETRY_AFTER_SECONDS,
+        retry_after=retry_after,
     )
 
 
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -6,6 +6,7 @@
 from galenashed.gateway import _prompts
 from galenashed.gateway import _request
 from galenashed.protocol import gossip as wire
+from galenashed import routing
 
 EJECT_AFTER_FAILURES = 3
 EJECT_SECONDS = 2.0
@@ -32,7 +33,6 @@
         "consecutive_failures",
         "ejected_until",
         "in_flight",
-        "limit",
         "pending_prompts",
         "report",
         "reported_at",
@@ -45,8 +45,6 @@
         self.same_domain = same_domain
         self.report = wire.Load()
         self.reported_at: float | None = None
-        # Requests a second that it takes from all entries; None if any.
-        self.limit: float | None = None
         # Updated by :meth:`Targets.set_alive`.
         self.answered_recently = False
         self.sent_since_report = 0
@@ -60,6 +58,10 @@
     def name(self) -> str:
         return self.announced.name
 
+    @property
+    def incarnation_name(self) -> str:
+        return f"{self.name}/{self.announced.incarnation}"
+
     @property
     def slots(self) -> int:
         return self.announced.slots
@@ -98,10 +100,13 @@
     ----------
     domain : str
         The failure domain of this entry; its targets are preferred.
+    limits : TargetLimits
+        The request rates that targets take from all entries together.
     """
 
-    def __init__(self, *, domain: str):
+    def __init__(self, *, domain: str, limits: routing.TargetLimits):
         self.domain = domain
+        self.limits = limits
         self._known: dict[str, TargetState] = {}
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.HashRing] = {}
@@ -206,8 +211,40 @@
     def choose(self, service: str, prompt, excluded, now: float, rng):
         """Returns the target for a request; None if there is none."""
         ring = self._ring_for(service, now)
+        at_limit = self._at_limit(ring, now)
+        if at_limit:
+            excluded = {*excluded, *(target.name for target in at_limit)}
         return _placement.choose(ring, prompt, excluded, rng)
 
+    def _at_limit(
+        self, ring: _placement.HashRing[TargetState], now: float
+    ) -> list[TargetState]:
+        """Returns the targets that take no more requests of this entry now."""
+        exhausted = self.limits.exhausted(now)
+        if not exhausted:
+            return []
+        return [
+            target
+            for target in ring.candidates
+            if target.incarnation_name in exhausted
+        ]
+
+    def seconds_until_limits_allow(
+        self, service: str, excluded: typing.Collection[str], now: float
+    ) -> float | None:
+        """Returns when a target that is at its limit takes another request.
+
+        None if none of the service, of those not excluded, is at its limit.
+        """
+        return min(
+            (
+                self.limits.wait_seconds(target.incarnation_name, now)
+                for target in self._at_limit(self._ring_for(service, now), now)
+                if target.name not in excluded
+            ),
+            default=None,
+        )
+
     def affinity_target(
         self, service: str, prompt, now: float
     ) -> TargetState | None:
@@ -227,8 +264,10 @@
         target: TargetState,
         request: str,
         prompt: tuple[_request.PromptPart, ...],
+        now: float,
     ) -> None:
         """Records a request that is being sent."""
+        self.limits.on_send(target.incarnation_name, now)
         target.in_flight += 1
         target.sent_since_report += 1
         target.pending_prompts.begin(request, target.uncached_tokens(prompt))
@@ -264,3 +303,12 @@
         target.report = load
         target.reported_at = now
         target.sent_since_report = 0
+
+    def on_limit(
+        self, target: TargetState, limit: float | None, now: float
+    ) -> bool:
+        """Applies the limit that a response names, None for none.
+
+        Returns whether it differs from what was known.
+        """
+        return self.limits.observe(target.incarnation_name, limit, now)
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -136,7 +136,9 @@
             shares=[routes.WeightedService(service="healthy", weight=1)],
             time_limit=time_limit,
         )
-        self.targets = gateway.Targets(domain="east")
+        self.targets = gateway.Targets(
+            domain="east", limits=routing.TargetLimits(name="entry")
+        )
         self.pool = engines.ConnectionPool(connect_timeout=1.0)
         self.control = quarantine_fixture.Control()
         self.gateway = gateway.Gateway(
--- a/galenashed/gateway/tests/test_handler.py
+++ b/galenashed/gateway/tests/test_handler.py
@@ -71,7 +71,9 @@
     async def run_stream(self):
         engine = Engine()
         address = await engine.start()
-        targets = gateway.Targets(domain="east")
+        targets = gateway.Targets(
+            domain="east", limits=routing.TargetLimits(name="entry")
+        )
         targets.update(
             gossip.Target(
                 name="t",
--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -12,6 +12,7 @@
 
 from galenashed import membership
 from galenashed.protocol import gossip as wire
+from galenashed import routing
 
 # Number of alive peers that each entry sends to.
 FANOUT = 4
@@ -42,6 +43,8 @@
         Called with each newer announcement of a target.
     rng : random.Random
         Draws the peers to send to.
+    limits : TargetLimits or None
+        Limits of targets, exchanged with every message.
 
     Example::
 
@@ -60,6 +63,7 @@
         "_synced_at",
         "_target_updates",
         "instances",
+        "limits",
         "name",
         "on_change",
         "rng",
@@ -77,6 +81,7 @@
         seeds: list[str],
         on_change: typing.Callable[[wire.Target], None],
         rng: random.Random,
+        limits: routing.TargetLimits | None = None,
     ):
         self.name = name
         self.instances = instances
@@ -84,6 +89,7 @@
         self.seeds = seeds
         self.on_change = on_change
         self.rng = rng
+        self.limits = limits
         # Whether an update should be sent before the next regular round.
         self.urgent = False
         self._instance_updates = membership.BroadcastQueue()
@@ -108,6 +114,8 @@
             self._merge_instance(instance, now, age=age)
         for target, age in _with_ages(message.targets, message.target_ages):
             self._merge_target(target, now, from_announcer=False, age=age)
+        if self.limits is not None:
+            self.limits.receive(message.limits, now)
         known = len(self.instances.names()) + len(self.targets.names())
         if message.known < known:
             interval = FULL_SYNC_SECONDS
@@ -212,6 +220,7 @@
             known=len(self.instances.names()) + len(self.targets.names()),
             target_ages=_ages(self.targets, targets, now),
             instance_ages=_ages(self.instances, instances, now),
+            limits=self.limits.forwarded(now) if self.limits else [],
         )
 
     def _choose_peers(self, own: wire.Instance, now: float) -> list[str]:
--- a/galenashed/gossip/_gossiper.py
+++ b/galenashed/gossip/_gossiper.py
@@ -11,6 +11,7 @@
 from galenashed.protocol import gossip as wire
 from galenashed.protocol import links
 from galenashed.protocol import methods
+from galenashed import routing
 from galenashed import telemetry
 
 LOG = loguru.logger
@@ -42,6 +43,8 @@
         Called with each newer announcement of a target.
     rng : random.Random
         Draws the peers to send to.
+    limits : TargetLimits or None
+        Limits of targets, exchanged with every message.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         key: str,
         on_change,
         rng: random.Random,
+        limits: routing.TargetLimits | None = None,
     ):
         self.describe = describe
         self.key = key
@@ -65,6 +69,7 @@
             seeds=seeds,
             on_change=on_change,
             rng=rng,
+            limits=limits,
         )
         self._links: dict[str, links.StreamLink] = {}
         self._last_used: dict[str, float] = {}
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -29,27 +29,33 @@
 MAX_SILENCE_SECONDS = 10.0
 
 
-def choose(
-    alive: list[wire.Instance], domain: str, region: str, rng: random.Random
-) -> list[str]:
-    """Returns addresses for callers of a failure domain in a region.
+def serving(alive: list[wire.Instance]) -> list[wire.Instance]:
+    """Returns the entries that serve callers.
 
     Entries that are cut off from control are included only if no entry has
     contact with it.
     """
-    serving = [entry for entry in alive if entry.state == "serving"]
-    if not serving:
-        serving = [entry for entry in alive if entry.state == "cut-off"]
-    rng.shuffle(serving)
-    local = [entry for entry in serving if entry.region == region]
+    found = [entry for entry in alive if entry.state == "serving"]
+    if not found:
+        found = [entry for entry in alive if entry.state == "cut-off"]
+    return found
+
+
+def choose(
+    alive: list[wire.Instance], domain: str, region: str, rng: random.Random
+) -> list[str]:
+    """Returns addresses for callers of a failure domain in a region."""
+    usable = serving(alive)
+    rng.shuffle(usable)
+    local = [entry for entry in usable if entry.region == region]
     replicas = [entry for entry in local if entry.replica]
     used = sum(entry.cores_used for entry in local)
     capacity = MAX_UTILIZATION * sum(entry.cores for entry in replicas)
     chosen = replicas
     if used > capacity or len(replicas) < MIN_ENTRIES:
-        chosen = [entry for entry in serving if entry.failure_domain == domain]
+        chosen = [entry for entry in usable if entry.failure_domain == domain]
     if len(chosen) < MIN_ENTRIES:
-        others = [entry for entry in serving if entry not in chosen]
+        others = [entry for entry in usable if entry not in chosen]
         others.sort(key=lambda entry: entry.region != region)
         chosen = chosen + others
     return [entry.address for entry in chosen[:MAX_ENTRIES]]
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -136,7 +136,10 @@
             lease=INSTANCE_LEASE_SECONDS
         )
         self.target_directory = membership.Directory(lease=cfg.target_lease)
-        self.targets = gateway.Targets(domain=cfg.failure_domain)
+        self.target_limits = routing.TargetLimits(name=cfg.name)
+        self.targets = gateway.Targets(
+            domain=cfg.failure_domain, limits=self.target_limits
+        )
         self.replica = _replica.make_replica(cfg, rng)
         self._replica_manager = self._make_replica_manager()
         self._make_control_client()
@@ -215,6 +218,7 @@
             key=cfg.peer_key,
             on_change=self.targets.update,
             rng=self.rng,
+            limits=self.target_limits,
         )
         self._peer_server = rpc.Server(
             address=cfg.peers_address,
@@ -567,6 +571,9 @@
             cores_used=self._processor_meter.cores_used(now=time.monotonic()),
             replica=replica.name if replica else "",
             replica_address=self.cfg.control_address if replica else "",
+            request_rate=round(
+                self.gateway.request_rate.value(time.monotonic()), 2
+            ),
         )
 
     async def _receive_gossip(self, requests, context) -> bool:
@@ -611,7 +618,11 @@
                 self.target_directory.names(),
                 now,
             )
-            node_count = max(1, len(self.instance_directory.alive(now)))
+            alive = self.instance_directory.alive(now)
+            self.target_limits.set_senders(
+                _entries.serving([*alive, self.describe()]), now
+            )
+            node_count = max(1, len(alive))
             self.gateway.retries.max_saved = max(
                 MIN_SAVED_RETRIES, self.cfg.retry_burst / node_count
             )
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -315,6 +315,22 @@
         self.assertEqual((3, 2), (loaded.load.running, loaded.load.waiting))
         self.assertIsNone(self.decode(200, x_instance_load="x,2").load)
 
+    def test_limit(self):
+        for value, limit in (
+            ("1.1", 1.1),
+            ("0", 0.0),
+            ("20", 20.0),
+            ("", None),
+            ("-1", None),
+            ("1e9", None),
+            ("nan", None),
+            ("1.2.3", None),
+            ("\u00b2", None),
+            ("9" * 40, None),
+        ):
+            self.assertEqual(limit, _headers.parse_rate(value), value)
+        self.assertIsNone(_headers.parse_rate(None))
+
     def test_load_that_is_no_number_is_ignored(self):
         for value in ODD_NUMBERS:
             answer = self.decode(200, x_instance_load=f"{value},1,8")
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -39,7 +39,8 @@
 
     ``state`` is ``starting``, ``serving``, ``cut-off`` (no contact with the
     control replicas) or ``draining``.  ``in_flight`` is the number of requests
-    in progress.  ``cores`` is the CPU time per second that the entry may use,
+    in progress, ``request_rate`` the requests a second of the last seconds.
+    ``cores`` is the CPU time per second that the entry may use,
     ``cores_used`` what it uses.  ``replica`` and ``replica_address`` identify
     the control replica in the same process, if there is one, even if it is
     not a member yet.
@@ -59,6 +60,20 @@
     cores_used: float = 0.0
     replica: str = ""
     replica_address: str = ""
+    request_rate: float = 0.0
+
+
+class TargetLimit(msgspec.Struct, frozen=True, kw_only=True):
+    """The limit that an answer of a target named, ``age`` seconds ago.
+
+    ``target`` is the name of the target's incarnation.
+    ``requests_per_second`` counts those of all entries together; it is None
+    if the answer named none although one before it had.
+    """
+
+    target: str
+    requests_per_second: float | None
+    age: float
 
 
 class GossipMessage(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,7 +81,8 @@
 
     ``target_ages`` and ``instance_ages`` are the seconds since each forwarded
     announcement left its announcer, as far as the sender knows.  ``known`` is
-    the number of instances and targets that the sender knows.
+    the number of instances and targets that the sender knows, ``limits`` are
+    the limits of targets.
     """
 
     sender: Instance
@@ -75,3 +91,4 @@
     known: int = 0
     target_ages: list[float] = []
     instance_ages: list[float] = []
+    limits: list[TargetLimit] = []
--- a/galenashed/routing/__init__.py
+++ b/galenashed/routing/__init__.py
@@ -20,6 +20,7 @@
 from galenashed.routing._router import make_router
 from galenashed.routing._router import Router
 from galenashed.routing._router import TargetRequirements
+from galenashed.routing._target_limits import TargetLimits
 
 __all__ = [
     "BALANCERS",
@@ -33,6 +34,7 @@
     "RoundRobinBalancer",
     "Router",
     "StrictAffinityBalancer",
+    "TargetLimits",
     "TargetRequirements",
     "TargetStats",
     "make_router",
--- a/galenashed/telemetry/__init__.py
+++ b/galenashed/telemetry/__init__.py
@@ -10,6 +10,7 @@
 from galenashed.telemetry._metrics import open_metrics
 from galenashed.telemetry._processor import processor_seconds
 from galenashed.telemetry._processor import ProcessorMeter
+from galenashed.telemetry._rates import RateMeter
 from galenashed.telemetry._tasks import start_task
 
 __all__ = [
@@ -19,6 +20,7 @@
     "NullDecisionLog",
     "NullMetrics",
     "ProcessorMeter",
+    "RateMeter",
     "configure_logging",
     "open_metrics",
     "processor_seconds",
