Limit the number of headers that a target may send

Cause: the limit counts bytes, but the work is per header, 11,000 of them in a head. Change: at most 1,000 headers in a head, the interim responses before it and trailers together.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -23,6 +23,9 @@
 # Limit of the bytes that a target may send without any bytes of a body among
 # them: a head with the interim responses before it, a chunk header, trailers.
 MAX_FRAMING_BYTES = 64 * 1024
+# Limit of the headers that a target may send in the same way, as each of them
+# is handled apart, however short it is.
+MAX_HEADERS = 1000
 # How long a probe of an address waits for its connection.
 PROBE_SECONDS = 0.2
 # Idle time after which a connection is not reused, unless the target sends a
@@ -103,6 +106,7 @@
         self._chunks: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
         self._framing_bytes = 0
+        self._header_count = 0
         self._paused = False
         self._waiter: asyncio.Future | None = None
 
@@ -124,6 +128,7 @@
         self._chunks.clear()
         self._unread_bytes = 0
         self._framing_bytes = 0
+        self._header_count = 0
         self.used = True
         self._transport.write(data)
 
@@ -237,13 +242,21 @@
             if self._complete:
                 self._mark_unusable()
                 return
-            self._reject_response(f"invalid HTTP response: {exc!r}")
-            return
-        if self._framing_bytes > MAX_FRAMING_BYTES and not self._complete:
+            if self._header_count <= MAX_HEADERS:
+                self._reject_response(f"invalid HTTP response: {exc!r}")
+                return
+        if self._is_framing_too_long() and not self._complete:
             self._reject_response(
-                f"over {MAX_FRAMING_BYTES} bytes without a part of a body"
+                f"over {MAX_FRAMING_BYTES} bytes or {MAX_HEADERS} headers"
+                " without a part of a body"
             )
 
+    def _is_framing_too_long(self) -> bool:
+        return (
+            self._framing_bytes > MAX_FRAMING_BYTES
+            or self._header_count > MAX_HEADERS
+        )
+
     def _reject_response(self, reason: str) -> None:
         self._fail(reason)
         self._headers = []
@@ -271,7 +284,13 @@
             self._mark_unusable()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header of the response; trailers are discarded."""
+        """Stores a header of the response; trailers are discarded.
+
+        Raises ValueError, which ends the parsing, if there are too many.
+        """
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            raise ValueError(f"more than {MAX_HEADERS} headers")
         if self._head is None:
             pair = (name.decode("latin-1").lower(), value.decode("latin-1"))
             self._headers.append(pair)
@@ -322,6 +341,7 @@
         if self._complete:
             return
         self._framing_bytes = 0
+        self._header_count = 0
         self._chunks.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused:
