Share out the limits that targets name in entry/ too

The same cause in the other request path: targets of the product's own interface had no way to name a limit. They name it as X-Request-Limit; the router leaves out targets at their limits, gossip and the choice of users are those of the gateway, and calls beyond the limits of all targets get 503 targets_limited at once instead of a wait in the queue until its end.

The parser of the header moves to engines/.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -10,6 +10,7 @@
 from galenashed.engines._connection import ConnectionPool
 from galenashed.engines._connection import Framing
 from galenashed.engines._connection import ResponseHead
+from galenashed.engines._rates import parse_rate
 
 __all__ = [
     "Connection",
@@ -21,5 +22,6 @@
     "TargetLostError",
     "check_complete",
     "is_close_delimited",
+    "parse_rate",
     "read_body",
 ]
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -290,7 +290,7 @@
                 body=call.body,
                 reuse_connection=call.idempotent,
             )
-            body = await self._read_response(call, resp)
+            body = await self._read_response(call, slot, resp)
         self.quarantine.on_answer_begun(call)
         return wire.StoredResponse(
             status=resp.status,
@@ -303,13 +303,14 @@
             whole=True,
         )
 
-    async def _read_response(self, call: _call.Call, resp) -> bytes:
+    async def _read_response(self, call: _call.Call, slot, resp) -> bytes:
         try:
             echoed = resp.headers.get("X-Request-Id", call.attempt)
             if echoed != call.attempt:
                 raise engines.TargetLostError(
                     "response has the X-Request-Id of another request"
                 )
+            self.dispatcher.on_response(slot, resp.headers)
             return await self._read_bounded(resp)
         except aiohttp.ClientError as exc:
             raise engines.TargetLostError(repr(exc)) from exc
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -5,6 +5,8 @@
 import time
 import typing
 
+import loguru
+
 from galenashed import engines
 from galenashed.entry import _configuration
 from galenashed import membership
@@ -14,7 +16,14 @@
 from galenashed import telemetry
 from galenashed import web
 
+LOG = loguru.logger
+
 RETRY_AFTER_SECONDS = 1.0
+MIN_RETRY_AFTER_SECONDS = 0.05
+# The time over which requests a second are averaged.
+RATE_SECONDS = 5.0
+# Response header in which a target names its limit, in requests a second.
+LIMIT_HEADER = "X-Request-Limit"
 LEASE_CHECK_SECONDS = 0.5
 PAUSE_THRESHOLD_SECONDS = 0.5
 
@@ -114,6 +123,7 @@
         self.max_wait = max_wait
         self.retry_budget = routing.RetryBudget()
         self.in_flight = 0
+        self.request_rate = telemetry.RateMeter(seconds=RATE_SECONDS)
         self._queues: dict[tuple[str, str], routing.FairQueue] = {}
         self._slots: set[Slot] = set()
         self._ignore_expiry_until = 0.0
@@ -189,6 +199,7 @@
         Raises ApiError: immediately if no target can serve the request,
         otherwise if the queue is full or the wait times out.
         """
+        self.request_rate.add(time.monotonic())
         key = (request.requirements.service.name, request.requirements.model)
         queue = self._queues.get(key)
         if queue is None or not len(queue):
@@ -196,14 +207,16 @@
             if slot is not None:
                 return slot
         self._check_target_exists(request)
+        self._check_limits(request)
         return await self._wait(key, request)
 
     def _try_acquire(self, request: SlotRequest) -> Slot | None:
-        stats = self.router.choose(request.requirements, now=time.monotonic())
+        now = time.monotonic()
+        stats = self.router.choose(request.requirements, now=now)
         if stats is None:
             return None
         suspect = request.requirements.exclusive
-        self.router.on_request_start(stats, suspect=suspect)
+        self.router.on_request_start(stats, suspect=suspect, now=now)
         self.in_flight += 1
         slot = Slot(dispatcher=self, stats=stats, suspect=suspect)
         self._slots.add(slot)
@@ -219,6 +232,36 @@
                 retry_after=RETRY_AFTER_SECONDS,
             )
 
+    def _check_limits(self, request: SlotRequest) -> None:
+        """Raises ApiError if every target is at the limit that it named."""
+        wait = self.router.seconds_until_limits_allow(
+            request.requirements, time.monotonic()
+        )
+        if wait is None:
+            return
+        service = request.requirements.service.name
+        raise web.ApiError(
+            status=503,
+            code="targets_limited",
+            message=f"the targets of service {service!r} are at their limits",
+            # Spreads the callers that come back.
+            retry_after=max(
+                MIN_RETRY_AFTER_SECONDS,
+                wait * (1.0 + self.router.rng.random()),
+            ),
+        )
+
+    def on_response(
+        self, slot: Slot, headers: typing.Mapping[str, str]
+    ) -> None:
+        """Applies the limit that a target's response names, or none."""
+        if self.router.limits is None:
+            return
+        name = slot.stats.incarnation_name
+        limit = engines.parse_rate(headers.get(LIMIT_HEADER))
+        if self.router.limits.observe(name, limit, time.monotonic()):
+            LOG.info("target {} names a limit of {} requests/s", name, limit)
+
     async def _wait(self, key: tuple[str, str], request: SlotRequest) -> Slot:
         queue = self._queues.get(key)
         if queue is None:
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -41,6 +41,7 @@
 # Time until gossip has told the other entries that this one is draining.
 GOSSIP_DELAY_SECONDS = 1.0
 REPLICA_MAX_AGE_SECONDS = 2.0
+SENDERS_INTERVAL_SECONDS = 0.25
 
 
 class EntryServer:
@@ -68,6 +69,7 @@
         self.started = time.time()
         self._sequence = 0
         self._state = "serving"
+        self._senders_task: asyncio.Task | None = None
         self._metrics = telemetry.open_metrics(
             cfg.statsd, f"galenashed.{cfg.name}"
         )
@@ -142,8 +144,9 @@
         """Creates the target directory, the dispatcher and the gossiper."""
         cfg = self.cfg
         self.target_directory = membership.Directory(lease=cfg.target_lease)
+        self.target_limits = routing.TargetLimits(name=cfg.name)
         self.dispatcher = _dispatcher.Dispatcher(
-            router=routing.make_router("affinity", rng),
+            router=routing.make_router("affinity", rng, self.target_limits),
             targets=self.target_directory,
             configuration=self.configuration,
             max_queue=cfg.max_queue,
@@ -158,6 +161,7 @@
             key=cfg.peer_key,
             on_change=self.dispatcher.on_target_update,
             rng=rng,
+            limits=self.target_limits,
         )
         self._instances = _instances.Instances(
             directory=self.instance_directory,
@@ -232,6 +236,9 @@
         await self._http.start()
         await self._gossiper.start()
         await self._witness.start()
+        self._senders_task = telemetry.start_task(
+            self._update_senders(), "senders"
+        )
         LOG.info("entry {} is serving on port {}", self.holder, self.port)
 
     async def drain(self) -> None:
@@ -263,6 +270,9 @@
         await self._close_tasks()
 
     async def _close_tasks(self) -> None:
+        if self._senders_task is not None:
+            self._senders_task.cancel()
+            await asyncio.gather(self._senders_task, return_exceptions=True)
         await self._witness.close()
         await self._witness_links.close()
         await self._gossiper.close()
@@ -294,8 +304,21 @@
             failure_domain=self.cfg.failure_domain,
             state=state,
             in_flight=self.app.in_flight,
+            request_rate=round(
+                self.dispatcher.request_rate.value(time.monotonic()), 2
+            ),
         )
 
+    async def _update_senders(self) -> None:
+        """Tells the limits of targets which entries serve callers."""
+        while True:
+            now = time.monotonic()
+            known = [self.describe(), *self.instance_directory.alive(now)]
+            self.target_limits.set_senders(
+                [entry for entry in known if entry.state == "serving"], now
+            )
+            await asyncio.sleep(SENDERS_INTERVAL_SECONDS)
+
     def _is_alive(self, holder: str, waited: float) -> bool:
         """Returns whether an incarnation of an entry may be alive.
 
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -62,6 +62,9 @@
             target=target, end=lambda *, failed=False: None
         )
 
+    def on_response(self, slot, headers):
+        pass
+
     @contextlib.asynccontextmanager
     async def watch(self, slot, seconds):
         async with asyncio.timeout(TIME_LIMIT_SECONDS):
--- a/galenashed/entry/tests/test_endless_responses.py
+++ b/galenashed/entry/tests/test_endless_responses.py
@@ -72,6 +72,9 @@
     async def acquire(self, slot_request):
         return Slot(self.address)
 
+    def on_response(self, slot, headers):
+        pass
+
     @contextlib.asynccontextmanager
     async def watch(self, slot, seconds):
         try:
--- a/galenashed/platform/_headers.py
+++ b/galenashed/platform/_headers.py
@@ -59,17 +59,6 @@
     }
 
 
-def parse_rate(value: str | None) -> float | None:
-    """Parses a decimal number, 0 or more; returns None for anything else."""
-    if not value or len(value) > MAX_DIGITS:
-        return None
-    whole, point, decimals = value.partition(".")
-    digits = whole + decimals if point else whole
-    if not (digits.isascii() and digits.isdigit()):
-        return None
-    return float(value)
-
-
 def is_number(value: str) -> bool:
     """Returns whether a value is a whole number of a usual length."""
     return value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -42,7 +42,7 @@
             or head.get(_headers.NOT_EXECUTED) is not None,
             misdirected=misdirected,
             load=_parse_load(head.get(_headers.TARGET_LOAD)),
-            limit=_headers.parse_rate(head.get(_headers.TARGET_LIMIT)),
+            limit=engines.parse_rate(head.get(_headers.TARGET_LIMIT)),
         )
 
 
--- a/galenashed/routing/_group.py
+++ b/galenashed/routing/_group.py
@@ -44,6 +44,10 @@
         self.ejected_until = 0.0
         self.suspects = 0
 
+    @property
+    def incarnation_name(self) -> str:
+        return f"{self.name}/{self.announced.incarnation}"
+
     @property
     def load(self) -> int:
         """Estimated requests at the target, at least this entry's own."""
--- a/galenashed/routing/_router.py
+++ b/galenashed/routing/_router.py
@@ -7,6 +7,7 @@
 from galenashed.protocol import gossip as wire
 from galenashed.routing import _balancers
 from galenashed.routing import _group
+from galenashed.routing import _target_limits
 
 EJECT_AFTER_FAILURES = 3
 EJECT_SECONDS = 5.0
@@ -50,6 +51,8 @@
         Chooses among the eligible targets.
     rng : random.Random
         Samples the candidates when there are many targets.
+    limits : TargetLimits or None
+        The request rates that targets take from all entries together.
 
     Example::
 
@@ -62,9 +65,16 @@
         router.on_request_end(stats, failed=False, now=2.0)
     """
 
-    def __init__(self, *, balancer: _balancers.Balancer, rng: random.Random):
+    def __init__(
+        self,
+        *,
+        balancer: _balancers.Balancer,
+        rng: random.Random,
+        limits: _target_limits.TargetLimits | None = None,
+    ):
         self.balancer = balancer
         self.rng = rng
+        self.limits = limits
         self._stats: dict[str, _group.TargetStats] = {}
         self._alive: frozenset[str] = frozenset()
         self._withdrawn: frozenset[str] = frozenset()
@@ -187,11 +197,14 @@
         ignore_ejections: bool,
     ) -> list[_group.TargetStats]:
         eligible = []
+        exhausted = self._exhausted(now)
         for stats in candidates:
             if stats.name in requirements.excluded or (
                 requirements.exclusive and stats.suspects
             ):
                 continue
+            if exhausted and stats.incarnation_name in exhausted:
+                continue
             if stats.ejected_until > now and not ignore_ejections:
                 continue
             stats.limit = _slow_start_limit(
@@ -201,6 +214,31 @@
                 eligible.append(stats)
         return eligible
 
+    def _exhausted(self, now: float) -> set[str]:
+        return self.limits.exhausted(now) if self.limits else set()
+
+    def seconds_until_limits_allow(
+        self, requirements: TargetRequirements, now: float
+    ) -> float | None:
+        """Returns when a target takes another request, by its limit.
+
+        None if a target that could run the request is not at its limit.
+        """
+        if self.limits is None:
+            return None
+        exhausted = self._exhausted(now)
+        names = [
+            stats.incarnation_name
+            for stats in self._get_group(requirements).members
+            if stats.name not in requirements.excluded
+        ]
+        if not exhausted.issuperset(names):
+            return None
+        return min(
+            (self.limits.wait_seconds(name, now) for name in names),
+            default=None,
+        )
+
     def _too_many_ejected(self, group: _group.Group, now: float) -> bool:
         """Returns whether so many failed that the network is suspected."""
         if not self._ejected:
@@ -211,9 +249,15 @@
     # Requests
 
     def on_request_start(
-        self, stats: _group.TargetStats, *, suspect: bool = False
+        self,
+        stats: _group.TargetStats,
+        *,
+        suspect: bool = False,
+        now: float = 0.0,
     ) -> None:
         """Records a request that is about to be sent."""
+        if self.limits is not None:
+            self.limits.on_send(stats.incarnation_name, now)
         stats.in_flight += 1
         stats.sent_since_report += 1
         stats.suspects += suspect
@@ -263,6 +307,11 @@
     return max(1.0, share * concurrency)
 
 
-def make_router(name: str, rng: random.Random) -> Router:
+def make_router(
+    name: str,
+    rng: random.Random,
+    limits: _target_limits.TargetLimits | None = None,
+) -> Router:
     """Returns a router that uses the balancer registered as ``name``."""
-    return Router(balancer=_balancers.BALANCERS[name](rng=rng), rng=rng)
+    balancer = _balancers.BALANCERS[name](rng=rng)
+    return Router(balancer=balancer, rng=rng, limits=limits)
--- a/galenashed/standins/_service.py
+++ b/galenashed/standins/_service.py
@@ -5,6 +5,7 @@
 - ``delay``: waits that many seconds before it responds.
 - ``status``: responds with that status.
 - ``crash``: begins to execute the call, then ends the process.
+- ``limit``: names that many requests a second as its limit.
 - ``lose``: executes the call, then closes the connection before the body.
 - ``claim``: executes the call, but adds the header by which entries say that
   a call was not run.
@@ -81,6 +82,9 @@
             b"application/json", msgspec.json.encode(echo)
         )
         headers = [(b"X-Standin", b"service")]
+        if "limit" in request.query:
+            limit = request.query["limit"][0]
+            headers.append((b"X-Request-Limit", limit.encode()))
         if b"claim" in request.scope["query_string"]:
             headers.append((b"Galenashed-Run", b"not run"))
         return blacksheep.Response(status, headers, content)
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -371,6 +371,53 @@
         self.assertEqual(2, self.fleet.balance()["settled"])
 
 
+class TestLimitedServices(testtools.TestCase):
+    """Targets of a service that name a limit of requests a second."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = _fleet.Fleet(entries=3, engines=0, services=1)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+        for entry in self.fleet.entry_names:
+            self.fleet.wait_peers(entry)
+
+    def test_calls_beyond_the_limit_are_refused_at_once(self):
+        until = time.monotonic() + 9.0
+        refused = []
+
+        def press(index):
+            entry = self.fleet.entry_names[index % 3]
+            while time.monotonic() < until:
+                started = time.monotonic()
+                response = self.fleet.call_service(
+                    entry, "/x?limit=1", method="GET", body=None
+                )
+                if response.status != 200:
+                    refused.append((time.monotonic() - started, response))
+                time.sleep(0.05)
+
+        def count_executions():
+            return sum(self.fleet.stats("app-1")["executions"].values())
+
+        counts = []
+
+        def watch():
+            # A span of 4 s, from 4 s after the limit was named.
+            for seconds in (4.0, 4.0):
+                time.sleep(seconds)
+                counts.append(count_executions())
+
+        _fleet.run_in_threads(7, lambda n: press(n) if n else watch())
+        self.assertLessEqual(counts[1] - counts[0], 1.5 * 4 + 5)
+        self.assertGreaterEqual(counts[1] - counts[0], 2)
+        for elapsed, response in refused:
+            self.assertEqual(503, response.status)
+            self.assertLess(elapsed, 1.0)
+            self.assertEqual("not run", response.json()["error"]["run"])
+            self.assertGreater(float(response.headers["Retry-After"]), 0.0)
+
+
 class TestServiceLinksFail(testtools.TestCase):
     """Calls while the connections to targets fail."""
 
