Keep the limit of a target that rejects requests without naming it

Found by reading the fix: an answer without the header ended a limit, a rejection too, which may come from something in front of the target. All entries were told that the limit had ended, and sent until one of them had another answer.

Change: only an answer to a request that was run ends a limit.

--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -310,7 +310,7 @@
                 raise engines.TargetLostError(
                     "response has the X-Request-Id of another request"
                 )
-            self.dispatcher.on_response(slot, resp.headers)
+            self.dispatcher.on_response(slot, resp.status, resp.headers)
             return await self._read_bounded(resp)
         except aiohttp.ClientError as exc:
             raise engines.TargetLostError(repr(exc)) from exc
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -24,6 +24,7 @@
 RATE_SECONDS = 5.0
 # Response header in which a target names its limit, in requests a second.
 LIMIT_HEADER = "X-Request-Limit"
+BUSY_STATUSES = (429, 503)
 LEASE_CHECK_SECONDS = 0.5
 PAUSE_THRESHOLD_SECONDS = 0.5
 
@@ -252,13 +253,16 @@
         )
 
     def on_response(
-        self, slot: Slot, headers: typing.Mapping[str, str]
+        self, slot: Slot, status: int, headers: typing.Mapping[str, str]
     ) -> None:
         """Applies the limit that a target's response names, or none."""
         if self.router.limits is None:
             return
         name = slot.stats.incarnation_name
         limit = engines.parse_rate(headers.get(LIMIT_HEADER))
+        if limit is None and status in BUSY_STATUSES:
+            # A rejection need not come from what limits the target.
+            return
         if self.router.limits.observe(name, limit, time.monotonic()):
             LOG.info("target {} names a limit of {} requests/s", name, limit)
 
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -203,7 +203,7 @@
             raise engines.TargetLostError(
                 "response has the X-Request-Id of another request"
             )
-        self.dispatcher.on_response(run.slot, resp.headers)
+        self.dispatcher.on_response(run.slot, resp.status, resp.headers)
         return resp
 
     async def _on_error_status(self, run: ModelRun, resp) -> None:
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -62,7 +62,7 @@
             target=target, end=lambda *, failed=False: None
         )
 
-    def on_response(self, slot, headers):
+    def on_response(self, slot, status, headers):
         pass
 
     @contextlib.asynccontextmanager
--- a/galenashed/entry/tests/test_endless_responses.py
+++ b/galenashed/entry/tests/test_endless_responses.py
@@ -72,7 +72,7 @@
     async def acquire(self, slot_request):
         return Slot(self.address)
 
-    def on_response(self, slot, headers):
+    def on_response(self, slot, status, headers):
         pass
 
     @contextlib.asynccontextmanager
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -570,7 +570,9 @@
             raise engines.TargetLostError(
                 f"{conn.address}: response to another request"
             )
-        self._note_limit(target, answer.limit)
+        if answer.limit is not None or not answer.not_executed:
+            # A rejection need not come from what limits the target.
+            self._note_limit(target, answer.limit)
         if answer.not_executed:
             context.last_error = f"rejected with status {head.status}"
             self.targets.eject(
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -56,6 +56,8 @@
         # when it got requests.
         self.limit = None
         self.arrivals = []
+        # Rejects every second request, in an answer that names no limit.
+        self.rejects_without_limit = False
         self.crashes = 0
         self.writers = set()
         self.cancelled_streams = 0
@@ -117,6 +119,13 @@
             )
             return True
         self.arrivals.append(time.monotonic())
+        if self.rejects_without_limit and len(self.arrivals) % 2:
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            await writer.drain()
+            return True
         self.executions.append((method, path, headers, body))
         if path == self.deadly_path:
             await self.crash()
--- a/galenashed/platform/tests/test_limits.py
+++ b/galenashed/platform/tests/test_limits.py
@@ -114,6 +114,17 @@
                 self.assertEqual("not run", response.json()["error"]["run"])
                 self.assertGreater(float(response.headers["Retry-After"]), 0)
 
+    def test_rejections_without_a_limit_do_not_end_it(self):
+        limited, _ = self.add_targets(2)
+        limited.limit = 1.0
+        limited.rejects_without_limit = True
+        started = time.monotonic()
+        self.press(LOAD_SECONDS)
+        self.assertLessEqual(
+            busiest_span(limited.arrivals, started + CONTACT_SECONDS),
+            allowed(limited.limit),
+        )
+
     def test_limit_that_is_no_longer_named_ends(self):
         (limited,) = self.add_targets(1)
         limited.limit = 1.0
