Test that a quarantined lookup outlasts the leader and a restart

Four nodes, three replicas: the leader is killed, the lookup comes 60 times during the election and 80 times after the node is ready again. Each gets 422 and no target ends.

--- a/galenashed/platform/tests/test_quarantine.py
+++ b/galenashed/platform/tests/test_quarantine.py
@@ -132,3 +132,21 @@
 
     def test_lookup_that_is_repeated_twice_a_second(self):
         self.check(0.5)
+
+    def test_quarantine_outlasts_the_leader_and_a_restart(self):
+        self.count_crashes(0.05)
+        before = sum(target.crashes for target in self.apps)
+        leader = self.site.leader()
+        self.site.processes[leader].kill()
+        self.site.processes[leader].wait()
+        alive = [node for node in range(4) if node != leader]
+        for _ in range(20):
+            for node in alive:
+                self.assertEqual(422, self.look(DEADLY_PATH, node=node))
+        self.site.write_settings(leader, bootstrap=False)
+        self.site.processes[leader].start()
+        self.site.wait_until_ready(leader)
+        for _ in range(20):
+            for node in range(4):
+                self.assertEqual(422, self.look(DEADLY_PATH, node=node))
+        self.assertEqual(before, sum(target.crashes for target in self.apps))
