Count an entry as informed only once its own crashes are recorded

Cause, read and then tested: a report of a crash that control had not acknowledged was sent again only with the next request of the same content at that entry. Until then control knew of one crash, and another entry whose own crash was known to all got a trial, on a third engine.

Change: reports are repeated until they are acknowledged, and until then the entry tells control that it takes no suspects into account, so that no trial begins.

--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -182,18 +182,19 @@
         reservations = _reservations.Reservations(
             budget_manager=self.budget_manager, metrics=self._metrics
         )
-        crash_quarantine = _suspects.CrashQuarantine(
+        self._crash_quarantine = _suspects.CrashQuarantine(
             control_client=self.control_client,
             configuration=self.configuration,
             alive_entries=lambda: self.instance_directory.alive(
                 time.monotonic()
             ),
             parts=self.quarantine,
+            on_acknowledged=self._feed_client.notify,
         )
         runner = _runs.EngineRunner(
             dispatcher=self.dispatcher,
             client=self._client,
-            crash_handler=crash_quarantine,
+            crash_handler=self._crash_quarantine,
             metrics=self._metrics,
         )
         return _app.EntryApp(
@@ -204,7 +205,7 @@
                 dispatcher=self.dispatcher,
                 reservations=reservations,
                 runner=runner,
-                quarantine=crash_quarantine,
+                quarantine=self._crash_quarantine,
                 metrics=self._metrics,
             ),
             calls=_calls.CallHandler(
@@ -278,6 +279,7 @@
         await self._gossiper.close()
         await self.dispatcher.close()
         await self.quarantine.close()
+        await self._crash_quarantine.close()
         await self._feed_client.close()
         await self.control_client.close()
         await self._peers.close()
@@ -342,7 +344,7 @@
             incarnation=self.incarnation,
             number=release.number,
             index=release.index,
-            suspects=self.configuration.suspects.index,
+            suspects=self._crash_quarantine.informed_index,
             draining=self._state == "draining",
         )
 
--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -21,6 +21,7 @@
 QUARANTINE_CRASHES = 2
 COMMAND_TIMEOUT_SECONDS = 2.0
 STATUS_TIMEOUT_SECONDS = 1.0
+RESEND_SECONDS = 0.2
 PROPAGATION_POLL_SECONDS = 0.02
 PROPAGATION_TIMEOUT_SECONDS = 4.0
 TRIAL_WAIT_SECONDS = 10.0
@@ -41,11 +42,11 @@
 
     Requests that share a message under which targets crash are also refused.
 
-    Every connected entry learns of the first crash before the request runs
-    again, and it runs again only in a trial that control admits.  A retry
-    through another entry can therefore not crash a third target.  If not
-    every entry is known to have learned of it in time, the request fails
-    with an error that suggests a retry.
+    Every connected entry learns of the first crash, and has its own recorded,
+    before the request runs again, and it runs again only in a trial that
+    control admits.  A retry through another entry can therefore not crash a
+    third target.  If not every entry is known to have learned of it in time,
+    the request fails with an error that suggests a retry.
 
     Parameters
     ----------
@@ -57,6 +58,8 @@
         Returns the instances of the entries that may be alive.
     parts : Quarantine
         Quarantines messages that several requests share.
+    on_acknowledged : callable
+        Called when control has recorded all crashes that this entry reported.
     """
 
     def __init__(
@@ -66,11 +69,13 @@
         configuration: _configuration.Configuration,
         alive_entries: typing.Callable[[], list[gossip_wire.Instance]],
         parts: quarantine.Quarantine,
+        on_acknowledged: typing.Callable[[], None],
     ):
         self.control_client = control_client
         self.configuration = configuration
         self.alive_entries = alive_entries
         self.parts = parts
+        self.on_acknowledged = on_acknowledged
         # Reports that control has not acknowledged, by request digest.
         self._unacknowledged: dict[str, list[wire.ReportCrash]] = {}
         # Index of the latest crash that this entry reported.
@@ -78,6 +83,7 @@
         self._propagated_index = 0
         self._poll_lock = asyncio.Lock()
         self._end_tasks: set[asyncio.Task] = set()
+        self._resend_task: asyncio.Task | None = None
 
     def check_suspected(self, digest: str) -> bool:
         """Returns whether a target has crashed under the request.
@@ -120,6 +126,17 @@
     def _is_quarantined(self, digest: str) -> bool:
         return self.configuration.crash_count(digest) >= QUARANTINE_CRASHES
 
+    @property
+    def informed_index(self) -> int:
+        """The index of the suspects that this entry takes into account.
+
+        It is 0 while control has not recorded a crash that this entry knows
+        of: until then, no entry may run the request again.
+        """
+        if self._unacknowledged:
+            return 0
+        return self.configuration.suspects.index
+
     async def report_crash(self, run: _runs.ModelRun, target) -> None:
         """Records that a target crashed under a run.
 
@@ -141,7 +158,10 @@
             )
         commands = self._unacknowledged.setdefault(run.request.digest, [])
         commands.append(command)
-        await self._send_reports(run)
+        try:
+            await self._send_reports(run)
+        finally:
+            self._resend()
         if self._is_quarantined(run.request.digest):
             raise quarantined_error(web.ExecutionStatus.RUN)
 
@@ -149,14 +169,54 @@
         """Sends the unacknowledged reports on a request; raises ApiError."""
         digest = run.request.digest
         for command in list(self._unacknowledged.get(digest, [])):
-            reply = await self._propose(run, command)
-            self.configuration.record_crash(digest, reply)
-            self._reported_index = max(self._reported_index, reply.index)
-            commands = self._unacknowledged.get(digest, [])
-            if command in commands:
-                commands.remove(command)
-            if not commands:
-                self._unacknowledged.pop(digest, None)
+            self._acknowledge(command, await self._propose(run, command))
+
+    def _acknowledge(
+        self, command: wire.ReportCrash, reply: wire.Crashes
+    ) -> None:
+        digest = command.digest
+        self.configuration.record_crash(digest, reply)
+        self._reported_index = max(self._reported_index, reply.index)
+        commands = self._unacknowledged.get(digest, [])
+        if command in commands:
+            commands.remove(command)
+        if not commands and self._unacknowledged.pop(digest, None) is not None:
+            self.on_acknowledged()
+
+    def _resend(self) -> None:
+        """Starts to repeat the reports that control has not acknowledged."""
+        running = self._resend_task is not None and (
+            not self._resend_task.done()
+        )
+        if self._unacknowledged and not running:
+            self._resend_task = telemetry.start_task(
+                self._resend_until_acknowledged(), "crash reports"
+            )
+
+    async def _resend_until_acknowledged(self) -> None:
+        while self._unacknowledged:
+            await asyncio.sleep(RESEND_SECONDS)
+            commands = [
+                command
+                for commands in self._unacknowledged.values()
+                for command in commands
+            ]
+            for command in commands:
+                try:
+                    reply = await self.control_client.propose(
+                        command, timeout=COMMAND_TIMEOUT_SECONDS
+                    )
+                except control.ControlUnavailableError:
+                    LOG.info("crash of {} not recorded", command.target)
+                    break
+                assert isinstance(reply, wire.Crashes)
+                self._acknowledge(command, reply)
+
+    async def close(self) -> None:
+        """Abandons the reports that control has not acknowledged."""
+        if self._resend_task is not None:
+            self._resend_task.cancel()
+            await asyncio.gather(self._resend_task, return_exceptions=True)
 
     async def begin_trial(self, run: _runs.ModelRun) -> None:
         """Waits until a suspected request may run; raises ApiError."""
--- a/galenashed/entry/tests/test_suspects.py
+++ b/galenashed/entry/tests/test_suspects.py
@@ -139,6 +139,7 @@
             ),
             alive_entries=lambda: [make_instance(name) for name in alive],
             parts=_fixture.make_quarantine(_fixture.Control()),
+            on_acknowledged=lambda: None,
         )
 
     def make_run(self) -> _runs.ModelRun:
@@ -242,6 +243,27 @@
         self.assertEqual({"engine-1/1"}, client.crashed)
         self.assertEqual(1, client.trials)
 
+    def test_entry_with_an_unrecorded_crash_does_not_count_as_informed(self):
+        client = FakeControlClient(followers={"c1": {"e1": CRASH_INDEX}})
+        quarantine = self.make_quarantine(client)
+        quarantine.configuration.suspects = wire.Suspects(
+            index=CRASH_INDEX, crashes={}
+        )
+        client.available = False
+
+        async def report_and_wait():
+            try:
+                await quarantine.report_crash(self.make_run(), FakeTarget())
+            except web.ApiError:
+                self.assertEqual(0, quarantine.informed_index)
+            client.available = True
+            async with asyncio.timeout(10.0):
+                while quarantine.informed_index != CRASH_INDEX:
+                    await asyncio.sleep(0.02)
+
+        asyncio.run(report_and_wait())
+        self.assertEqual({"engine-1/1"}, client.crashed)
+
     def test_request_is_rerun_once_every_entry_has_learned(self):
         client = FakeControlClient(
             followers={"c1": {"e1": CRASH_INDEX, "e2": CRASH_INDEX}}
