Keep the reason of a lost attempt when targets are at their limits

Found by reading: a request that a target had lost, and for which the others are at their limits, was reported with the limits as its reason. They are given only if no target ran the request.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -310,10 +310,10 @@
     if _is_request(name):
         if record.trials >= MAX_REQUEST_TRIALS:
             return False
-        waiting = (
-            MAX_QUARANTINE_SECONDS if record.trials else (QUARANTINE_SECONDS)
-        )
-        return now - max(record.at, record.trial_at or 0.0) >= waiting
+        if not record.trials:
+            return now - record.at >= QUARANTINE_SECONDS
+        since = max(record.at, record.trial_at or 0.0)
+        return now - since >= MAX_QUARANTINE_SECONDS
     if record.trial_at is not None and now - record.trial_at < TRIAL_SECONDS:
         return False
     return now - record.at >= quarantine_seconds(record.failed_trials)
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -408,22 +408,24 @@
             now,
             self.rng,
         )
-        if target is None:
-            wait = self.targets.seconds_until_limits_allow(
-                context.service, context.attempted_targets, now
-            )
-            if wait is not None:
-                context.last_error = "the targets are at their limits"
-                # Spreads the callers that come back.
-                context.retry_after = max(
-                    MIN_RETRY_AFTER_SECONDS, wait * (1.0 + self.rng.random())
-                )
-            elif not context.last_error:
-                context.last_error = (
-                    f"service {context.service!r} has no target"
-                )
+        if target is None and not context.attempts.runs:
+            self._explain_refusal(context, now)
         return target
 
+    def _explain_refusal(self, context: RequestContext, now: float) -> None:
+        """Sets why no target takes a request, and when one may."""
+        wait = self.targets.seconds_until_limits_allow(
+            context.service, context.attempted_targets, now
+        )
+        if wait is not None:
+            context.last_error = "the targets are at their limits"
+            # Spreads the callers that come back.
+            context.retry_after = max(
+                MIN_RETRY_AFTER_SECONDS, wait * (1.0 + self.rng.random())
+            )
+        elif not context.last_error:
+            context.last_error = f"service {context.service!r} has no target"
+
     async def _send(
         self,
         context: RequestContext,
