Clear what waited at a target that crashes under a quarantined part

Cause, introduced with the quarantine of whole requests: a begun answer whose part is in quarantine no longer removed the evidence against the parts of requests that only waited at its target, so that a part of sound requests was quarantined after two such crashes.

The test failed before (part:c in quarantine).

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -72,7 +72,7 @@
         added = set(names)
     if not added:
         return []
-    if cmd.begun and not quarantined:
+    if cmd.begun:
         _remove_evidence_against_parts(state, cmd.target)
     for name in names:
         if name in added:
--- a/galenashed/control/tests/test_quarantine.py
+++ b/galenashed/control/tests/test_quarantine.py
@@ -215,6 +215,15 @@
         self.report("r5", "d", target="t", begun=False)
         self.assertEqual([], self.state_machine.quarantine().suspected)
 
+    def test_crash_under_a_quarantined_part_clears_what_waited_there(self):
+        self.quarantine_deadly()
+        for target in ("other1", "other2"):
+            self.report(f"s{target}", "c", target=target, begun=False)
+            self.report(f"r{target}", "d", DEADLY, target=target)
+        self.assert_quarantined("part:deadly")
+        suspected = self.state_machine.quarantine().suspected
+        self.assertNotIn("part:c", suspected)
+
     def test_repeated_report_counts_once(self):
         for _ in range(3):
             self.report("r1", "a", target="t")
