Log the software version of targets and what an attempt continues

The lines of a resumed stream could not tell whether its target was chosen without regard to the version, or by an outdated one. The version of a target's report is decoded and kept; 'target announced' and 'sent' name it, and 'sent' names the event after which an attempt continues a stream. No decision uses it yet.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -445,6 +445,9 @@
             route=context.route.name,
             team=context.team.name if context.team else None,
             target=target.name,
+            target_version=target.announced.version,
+            continues_after=relay.last_event_id
+            or context.request.resume_after,
             running=target.running,
             waiting=target.waiting,
             report_age=target.report_age(now),
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -13,6 +13,7 @@
 import uuid
 
 import loguru
+import msgspec
 
 from galenashed import budget
 from galenashed import consensus
@@ -455,6 +456,7 @@
                 target=target.name,
                 address=target.address,
                 state=target.state,
+                version=target.version,
                 sequence=target.sequence,
             )
 
@@ -470,16 +472,8 @@
             known.started,
         ):
             return False
-        leaving = gossip_wire.Target(
-            name=known.name,
-            incarnation=known.incarnation,
-            started=known.started,
-            sequence=known.sequence + 1,
-            service=known.service,
-            address=known.address,
-            failure_domain=known.failure_domain,
-            state="leaving",
-            slots=known.slots,
+        leaving = msgspec.structs.replace(
+            known, sequence=known.sequence + 1, state="leaving"
         )
         self.announce_target(leaving)
         return True
--- a/galenashed/platform/_announcements.py
+++ b/galenashed/platform/_announcements.py
@@ -16,7 +16,8 @@
     """A periodic status report of a target.
 
     ``seq`` counts the reports since the target's process was started,
-    ``born`` is the Unix time of that start in milliseconds.
+    ``born`` is the Unix time of that start in milliseconds.  ``version`` is
+    that of the target's software, not of the weights of its models.
     """
 
     service: str
@@ -26,6 +27,7 @@
     seq: int
     born: int = 0
     slots: int = 0
+    version: str = ""
 
 
 class Deregistration(msgspec.Struct, frozen=True):
@@ -74,6 +76,7 @@
         failure_domain=heartbeat.zone,
         state=state,
         slots=heartbeat.slots,
+        version=heartbeat.version,
     )
 
 
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -17,7 +17,8 @@
     ``started``, in seconds since the epoch, orders the incarnations.
     ``state`` is ``ready`` or ``leaving``.  ``slots`` is the number of requests
     that run at once, 0 if unknown.  ``resumes`` tells whether the target can
-    continue a stream that another target began.
+    continue a stream that another target of the same ``version`` began;
+    ``version`` is that of its software, empty if it names none.
     """
 
     name: str
@@ -32,6 +33,7 @@
     resumes: bool = False
     load: Load = Load()
     slots: int = 0
+    version: str = ""
 
 
 class Instance(msgspec.Struct, frozen=True, kw_only=True):
