--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -33,8 +33,11 @@
     unless the request has a header ``X-Delay``.
     """
 
-    def __init__(self, *, service, address, target_id):
+    def __init__(self, *, service, address, target_id, version="v1"):
         self.service = service
+        # An engine names the version of its software in the data of its
+        # events, and does not check at which one a stream began.
+        self.version = version
         self.address = address
         self.id = target_id
         self.born = int(time.time() * 1000)
@@ -197,7 +200,7 @@
                 writer.write(b"8\r\nid: 99\nd\r\n")
                 writer.transport.abort()
                 return False
-            event = b"id: %d\ndata: token\n\n" % number
+            event = self.event(number)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             try:
                 await writer.drain()
@@ -215,11 +218,14 @@
     async def send_events_and_close(self, writer, head, first):
         writer.write(f"{head}\r\n".encode())
         for number in range(first, self.break_after + 1):
-            writer.write(b"id: %d\ndata: token\n\n" % number)
+            writer.write(self.event(number))
         writer.write(b"id: %d\nda" % (self.break_after + 1))
         await writer.drain()
         return False
 
+    def event(self, number):
+        return b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
+
     def next_heartbeat(self):
         """Returns the body of the next heartbeat."""
         self.seq += 1
@@ -227,7 +233,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "east",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": self.state,
             "coldLeftMs": 0,
@@ -573,13 +579,14 @@
 
     # Targets
 
-    def add_target(self, service, node=0):
+    def add_target(self, service, node=0, **options):
         """Starts a target and sends its first heartbeat to a node."""
         number = len(self.targets)
         target = Target(
             service=service,
             address=f"127.0.0.1:{_fleet.free_port()}",
             target_id=f"target-{number}",
+            **options,
         )
         future = asyncio.run_coroutine_threadsafe(target.start(), self.loop)
         future.result(10)
