Continue a stream only at the version that began it

No part of the system knew versions: the node that repeated a request after a lost answer, and the one at which a caller took a stream up, chose any target of the service.

The version of a target's report is a fact that outlives the entry that acted on it. An entry now keeps a stream's attempts to the version of the target that wrote the first event, and records 'request X began at service S, version V' itself and, in batches right after the first event, at the four entries that a hash of X selects among those alive. A caller that takes the stream up names X; the entry asks the first eight by the same hash. Unknown is not a licence: a stream of unknown beginning goes on only if this entry most likely sees all targets and one version alone has been there since the stream can have begun; otherwise the answer is 503, not run. A version without targets is refused at once.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -8,6 +8,8 @@
 
 from galenashed.gateway._handler import Gateway
 from galenashed.gateway._handler import PlannedStop
+from galenashed.gateway._origins import OriginFinder
+from galenashed.gateway._origins import OriginRecords
 from galenashed.gateway._prepaid import PrepaidReserver
 from galenashed.gateway._request import Attempt
 from galenashed.gateway._request import PromptPart
@@ -24,6 +26,8 @@
 __all__ = [
     "Attempt",
     "Gateway",
+    "OriginFinder",
+    "OriginRecords",
     "PlannedStop",
     "PrepaidReserver",
     "PromptPart",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -7,12 +7,15 @@
 
 from galenashed import engines
 from galenashed.gateway import _attempts
+from galenashed.gateway import _origins
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
 from galenashed.gateway import _table
 from galenashed.gateway import _targets
+from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import routes as wire
+from galenashed.protocol import streams
 from galenashed import quarantine
 from galenashed import routing
 from galenashed import telemetry
@@ -22,6 +25,9 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 # The time over which requests a second are averaged.
 RATE_SECONDS = 5.0
+# A stream that broke off shortly before its time limit may be taken up for as
+# long again.
+MAX_STREAM_TIME_LIMITS = 2.0
 # Retry-After if any other instance can serve the request at once.
 RETRY_OTHER_INSTANCE_SECONDS = 0.1
 
@@ -34,7 +40,8 @@
     of the attempts; ``last_error`` says why the last attempt failed.
     ``crashed_target`` is set if a target crashed and most likely because of
     the request: the target had begun the answer, without a complete event, or
-    the request was suspected before.
+    the request was suspected before.  ``version`` is that of the software
+    which wrote the first event of the stream, None before one is known.
     """
 
     __slots__ = (
@@ -51,6 +58,7 @@
         "service",
         "team",
         "tokens_per_event",
+        "version",
     )
 
     def __init__(
@@ -63,6 +71,7 @@
         tokens_per_event,
         reservation,
         in_trial,
+        version,
     ):
         self.request: _request.Request = request
         self.route: wire.Route = route
@@ -75,11 +84,12 @@
         # Whether the request is the trial of a quarantined suspect, which is
         # sent to one target.
         self.in_trial: bool = in_trial
+        self.version: str | None = version
         self.attempted_targets: list[str] = []
         self.crashed_target = False
         self.last_error = ""
         # Retry-After, if the request is refused before a target ran it.
-        self.retry_after = RETRY_AFTER_SECONDS
+        self.retry_after: float | None = RETRY_AFTER_SECONDS
 
     @property
     def priority(self) -> int:
@@ -122,6 +132,8 @@
         Encodes requests to targets and decodes their response headers.
     crash_quarantine : Quarantine
         Refuses requests under which targets crash.
+    origins : OriginFinder
+        Remembers the version of the software that began a stream.
     retries : RetryBudget
         Bounds the retries.
     log : DecisionLog
@@ -140,6 +152,7 @@
         pool: engines.ConnectionPool,
         codec: _request.TargetCodec,
         crash_quarantine: quarantine.Quarantine,
+        origins: _origins.OriginFinder,
         retries: routing.RetryBudget,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
         metrics: telemetry.Metrics,
@@ -150,6 +163,7 @@
         self.pool = pool
         self.codec = codec
         self.quarantine = crash_quarantine
+        self.origins = origins
         self.retries = retries
         self.log = log
         self.metrics = metrics
@@ -271,13 +285,17 @@
             _deadline(request, route), time.monotonic()
         ):
             raise _stopping_error()
+        origin = await self._find_origin(request, route)
         suspect = self.quarantine.find_quarantined(request)
         in_trial = False
         if suspect is not None:
             in_trial = await self.quarantine.begin_trial(request)
             if not in_trial:
                 raise quarantine.make_error(suspect, executed=False)
-        service = _table.select_service(route, request.id)
+        if origin is None:
+            service = _table.select_service(route, request.id)
+        else:
+            service = origin.service
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
         reservation = await self.prepaid.open(request, team, route.objective)
@@ -289,6 +307,7 @@
             tokens_per_event=engine.tokens_per_event if engine else 1,
             reservation=reservation,
             in_trial=in_trial,
+            version=origin.version if origin is not None else None,
         )
         self.retries.on_request()
         relay = _relay.Relay(context=context, writer=writer)
@@ -317,6 +336,94 @@
             reservation.event_count = relay.event_count
             reservation.close(request, context.tokens_per_event)
 
+    async def _find_origin(
+        self, request: _request.Request, route: wire.Route
+    ) -> streams.StreamOrigin | None:
+        """Returns where the stream began that a request continues.
+
+        None if it continues none.  Targets don't check that they continue
+        what their own version began.  So a request whose beginning is unknown
+        is served only if one version alone can have begun it; otherwise
+        raises ApiError.
+        """
+        if request.resume_after is None:
+            return None
+        if route.kind is not wire.RouteKind.STREAM:
+            return None
+        origin = None
+        if request.resumed_request:
+            origin = await self.origins.find(request.resumed_request)
+        known = origin is not None
+        if origin is None:
+            origin = self._only_possible_origin(request, route)
+        self.log.write(
+            "stream taken up",
+            request=request.id,
+            resumes=request.resumed_request,
+            after=request.resume_after,
+            known=known,
+            service=origin.service if origin else None,
+            version=origin.version if origin else None,
+        )
+        if origin is None:
+            raise web.ApiError(
+                status=503,
+                code="stream_origin_unknown",
+                message="the version that began the stream is not known",
+            )
+        if origin.service not in _table.services(route):
+            raise web.ApiError(
+                status=503,
+                code="stream_origin_gone",
+                message="the route no longer leads to the service that began"
+                " the stream",
+            )
+        return origin
+
+    def _only_possible_origin(
+        self, request: _request.Request, route: wire.Route
+    ) -> streams.StreamOrigin | None:
+        """Returns where a stream must have begun that nobody knows.
+
+        None if targets of several versions have been there since it began,
+        or if this entry may not know all of them.
+        """
+        if not self.origins.sees_all_targets():
+            return None
+        services = _table.services(route)
+        if request.resumed_request:
+            # The request that began the stream was sent to this one.
+            services = [_table.select_service(route, request.resumed_request)]
+        if len(services) != 1:
+            return None
+        (service,) = services
+        since = request.arrived_at - _longest_stream(route)
+        versions = self.targets.versions(service, since)
+        if len(versions) != 1:
+            return None
+        return streams.StreamOrigin(
+            request=request.resumed_request or request.id,
+            service=service,
+            version=versions.pop(),
+            keep_seconds=_longest_stream(route),
+        )
+
+    def _record_origin(
+        self, context: RequestContext, target: gossip_wire.Target
+    ) -> None:
+        """Records which software writes the stream of a request."""
+        context.version = target.version
+        if not context.route.resumable:
+            return
+        self.origins.record(
+            streams.StreamOrigin(
+                request=context.request.resumed_request or context.request.id,
+                service=context.service,
+                version=target.version,
+                keep_seconds=_longest_stream(context.route),
+            )
+        )
+
     async def _run_attempts(
         self, context: RequestContext, relay: _relay.Relay
     ) -> None:
@@ -401,21 +508,28 @@
         self, context: RequestContext
     ) -> _targets.TargetState | None:
         now = time.monotonic()
+        excluded = set(context.attempted_targets)
+        if context.version is not None:
+            excluded |= self.targets.other_versions(
+                context.service, context.version
+            )
         target = self.targets.choose(
             context.service,
             context.request.prompt,
-            context.attempted_targets,
+            excluded,
             now,
             self.rng,
         )
         if target is None and not context.attempts.runs:
-            self._explain_refusal(context, now)
+            self._explain_refusal(context, excluded, now)
         return target
 
-    def _explain_refusal(self, context: RequestContext, now: float) -> None:
+    def _explain_refusal(
+        self, context: RequestContext, excluded: set[str], now: float
+    ) -> None:
         """Sets why no target takes a request, and when one may."""
         wait = self.targets.seconds_until_limits_allow(
-            context.service, context.attempted_targets, now
+            context.service, excluded, now
         )
         if wait is not None:
             context.last_error = "the targets are at their limits"
@@ -423,6 +537,15 @@
             context.retry_after = max(
                 MIN_RETRY_AFTER_SECONDS, wait * (1.0 + self.rng.random())
             )
+        elif context.version is not None and not self.targets.has_ready(
+            context.service, context.version
+        ):
+            context.last_error = (
+                f"service {context.service!r} has no target of the version"
+                f" {context.version!r} that began the stream"
+            )
+            # Targets are replaced by newer versions.
+            context.retry_after = None
         elif not context.last_error:
             context.last_error = f"service {context.service!r} has no target"
 
@@ -526,7 +649,8 @@
 
     async def _exchange(self, context, target, relay):
         new_connection = not context.route.repeatable
-        address = target.announced.address
+        announced = target.announced
+        address = announced.address
         try:
             conn = await self.pool.acquire(
                 address, new_connection=new_connection
@@ -540,7 +664,7 @@
                 self.codec.encode(
                     _request.Attempt(
                         request=context.request,
-                        target=target.announced,
+                        target=announced,
                         team=context.team,
                         priority=context.priority,
                         time_left=context.time_left(),
@@ -550,7 +674,9 @@
                 ),
                 no_response_body=context.request.method == "HEAD",
             )
-            return await self._receive_answer(context, target, conn, relay)
+            return await self._receive_answer(
+                context, target, announced, conn, relay
+            )
         except engines.TargetLostError as exc:
             context.last_error = str(exc)
             context.reservation.may_have_run = True
@@ -562,7 +688,7 @@
         finally:
             self.pool.release(conn)
 
-    async def _receive_answer(self, context, target, conn, relay):
+    async def _receive_answer(self, context, target, announced, conn, relay):
         head = await conn.head()
         answer = self.codec.decode(head)
         if answer.load is not None:
@@ -592,6 +718,8 @@
             nonlocal answered
             if not answered:
                 answered = True
+                if relay.attempt_event_count:
+                    self._record_origin(context, announced)
                 target.pending_prompts.end(context.request.id)
                 self.quarantine.on_answer_begun(context.request)
 
@@ -652,7 +780,7 @@
 
 
 def _unavailable_error(
-    reason: str, *, retry_after: float = RETRY_AFTER_SECONDS
+    reason: str, *, retry_after: float | None = RETRY_AFTER_SECONDS
 ) -> web.ApiError:
     return web.ApiError(
         status=503,
@@ -670,6 +798,11 @@
     return request.arrived_at + time_limit
 
 
+def _longest_stream(route: wire.Route) -> float:
+    """Returns how long ago a stream that is taken up may have begun."""
+    return MAX_STREAM_TIME_LIMITS * route.time_limit
+
+
 def _elapsed_seconds(request: _request.Request) -> float:
     """Returns the seconds since a request arrived."""
     return round(time.monotonic() - request.arrived_at, 4)
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -32,8 +32,9 @@
     ``headers`` are those to forward, in order.  ``arrived_at`` is the
     monotonic time of arrival, ``caller_timeout`` the seconds that the caller
     waits from then on.  ``resume_after`` is the id of the last event of the
-    stream that the caller has received.  ``team`` is the name of the caller's
-    team, empty if there is none.
+    stream that the caller has received, ``resumed_request`` the id of its
+    request that got the first event, empty if it names none.  ``team`` is the
+    name of the caller's team, empty if there is none.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "prompt",
         "request_target",
         "resume_after",
+        "resumed_request",
         "team",
         "usage",
     )
@@ -69,6 +71,7 @@
         usage: TokenUsage | None = None,
         prompt: tuple[PromptPart, ...] = (),
         resume_after: str | None = None,
+        resumed_request: str = "",
     ):
         self.id = id
         self.method = method
@@ -83,6 +86,7 @@
         self.usage = usage
         self.prompt = prompt
         self.resume_after = resume_after
+        self.resumed_request = resumed_request
         self._digest: str | None = None
 
     @property
--- a/galenashed/gateway/_table.py
+++ b/galenashed/gateway/_table.py
@@ -57,6 +57,11 @@
     return hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
 
 
+def services(route: wire.Route) -> list[str]:
+    """Returns the services that requests of a route may go to."""
+    return [share.service for share in route.shares if share.weight > 0]
+
+
 def select_service(route: wire.Route, request_id: str) -> str:
     """Returns the service of a request, in proportion to the weights.
 
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -18,6 +18,8 @@
 # A target that answered this recently is alive, even if its announcements
 # have expired.
 RECENT_ANSWER_SECONDS = 3.0
+# How long a version is remembered after its last target is gone.
+VERSION_RETENTION_SECONDS = 600.0
 # Tokens of shared parts that a target is assumed to cache: about half of the
 # memory of the emulated engines, the rest is for running requests.
 MAX_CACHED_TOKENS = 120_000
@@ -111,12 +113,18 @@
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.HashRing] = {}
         self._ejected: set[str] = set()
+        # By service and software version: the monotonic time at which a
+        # target of them was last alive, infinite until :meth:`set_alive`.
+        self._version_seen_at: dict[tuple[str, str], float] = {}
 
     def update(self, announced: wire.Target) -> None:
         """Applies a newer announcement, which also marks the target alive."""
         if announced.name not in self._alive:
             self._alive |= {announced.name}
             self._rings.clear()
+        self._version_seen_at.setdefault(
+            (announced.service, announced.version), float("inf")
+        )
         current = self._known.get(announced.name)
         if current is None or (
             current.announced.incarnation != announced.incarnation
@@ -149,6 +157,7 @@
         flight on them.
         """
         alive_names = frozenset(alive)
+        self._update_versions(alive_names, now)
         for target in self._known.values():
             age = target.report_age(now)
             answered_recently = age is not None and age < RECENT_ANSWER_SECONDS
@@ -163,6 +172,44 @@
                 del self._known[name]
                 self._rings.clear()
 
+    def _update_versions(self, alive: frozenset[str], now: float) -> None:
+        for name, target in self._known.items():
+            if name in alive:
+                announced = target.announced
+                key = (announced.service, announced.version)
+                self._version_seen_at[key] = now
+        for key, seen_at in list(self._version_seen_at.items()):
+            if seen_at > now:
+                self._version_seen_at[key] = now
+            elif now - seen_at > VERSION_RETENTION_SECONDS:
+                del self._version_seen_at[key]
+
+    def versions(self, service: str, since: float) -> set[str]:
+        """Returns the software versions that targets had since a time."""
+        return {
+            version
+            for (name, version), seen_at in self._version_seen_at.items()
+            if name == service and seen_at >= since
+        }
+
+    def has_ready(self, service: str, version: str) -> bool:
+        """Whether a target of a version may receive requests soon."""
+        return any(
+            target.announced.service == service
+            and target.announced.version == version
+            and target.announced.state == "ready"
+            for target in self._known.values()
+        )
+
+    def other_versions(self, service: str, version: str) -> set[str]:
+        """Returns the names of a service's targets of other versions."""
+        return {
+            target.name
+            for target in self._known.values()
+            if target.announced.service == service
+            and target.announced.version != version
+        }
+
     def _ring_for(self, service: str, now: float) -> _placement.HashRing:
         if any(
             self._known[name].ejected_until <= now
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -114,6 +114,22 @@
         self.aborted = True
 
 
+class Origins:
+    """Keeps the origins of streams that this entry began."""
+
+    def __init__(self):
+        self.records = gateway.OriginRecords()
+
+    def record(self, origin):
+        self.records.add(origin, time.monotonic())
+
+    async def find(self, request):
+        return self.records.get(request, time.monotonic())
+
+    def sees_all_targets(self):
+        return True
+
+
 class Fixture:
     """A gateway with a service under test and one without faults."""
 
@@ -147,6 +163,7 @@
             pool=self.pool,
             codec=TargetCodec(),
             crash_quarantine=quarantine_fixture.make_quarantine(self.control),
+            origins=Origins(),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
             metrics=telemetry.NullMetrics(),
--- a/galenashed/gossip/_gossiper.py
+++ b/galenashed/gossip/_gossiper.py
@@ -21,7 +21,7 @@
 # the few rounds in which an update is sent from all ending before new
 # connections are open.
 MIN_GAP_SECONDS = 0.05
-LINK_IDLE_SECONDS = 10.0
+MAX_QUEUED_MESSAGES = 8
 
 
 class Gossiper:
@@ -61,7 +61,6 @@
         limits: routing.TargetLimits | None = None,
     ):
         self.describe = describe
-        self.key = key
         self._core = _core.Gossip(
             name=name,
             instances=instances,
@@ -71,8 +70,9 @@
             rng=rng,
             limits=limits,
         )
-        self._links: dict[str, links.StreamLink] = {}
-        self._last_used: dict[str, float] = {}
+        self._links = links.LinkPool(
+            key=key, method=methods.SPREAD, max_queued=MAX_QUEUED_MESSAGES
+        )
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -85,8 +85,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        for link in self._links.values():
-            await link.close()
+        await self._links.close()
 
     @property
     def link_count(self) -> int:
@@ -122,33 +121,11 @@
             for address, message in self._core.next_messages(
                 self.describe(), now
             ):
-                self._get_link(address, now).send(message)
-            await self._close_idle_links(now)
+                self._links.get(address, now).send(message)
+            await self._links.close_idle(now)
             await asyncio.sleep(MIN_GAP_SECONDS)
             try:
                 async with asyncio.timeout(GOSSIP_SECONDS):
                     await self._wake.wait()
             except TimeoutError:
                 pass
-
-    def _get_link(self, address: str, now: float) -> links.StreamLink:
-        self._last_used[address] = now
-        link = self._links.get(address)
-        if link is None:
-            link = links.StreamLink(
-                name=address,
-                address=address,
-                key=self.key,
-                method=methods.SPREAD,
-                max_queued=8,
-            )
-            self._links[address] = link
-            link.start()
-        return link
-
-    async def _close_idle_links(self, now: float) -> None:
-        """Closes links that were not used for ``LINK_IDLE_SECONDS``."""
-        for address, last_used in list(self._last_used.items()):
-            if now - last_used > LINK_IDLE_SECONDS:
-                del self._last_used[address]
-                await self._links.pop(address).close()
--- a/galenashed/node/_loans.py
+++ b/galenashed/node/_loans.py
@@ -56,10 +56,9 @@
         self.log = log
         self.name = name
         self.directory = directory
-        self.key = key
         self.rng = rng
         self.budget_manager: budget.BudgetManager | None = None
-        self._channels: dict[str, rpc.Channel] = {}
+        self._channels = rpc.ChannelPool(key=key)
 
     @property
     def channel_count(self) -> int:
@@ -72,8 +71,7 @@
 
     async def close(self) -> None:
         """Closes the channels to other entries."""
-        for channel in self._channels.values():
-            await channel.close()
+        await self._channels.close()
 
     async def borrow(self, budget_name: str, need: int) -> int:
         """Asks a few entries; returns the number of tokens that they lent."""
@@ -93,12 +91,8 @@
         )
 
     async def _request_loan(self, address: str, loan: wire.LoanRequest) -> int:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = rpc.Channel(address=address, key=self.key)
-            self._channels[address] = channel
         try:
-            lent = await channel.call(
+            lent = await self._channels.get(address).call(
                 methods.LEND, loan, timeout=LOAN_TIMEOUT_SECONDS
             )
         except rpc.RpcError as exc:
--- /dev/null
+++ b/galenashed/node/_origins.py
@@ -0,0 +1,205 @@
+"""Tells other entries where streams began, and asks them.
+
+A caller takes a stream that broke off up again at any entry of its region,
+also after the entry that began it was killed.  A hash of the request's id
+selects the few entries that are told of its first event; the same hash finds
+them again.  They are told right after the event, in batches: of a stream whose
+entry is killed in between, no entry knows the beginning, and it is not
+continued unless only one version can have begun it.
+"""
+
+import asyncio
+import heapq
+import time
+
+import loguru
+import xxhash
+
+from galenashed import gateway
+from galenashed import membership
+from galenashed.protocol import gossip as gossip_wire
+from galenashed.protocol import links
+from galenashed.protocol import methods
+from galenashed.protocol import rpc
+from galenashed.protocol import streams as wire
+from galenashed import telemetry
+
+LOG = loguru.logger
+
+# Entries that are told of a stream.  With two fifths of all entries killed at
+# once, all four are lost for one stream in forty.
+HOLDERS = 4
+# Entries that are asked: more than were told, as entries that have started
+# since then take places among the first by the hash.
+MAX_ASKED = 8
+# Entries of a region that may be holders, which bounds the connections.
+MAX_CANDIDATES = 32
+BATCH_SECONDS = 0.05
+# Several round trips between failure domains of one region.
+QUERY_TIMEOUT_SECONDS = 0.2
+MAX_QUEUED_BATCHES = 8
+
+
+class OriginExchange:
+    """Records the origins of streams here and at a few other entries.
+
+    Implements :class:`galenashed.gateway.OriginFinder`.
+
+    Parameters
+    ----------
+    name : str
+        Name of this entry.
+    region : str
+        Its region, whose entries are told and asked.
+    directory : Directory
+        Lists the other entries.
+    key : str
+        Key that all nodes share.
+    sees_all_targets : callable
+        Returns whether this entry most likely knows every target.
+    log : DecisionLog
+        Receives a line for each question and each contradiction.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        region: str,
+        directory: membership.Directory,
+        key: str,
+        sees_all_targets,
+        log: telemetry.DecisionLog | telemetry.NullDecisionLog,
+    ):
+        self.name = name
+        self.region = region
+        self.directory = directory
+        self.sees_all_targets = sees_all_targets
+        self.log = log
+        self.records = gateway.OriginRecords()
+        self._batches: dict[str, list[wire.StreamOrigin]] = {}
+        self._wake = asyncio.Event()
+        self._links = links.LinkPool(
+            key=key,
+            method=methods.RECORD_ORIGINS,
+            max_queued=MAX_QUEUED_BATCHES,
+        )
+        self._channels = rpc.ChannelPool(key=key)
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts the task that sends batches."""
+        self._task = telemetry.start_task(self._run(), "stream origins")
+
+    async def close(self) -> None:
+        """Stops the task and closes all connections."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._links.close()
+        await self._channels.close()
+
+    def record(self, origin: wire.StreamOrigin) -> None:
+        """See :class:`galenashed.gateway.OriginFinder`."""
+        self._add(origin)
+        for holder in self._choose(origin.request, HOLDERS):
+            self._batches.setdefault(holder.peer_address, []).append(origin)
+        if self._batches:
+            self._wake.set()
+
+    def _add(self, origin: wire.StreamOrigin) -> None:
+        if not self.records.add(origin, time.monotonic()):
+            self.log.write(
+                "stream origin contradicted",
+                request=origin.request,
+                service=origin.service,
+                version=origin.version,
+            )
+
+    def _choose(self, request: str, count: int) -> list[gossip_wire.Instance]:
+        """Returns the first other entries by the hash of a request's id."""
+        entries = [
+            entry
+            for entry in self.directory.alive(time.monotonic())
+            if entry.name != self.name
+            and entry.region == self.region
+            and entry.state != "draining"
+        ]
+        if len(entries) > MAX_CANDIDATES:
+            entries = heapq.nsmallest(
+                MAX_CANDIDATES, entries, key=lambda entry: _hash(entry.name)
+            )
+        return heapq.nsmallest(
+            count, entries, key=lambda entry: _hash(f"{request}#{entry.name}")
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(BATCH_SECONDS)
+            self._wake.clear()
+            batches, self._batches = self._batches, {}
+            now = time.monotonic()
+            for address, origins in batches.items():
+                self._links.get(address, now).send(origins)
+            await self._links.close_idle(now)
+
+    async def receive(self, requests, context) -> bool:
+        """Handles a stream of batches of another entry."""
+        async for batches in requests:
+            for origins in batches:
+                for origin in origins:
+                    self._add(origin)
+        return True
+
+    async def find(self, request: str) -> wire.StreamOrigin | None:
+        """See :class:`galenashed.gateway.OriginFinder`."""
+        origin = self.records.get(request, time.monotonic())
+        if origin is not None:
+            return origin
+        asked = self._choose(request, MAX_ASKED)
+        queries = [
+            asyncio.create_task(
+                self._ask(entry.peer_address, request), name="stream origin"
+            )
+            for entry in asked
+        ]
+        try:
+            for query in asyncio.as_completed(queries):
+                origin = await query
+                if origin is not None:
+                    return origin
+        finally:
+            for task in queries:
+                task.cancel()
+        self.log.write(
+            "stream origin unknown",
+            request=request,
+            asked=[entry.name for entry in asked],
+        )
+        return None
+
+    async def _ask(
+        self, address: str, request: str
+    ) -> wire.StreamOrigin | None:
+        try:
+            reply = await self._channels.get(address).call(
+                methods.FIND_ORIGIN,
+                wire.OriginQuery(request=request),
+                timeout=QUERY_TIMEOUT_SECONDS,
+            )
+        except rpc.RpcError as exc:
+            LOG.debug("stream origin query to {}: {}", address, exc.code())
+            return None
+        return reply.origin
+
+    async def answer(
+        self, query: wire.OriginQuery, context
+    ) -> wire.OriginReply:
+        """Handles the question of another entry."""
+        origin = self.records.get(query.request, time.monotonic())
+        return wire.OriginReply(origin=origin)
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -24,6 +24,7 @@
 from galenashed import membership
 from galenashed.node import _entries
 from galenashed.node import _loans
+from galenashed.node import _origins
 from galenashed.node import _replica
 from galenashed.node import _replica_manager
 from galenashed.node import _settings
@@ -148,6 +149,14 @@
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
+        self._origin_exchange = _origins.OriginExchange(
+            name=cfg.name,
+            region=cfg.region,
+            directory=self.instance_directory,
+            key=cfg.peer_key,
+            sees_all_targets=self._sees_all_targets,
+            log=log,
+        )
         self.quarantine = quarantine.Quarantine(
             control=self.control_client,
             unavailable=control.ControlUnavailableError,
@@ -161,6 +170,7 @@
             pool=self._pool,
             codec=codec,
             crash_quarantine=self.quarantine,
+            origins=self._origin_exchange,
             retries=routing.RetryBudget(
                 share=cfg.retry_share, max_saved=MIN_SAVED_RETRIES
             ),
@@ -227,6 +237,8 @@
             handlers=[
                 (methods.SPREAD, self._receive_gossip),
                 (methods.LEND, self._loan_exchange.lend),
+                (methods.RECORD_ORIGINS, self._origin_exchange.receive),
+                (methods.FIND_ORIGIN, self._origin_exchange.answer),
             ],
         )
 
@@ -249,6 +261,7 @@
         await self._feed_client.start()
         await self.budget_manager.start()
         await self._gossiper.start()
+        await self._origin_exchange.start()
         if self._replica_manager is not None:
             await self._replica_manager.start()
             self._tasks.append(
@@ -334,6 +347,7 @@
         await self.control_client.close()
         await self._pool.close()
         await self._loan_exchange.close()
+        await self._origin_exchange.close()
         await self._peer_server.close()
         if self.replica is not None:
             await self.replica.close()
@@ -446,6 +460,25 @@
 
     # Targets and other nodes
 
+    def _sees_all_targets(self) -> bool:
+        """Whether a target that this entry doesn't know is unlikely.
+
+        Targets announce themselves to any entry, so one that has lost most
+        others, or has just started, may not have heard of some.
+        """
+        now = time.monotonic()
+        known = [
+            entry
+            for entry in self.instance_directory.all()
+            if entry.state != "draining"
+        ]
+        alive = self.instance_directory.alive(now)
+        return (
+            not self.is_cut_off
+            and time.time() - self.started >= DISCOVERY_WARMUP_SECONDS
+            and len(alive) > len(known) / 2
+        )
+
     def announce_target(self, target: gossip_wire.Target) -> None:
         """Stores and spreads a target's own announcement."""
         known = self.target_directory.get(target.name)
@@ -640,6 +673,7 @@
             "in_flight": self.gateway.in_flight,
             "links": self._gossiper.link_count,
             "loan_channels": self._loan_exchange.channel_count,
+            "stream_origins": len(self._origin_exchange.records),
             "pending_commands": self.control_client.pending_count,
         }
         if self.replica is not None:
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -261,6 +261,7 @@
         usage=_parse_token_usage(_get_header(headers, _headers.TOKEN_USAGE)),
         prompt=_parse_prompt(_get_header(headers, _headers.PROMPT_HASHES)),
         resume_after=_get_header(headers, _headers.LAST_EVENT) or None,
+        resumed_request=_get_header(headers, _headers.RESUMED_REQUEST),
     )
 
 
--- a/galenashed/protocol/links.py
+++ b/galenashed/protocol/links.py
@@ -11,6 +11,7 @@
 LOG = loguru.logger
 
 RECONNECT_DELAY_SECONDS = 0.1
+LINK_IDLE_SECONDS = 10.0
 
 
 class StreamLink:
@@ -100,3 +101,55 @@
                     await call.write(batch)
         finally:
             call.cancel()
+
+
+class LinkPool:
+    """Links to peers, opened when they are first used.
+
+    Parameters
+    ----------
+    key : str
+        Shared key of the peers.
+    method : rpc.Method
+        See :class:`StreamLink`.
+    max_queued : int
+        Maximum number of messages in the queue of each link.
+    """
+
+    def __init__(self, *, key: str, method: rpc.Method, max_queued: int):
+        self.key = key
+        self.method = method
+        self.max_queued = max_queued
+        self._links: dict[str, StreamLink] = {}
+        self._last_used: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._links)
+
+    def get(self, address: str, now: float) -> StreamLink:
+        """Returns the link to an address."""
+        self._last_used[address] = now
+        link = self._links.get(address)
+        if link is None:
+            link = StreamLink(
+                name=address,
+                address=address,
+                key=self.key,
+                method=self.method,
+                max_queued=self.max_queued,
+            )
+            self._links[address] = link
+            link.start()
+        return link
+
+    async def close_idle(self, now: float) -> None:
+        """Closes links that were not used for ``LINK_IDLE_SECONDS``."""
+        for address, last_used in list(self._last_used.items()):
+            if now - last_used > LINK_IDLE_SECONDS:
+                del self._last_used[address]
+                await self._links.pop(address).close()
+
+    async def close(self) -> None:
+        """Closes all links."""
+        for link in self._links.values():
+            await link.close()
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -5,6 +5,7 @@
 from galenashed.protocol import gossip
 from galenashed.protocol import lending
 from galenashed.protocol import rpc
+from galenashed.protocol import streams
 from galenashed.protocol import witness
 
 DELIVER = rpc.Method(
@@ -65,6 +66,18 @@
     request=lending.LoanRequest,
     reply=lending.LoanReply,
 )
+RECORD_ORIGINS = rpc.Method(
+    path="/galenashed.Entry/RecordOrigins",
+    kind="client_stream",
+    request=list[list[streams.StreamOrigin]],
+    reply=bool,
+)
+FIND_ORIGIN = rpc.Method(
+    path="/galenashed.Entry/FindOrigin",
+    kind="unary",
+    request=streams.OriginQuery,
+    reply=streams.OriginReply,
+)
 SPREAD = rpc.Method(
     path="/galenashed.Entry/Spread",
     kind="client_stream",
--- a/galenashed/protocol/rpc.py
+++ b/galenashed/protocol/rpc.py
@@ -215,3 +215,33 @@
     async def close(self) -> None:
         """Closes the connection and cancels its calls."""
         await self._channel.close()
+
+
+class ChannelPool:
+    """Channels to peers, opened when they are first used.
+
+    Parameters
+    ----------
+    key : str
+        Key that all nodes share.
+    """
+
+    def __init__(self, *, key: str):
+        self.key = key
+        self._channels: dict[str, Channel] = {}
+
+    def __len__(self) -> int:
+        return len(self._channels)
+
+    def get(self, address: str) -> Channel:
+        """Returns the channel to an address."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = Channel(address=address, key=self.key)
+            self._channels[address] = channel
+        return channel
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        for channel in self._channels.values():
+            await channel.close()
--- /dev/null
+++ b/galenashed/protocol/streams.py
@@ -0,0 +1,30 @@
+"""Messages about the beginnings of streams, exchanged between entries."""
+
+import msgspec
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, kw_only=True):
+    """The software that wrote the first event of a stream.
+
+    ``request`` is the id of the caller's request that got the event; a later
+    one that continues the stream names it.  Only targets of the same
+    ``service`` and software ``version`` can continue the stream.  The record
+    is kept for ``keep_seconds``.
+    """
+
+    request: str
+    service: str
+    version: str
+    keep_seconds: float
+
+
+class OriginQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks an entry for the origin of the stream that ``request`` began."""
+
+    request: str
+
+
+class OriginReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to an :class:`OriginQuery`; None if the entry knows none."""
+
+    origin: StreamOrigin | None = None
