Resume a model's stream only at the version that began it

TargetRequirements now names the version that wrote the first event, and targets of other versions are no members of the request's group.

--- a/galenashed/cli/_standins.py
+++ b/galenashed/cli/_standins.py
@@ -39,6 +39,7 @@
     max_running: int = 16,
     cached_prefixes: int = 64,
     resumes: bool = True,
+    software_version: str = "",
 ) -> int:
     """Runs a simulated model engine.
 
@@ -72,6 +73,8 @@
         Maximum number of prompt prefixes in the cache.
     resumes
         Whether to announce that streams can be resumed.
+    software_version
+        Version of the software to announce.
     """
     options = standins.EngineOptions(
         token_seconds=token_seconds,
@@ -80,6 +83,7 @@
         max_running=max_running,
         cached_prefixes=cached_prefixes,
         resumes=resumes,
+        software_version=software_version,
     )
     return _run_standin(
         lambda: standins.StandinEngine(options=options),
--- a/galenashed/entry/_streams.py
+++ b/galenashed/entry/_streams.py
@@ -187,6 +187,10 @@
             raise engines.TargetLostError("the caller disconnected")
         first = scanner.events == 0
         data = scanner.feed(chunk)
+        if first and scanner.events:
+            # What another version writes can't follow.
+            requirements = run.slot_request.requirements
+            requirements.version = run.slot.target.version
         if data and not run.answered:
             self.runner.crash_handler.on_answer_begun(run)
         if first and scanner.events:
--- a/galenashed/routing/_router.py
+++ b/galenashed/routing/_router.py
@@ -22,10 +22,18 @@
     ``excluded`` holds the names of targets on which the request has failed;
     they are skipped even if no other target remains.  With ``exclusive`` the
     target must not be running another request that is suspected of crashing
-    engines.
+    engines.  ``version`` is the software version that has begun the response,
+    None if none has.
     """
 
-    __slots__ = ("excluded", "exclusive", "model", "prefix", "service")
+    __slots__ = (
+        "excluded",
+        "exclusive",
+        "model",
+        "prefix",
+        "service",
+        "version",
+    )
 
     def __init__(
         self,
@@ -40,6 +48,7 @@
         self.prefix = prefix
         self.exclusive = exclusive
         self.excluded: set[str] = set()
+        self.version: str | None = None
 
 
 class Router:
@@ -78,7 +87,7 @@
         self._stats: dict[str, _group.TargetStats] = {}
         self._alive: frozenset[str] = frozenset()
         self._withdrawn: frozenset[str] = frozenset()
-        self._groups: dict[tuple[str, str], _group.Group] = {}
+        self._groups: dict[tuple[str, str, str | None], _group.Group] = {}
         self._ejected: set[str] = set()
 
     # Known targets
@@ -127,7 +136,11 @@
         return self._stats.get(name)
 
     def _get_group(self, requirements: TargetRequirements) -> _group.Group:
-        key = (requirements.service.name, requirements.model)
+        key = (
+            requirements.service.name,
+            requirements.model,
+            requirements.version,
+        )
         group = self._groups.get(key)
         if group is None:
             members = [
@@ -146,6 +159,7 @@
         return (
             announced.service == requirements.service.name
             and announced.state == "ready"
+            and requirements.version in (None, announced.version)
             and stats.name in self._alive
             and stats.name not in self._withdrawn
             and (
@@ -292,6 +306,7 @@
         or previous.state != latest.state
         or previous.models != latest.models
         or previous.service != latest.service
+        or previous.version != latest.version
     )
 
 
--- a/galenashed/standins/_engine.py
+++ b/galenashed/standins/_engine.py
@@ -44,6 +44,8 @@
         Maximum number of prompt prefixes in the cache.
     resumes : bool
         Whether the engine announces that its streams can be resumed.
+    software_version : str
+        Version of the software to announce; each word ends with it.
     """
 
     token_seconds: float = 0.01
@@ -52,12 +54,21 @@
     max_running: int = 16
     cached_prefixes: int = 64
     resumes: bool = True
+    software_version: str = ""
 
 
 class _Completion:
     """A chat or text completion that the engine generates."""
 
-    __slots__ = ("body", "id", "is_chat", "model", "output_tokens", "prompt")
+    __slots__ = (
+        "body",
+        "id",
+        "is_chat",
+        "model",
+        "output_tokens",
+        "prompt",
+        "version",
+    )
 
     def __init__(self, *, body: dict, request_id: str, options):
         self.body = body
@@ -68,6 +79,7 @@
         self.prompt = msgspec.json.encode(prompt)
         max_tokens = body.get("max_tokens", options.output_tokens)
         self.output_tokens = min(max_tokens, options.output_tokens)
+        self.version = options.software_version
 
     @property
     def prompt_tokens(self) -> int:
@@ -79,7 +91,8 @@
         words = []
         for position in range(self.output_tokens):
             hash_input = seed + position.to_bytes(4, "big")
-            words.append(hashlib.sha256(hash_input).hexdigest()[:6] + " ")
+            word = hashlib.sha256(hash_input).hexdigest()[:6]
+            words.append(f"{word}{self.version} ")
         return words
 
     def usage(self) -> dict[str, int]:
@@ -105,6 +118,7 @@
     def __init__(self, *, options: EngineOptions):
         self.options = options
         self.resumes = options.resumes
+        self.software_version = options.software_version
         self.running = 0
         self.executions: collections.Counter = collections.Counter()
         self.output_tokens = 0
--- a/galenashed/standins/_server.py
+++ b/galenashed/standins/_server.py
@@ -110,5 +110,6 @@
             state=self.state,
             models=self.models,
             resumes=self.standin.resumes,
+            version=self.standin.software_version,
             load=self.standin.load(),
         )
--- a/galenashed/standins/_service.py
+++ b/galenashed/standins/_service.py
@@ -30,6 +30,7 @@
 
     service_kind = "plain"
     resumes = False
+    software_version = ""
 
     def __init__(self) -> None:
         self.running = 0
--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -228,6 +228,7 @@
         services: int = 1,
         note: str = NOTE,
         engine_args: tuple[str, ...] = (),
+        engine_versions: tuple[str, ...] = (),
         policy: str = "",
         snapshot_every: int = 10_000,
         proxied_targets: bool = False,
@@ -242,6 +243,9 @@
         self.engine_names = [f"engine-{n + 1}" for n in range(engines)]
         self.service_names = [f"app-{n + 1}" for n in range(services)]
         self.engine_args = engine_args
+        self.engine_versions = dict(
+            zip(self.engine_names, engine_versions, strict=False)
+        )
         self.proxied_targets = proxied_targets
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
@@ -442,6 +446,8 @@
         if kind == "engine":
             args += ["--service", "galena-fleet", "--model", MODEL]
             args += self.engine_args
+            if name in self.engine_versions:
+                args += ["--software-version", self.engine_versions[name]]
         else:
             args += ["--service", "rounds-app"]
         self.processes[name] = Process(name, args, self.folder)
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -9,6 +9,47 @@
 from galenashed.tests import _fleet
 
 
+def find_serving_engine(fleet) -> str:
+    """Waits for an engine to run a request and returns its name."""
+
+    def find():
+        for name in fleet.engine_names:
+            exited = fleet.processes[name].popen.poll() is not None
+            if not exited and fleet.stats(name)["running"]:
+                return name
+        return ""
+
+    return _fleet.wait_for(find, "a running request")
+
+
+class TestEngineVersions(testtools.TestCase):
+    """Engines of two software versions, which name it in their words."""
+
+    def break_stream(self, *versions):
+        """Returns a stream whose engine is killed after some tokens."""
+        fleet = _fleet.Fleet(
+            entries=1,
+            engines=len(versions),
+            services=0,
+            engine_args=("--token-seconds", "0.03"),
+            engine_versions=versions,
+        )
+        self.addCleanup(fleet.close)
+        fleet.start()
+        stream = _fleet.Stream(fleet.addresses["e1"], "digest")
+        stream.read(5)
+        fleet.processes[find_serving_engine(fleet)].kill()
+        stream.read()
+        self.assertEqual(1, len({word[6:] for word in stream.words}))
+        return stream
+
+    def test_stream_does_not_go_on_at_another_version(self):
+        self.assertFalse(self.break_stream("v1", "v2").finished)
+
+    def test_stream_goes_on_at_the_version_that_began_it(self):
+        self.assertTrue(self.break_stream("v1", "v1", "v2", "v2").finished)
+
+
 class TestEnginesFail(testtools.TestCase):
     """Model requests; each test starts with four running engines."""
 
@@ -23,23 +64,11 @@
         self.addCleanup(self.fleet.close)
         self.fleet.start()
 
-    def find_serving_engine(self) -> str:
-        """Waits for an engine to run a request and returns its name."""
-
-        def find():
-            for name in self.fleet.engine_names:
-                exited = self.fleet.processes[name].popen.poll() is not None
-                if not exited and self.fleet.stats(name)["running"]:
-                    return name
-            return ""
-
-        return _fleet.wait_for(find, "a running request")
-
     def test_stream_resumes_at_the_exact_token(self):
         expected = _fleet.Stream(self.fleet.addresses["e1"], "digest").read()
         stream = _fleet.Stream(self.fleet.addresses["e1"], "digest")
         stream.read(5)
-        self.fleet.processes[self.find_serving_engine()].kill()
+        self.fleet.processes[find_serving_engine(self.fleet)].kill()
         stream.read()
         self.assertTrue(stream.finished)
         self.assertEqual(expected.words, stream.words)
@@ -53,7 +82,7 @@
         expected = _fleet.Stream(self.fleet.addresses["e1"], "freeze").read()
         stream = _fleet.Stream(self.fleet.addresses["e1"], "freeze")
         stream.read(5)
-        name = self.find_serving_engine()
+        name = find_serving_engine(self.fleet)
         self.fleet.processes[name].signal(signal.SIGSTOP)
         stream.read()
         self.assertTrue(stream.finished)
@@ -201,7 +230,7 @@
     def test_stopping_engine_finishes_streams_and_gets_no_requests(self):
         stream = _fleet.Stream(self.fleet.addresses["e1"], "leaving")
         stream.read(2)
-        name = self.find_serving_engine()
+        name = find_serving_engine(self.fleet)
         self.fleet.processes[name].signal(signal.SIGTERM)
         time.sleep(3.0)
         before = self.executions(name)
@@ -227,7 +256,7 @@
             self.fleet.addresses["e1"], "gone", max_tokens=32
         )
         stream.read(3)
-        name = self.find_serving_engine()
+        name = find_serving_engine(self.fleet)
         stream.close()
         _fleet.wait_for(
             lambda: self.fleet.stats(name)["running"] == 0,
