Queue resumed streams of one version apart

Read, not seen: a resumed stream that waits for a target of its version at the head of the model's queue would hold up all requests behind it. Queues are now by service, model and required version.

--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -28,6 +28,9 @@
 LEASE_CHECK_SECONDS = 0.5
 PAUSE_THRESHOLD_SECONDS = 0.5
 
+# Service, model and required version of the requests in a queue.
+_QueueKey = tuple[str, str, str | None]
+
 
 class Slot:
     """One unit of a target's concurrency; released exactly once.
@@ -103,7 +106,7 @@
     configuration : Configuration
         Lists the withdrawn targets.
     max_queue : int
-        Maximum length of the queue of one model or service.
+        Maximum length of the queue of one model, version or service.
     max_wait : float
         Seconds that a request may wait in the queue.
     """
@@ -125,7 +128,8 @@
         self.retry_budget = routing.RetryBudget()
         self.in_flight = 0
         self.request_rate = telemetry.RateMeter(seconds=RATE_SECONDS)
-        self._queues: dict[tuple[str, str], routing.FairQueue] = {}
+        # A request that waits for one version must not hold up others.
+        self._queues: dict[_QueueKey, routing.FairQueue] = {}
         self._slots: set[Slot] = set()
         self._ignore_expiry_until = 0.0
         self._task: asyncio.Task | None = None
@@ -201,7 +205,12 @@
         otherwise if the queue is full or the wait times out.
         """
         self.request_rate.add(time.monotonic())
-        key = (request.requirements.service.name, request.requirements.model)
+        requirements = request.requirements
+        key = (
+            requirements.service.name,
+            requirements.model,
+            requirements.version,
+        )
         queue = self._queues.get(key)
         if queue is None or not len(queue):
             slot = self._try_acquire(request)
@@ -266,7 +275,7 @@
         if self.router.limits.observe(name, limit, time.monotonic()):
             LOG.info("target {} names a limit of {} requests/s", name, limit)
 
-    async def _wait(self, key: tuple[str, str], request: SlotRequest) -> Slot:
+    async def _wait(self, key: _QueueKey, request: SlotRequest) -> Slot:
         queue = self._queues.get(key)
         if queue is None:
             queue = routing.FairQueue(capacity=self.max_queue)
@@ -299,7 +308,7 @@
         if fut.done() and not fut.cancelled() and fut.exception() is None:
             fut.result().end()
 
-    def _dispatch_queued(self, key: tuple[str, str]) -> None:
+    def _dispatch_queued(self, key: _QueueKey) -> None:
         """Assigns slots to queued requests while targets have any."""
         queue = self._queues[key]
         while (waiter := queue.peek()) is not None:
