Test that callers of nodes without a path to the targets are served

Nodes in processes of their own whose connections to targets are refused, reset or silent while callers and other nodes reach them.

--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import re
 import shutil
 import signal
 import tempfile
@@ -258,7 +259,9 @@
         tolerance=1,
         grace=6,
         time_limit=3.0,
+        module="galenashed.platform",
     ):
+        self.module = module
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="site-"))
         self.prepaid = prepaid
         self.tolerance = tolerance
@@ -281,10 +284,17 @@
             f"node-{number}",
             [],
             self.folder,
-            module="galenashed.platform",
-            env={"GALENASHED_BOOT": str(path)},
+            module=self.module,
+            env={
+                "GALENASHED_BOOT": str(path),
+                "CUT_FILE": str(self.cut_file(number)),
+            },
         )
 
+    def cut_file(self, number):
+        """The file that cuts a node's paths; see :mod:`_cut_node`."""
+        return self.folder / f"cut-{number}"
+
     def data_folder(self, number):
         return self.folder / f"data-{number}"
 
@@ -516,6 +526,15 @@
         except OSError:
             return None
 
+    def counter(self, number, name):
+        """Returns a counter of a node; 0 before its first event."""
+        page = _fleet.fetch(self.control_address(number), "/metrics", key="")
+        found = re.search(
+            rf"galenashed_{name.replace('.', '_')}_total (\d+)",
+            page.body.decode(),
+        )
+        return int(found[1]) if found else 0
+
     # Operators
 
     def configuration(self, **changes):
@@ -615,7 +634,16 @@
 
     # Callers
 
-    def call(self, path, *, node=0, method="POST", body=b"x", **headers):
+    def call(
+        self,
+        path,
+        *,
+        node=0,
+        method="POST",
+        body=b"x",
+        timeout=30.0,
+        **headers,
+    ):
         """Sends a caller's request to a node."""
         default_headers = {
             "Host": HOST,
@@ -631,6 +659,7 @@
             method=method,
             body=body,
             key="",
+            timeout=timeout,
             headers={
                 n: v for n, v in default_headers.items() if v is not None
             },
