Check and log whether an entry has lost its paths to the targets

The lines of a failed request could not tell a busy or crashed target from a path that is gone. No decision uses it yet.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -12,6 +12,7 @@
 import contextlib
 import enum
 import socket
+import time
 import typing
 
 import httptools
@@ -80,6 +81,8 @@
         ``ip:port`` of the target, for error messages and the pool.
     on_unusable : callable
         Called once, when the connection can no longer be reused.
+    on_received : callable
+        Called when bytes arrive.
     """
 
     def __init__(
@@ -87,9 +90,11 @@
         *,
         address: str,
         on_unusable: typing.Callable[["Connection"], None],
+        on_received: typing.Callable[[], None] = lambda: None,
     ):
         self.address = address
         self.on_unusable = on_unusable
+        self.on_received = on_received
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.used = False
         self.usable = True
@@ -227,6 +232,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses a response; aborts if no request is waiting for one."""
+        self.on_received()
         if not self._request_active or self._complete:
             self.abort()
             return
@@ -388,6 +394,8 @@
     def __init__(self, *, connect_timeout: float):
         self.connect_timeout = connect_timeout
         self.opened_count = 0
+        # Monotonic time at which bytes arrived on any connection.
+        self.received_at = float("-inf")
         self._idle: dict[str, list[Connection]] = {}
 
     async def close(self) -> None:
@@ -417,7 +425,9 @@
             async with asyncio.timeout(self.connect_timeout):
                 _, new_conn = await loop.create_connection(
                     lambda: Connection(
-                        address=address, on_unusable=self._remove_idle
+                        address=address,
+                        on_unusable=self._remove_idle,
+                        on_received=self._note_received,
                     ),
                     host,
                     int(port),
@@ -426,6 +436,25 @@
             raise _client.NotSentError(f"{address}: {exc!r}") from exc
         return new_conn
 
+    def _note_received(self) -> None:
+        self.received_at = time.monotonic()
+
+    async def accepts_connections(self, address: str) -> bool:
+        """Returns whether an address accepts a new connection.
+
+        Waits as long as the network; callers limit the time.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            transport, _ = await loop.create_connection(
+                asyncio.Protocol, host, int(port)
+            )
+        except (OSError, ValueError):
+            return False
+        transport.abort()
+        return True
+
     async def refuses_connections(self, address: str) -> bool:
         """Returns whether an address refuses connections: it is down.
 
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -8,6 +8,7 @@
 from galenashed import engines
 from galenashed.gateway import _attempts
 from galenashed.gateway import _origins
+from galenashed.gateway import _paths
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
@@ -132,6 +133,8 @@
         Encodes requests to targets and decodes their response headers.
     crash_quarantine : Quarantine
         Refuses requests under which targets crash.
+    paths : Paths
+        Tells which services this entry can't reach.
     origins : OriginFinder
         Remembers the version of the software that began a stream.
     retries : RetryBudget
@@ -152,6 +155,7 @@
         pool: engines.ConnectionPool,
         codec: _request.TargetCodec,
         crash_quarantine: quarantine.Quarantine,
+        paths: _paths.Paths,
         origins: _origins.OriginFinder,
         retries: routing.RetryBudget,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
@@ -163,6 +167,7 @@
         self.pool = pool
         self.codec = codec
         self.quarantine = crash_quarantine
+        self.paths = paths
         self.origins = origins
         self.retries = retries
         self.log = log
@@ -173,6 +178,12 @@
         self.request_rate = telemetry.RateMeter(seconds=RATE_SECONDS)
         self._stop: PlannedStop | None = None
         self._timers: set[asyncio.Timeout] = set()
+        # When the requests that targets have now were sent, oldest first.
+        self._sent_at: dict[engines.Connection, float] = {}
+
+    def waiting_since(self) -> float | None:
+        """Returns when the oldest request at a target was sent there."""
+        return next(iter(self._sent_at.values()), None)
 
     def begin_drain(self, stop: PlannedStop) -> None:
         """Refuses what can't be served before the stop; cuts the rest then.
@@ -658,7 +669,11 @@
         except engines.NotSentError as exc:
             context.last_error = str(exc)
             self.targets.eject(target, time.monotonic())
+            self.paths.on_connect_failed(target.name)
             return _attempts.AttemptOutcome.NOT_SENT
+        if not conn.used:
+            self.paths.on_connected()
+        self._sent_at[conn] = time.monotonic()
         try:
             conn.send(
                 self.codec.encode(
@@ -686,6 +701,7 @@
             context.reservation.may_have_run = True
             raise
         finally:
+            del self._sent_at[conn]
             self.pool.release(conn)
 
     async def _receive_answer(self, context, target, announced, conn, relay):
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -255,6 +255,20 @@
             return ready
         return usable
 
+    def ready_addresses(self) -> dict[str, list[str]]:
+        """Returns the addresses of the ready targets of each service.
+
+        Targets whose announcements have expired are left out.
+        """
+        found: dict[str, list[str]] = {}
+        for target in self._known.values():
+            announced = target.announced
+            if announced.state == "ready" and target.name in self._alive:
+                found.setdefault(announced.service, []).append(
+                    announced.address
+                )
+        return found
+
     def choose(self, service: str, prompt, excluded, now: float, rng):
         """Returns the target for a request; None if there is none."""
         ring = self._ring_for(service, now)
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -130,6 +130,16 @@
         return True
 
 
+def make_paths(pool, targets):
+    return gateway.Paths(
+        pool=pool,
+        targets=targets,
+        log=telemetry.NullDecisionLog(),
+        metrics=telemetry.NullMetrics(),
+        rng=random.Random(1),
+    )
+
+
 class Fixture:
     """A gateway with a service under test and one without faults."""
 
@@ -163,6 +173,7 @@
             pool=self.pool,
             codec=TargetCodec(),
             crash_quarantine=quarantine_fixture.make_quarantine(self.control),
+            paths=make_paths(self.pool, self.targets),
             origins=Origins(),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
--- a/galenashed/gateway/tests/test_handler.py
+++ b/galenashed/gateway/tests/test_handler.py
@@ -96,6 +96,7 @@
             crash_quarantine=quarantine_fixture.make_quarantine(
                 quarantine_fixture.Control()
             ),
+            paths=_fixture.make_paths(pool, targets),
             origins=_fixture.Origins(),
             retries=routing.RetryBudget(share=0.1, max_saved=1.0),
             log=telemetry.NullDecisionLog(),
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -162,6 +162,13 @@
             unavailable=control.ControlUnavailableError,
             log=log,
         )
+        self.paths = gateway.Paths(
+            pool=self._pool,
+            targets=self.targets,
+            log=log,
+            metrics=metrics,
+            rng=rng,
+        )
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=gateway.PrepaidReserver(
@@ -170,6 +177,7 @@
             pool=self._pool,
             codec=codec,
             crash_quarantine=self.quarantine,
+            paths=self.paths,
             origins=self._origin_exchange,
             retries=routing.RetryBudget(
                 share=cfg.retry_share, max_saved=MIN_SAVED_RETRIES
@@ -262,6 +270,7 @@
         await self.budget_manager.start()
         await self._gossiper.start()
         await self._origin_exchange.start()
+        await self.paths.start()
         if self._replica_manager is not None:
             await self._replica_manager.start()
             self._tasks.append(
@@ -341,6 +350,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.paths.close()
         await self.quarantine.close()
         await self._gossiper.close()
         await self._feed_client.close()
@@ -645,6 +655,7 @@
                 self.target_directory.names(),
                 now,
             )
+            self.paths.check_silence(self.gateway.waiting_since(), now)
             alive = self.instance_directory.alive(now)
             self.target_limits.set_senders(
                 _entries.serving([*alive, self.describe()]), now
