Pass requests on to an entry that has a path to the targets

Callers of entries that had lost their paths to all targets got 503 after a few attempts that were not sent, or 504 after the time limit, while other entries served everyone. Each entry took its own lost path for the failure of each target, and nothing could serve a caller but the entry it had connected to.

What tells the two apart is the check of all paths. An entry that reaches no target of a service passes requests on, over one hop, to an entry that does not say in its gossip that it lost that path too, of its own failure domain first. That entry admits, reserves, limits, routes, retries and bills the request like its own callers'; the first one relays the bytes, closes the hop when its caller leaves, and never repeats what it has sent. Requests that fail unsent while the path is being lost go the same way. Entries that have lost all services are left out of the addresses for callers, and tell the others at once. If no entry has a path, requests are refused at once.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -10,6 +10,7 @@
 from galenashed.gateway._handler import PlannedStop
 from galenashed.gateway._origins import OriginFinder
 from galenashed.gateway._origins import OriginRecords
+from galenashed.gateway._passing import PeerFinder
 from galenashed.gateway._paths import Paths
 from galenashed.gateway._prepaid import PrepaidReserver
 from galenashed.gateway._request import Attempt
@@ -30,6 +31,7 @@
     "OriginFinder",
     "OriginRecords",
     "Paths",
+    "PeerFinder",
     "PlannedStop",
     "PrepaidReserver",
     "PromptPart",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -8,6 +8,7 @@
 from galenashed import engines
 from galenashed.gateway import _attempts
 from galenashed.gateway import _origins
+from galenashed.gateway import _passing
 from galenashed.gateway import _paths
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _relay
@@ -135,6 +136,8 @@
         Refuses requests under which targets crash.
     paths : Paths
         Tells which services this entry can't reach.
+    peers : PeerFinder
+        Finds other entries for requests to services out of reach.
     origins : OriginFinder
         Remembers the version of the software that began a stream.
     retries : RetryBudget
@@ -156,6 +159,7 @@
         codec: _request.TargetCodec,
         crash_quarantine: quarantine.Quarantine,
         paths: _paths.Paths,
+        peers: _passing.PeerFinder,
         origins: _origins.OriginFinder,
         retries: routing.RetryBudget,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
@@ -168,6 +172,9 @@
         self.codec = codec
         self.quarantine = crash_quarantine
         self.paths = paths
+        self._passing = _passing.Passing(
+            paths=paths, peers=peers, codec=codec, log=log, metrics=metrics
+        )
         self.origins = origins
         self.retries = retries
         self.log = log
@@ -181,6 +188,10 @@
         # When the requests that targets have now were sent, oldest first.
         self._sent_at: dict[engines.Connection, float] = {}
 
+    async def close(self) -> None:
+        """Closes the connections to other entries."""
+        await self._passing.close()
+
     def waiting_since(self) -> float | None:
         """Returns when the oldest request at a target was sent there."""
         return next(iter(self._sent_at.values()), None)
@@ -291,11 +302,29 @@
             self.in_flight -= 1
 
     async def _handle(self, request, route, team, writer) -> None:
-        assert self.route_index is not None
         if self._stop is not None and not self._stop.may_accept(
             _deadline(request, route), time.monotonic()
         ):
             raise _stopping_error()
+        service = _table.select_service(
+            route, request.resumed_request or request.id
+        )
+        if not self._passing.is_needed(request, service) and await self._serve(
+            request, route, team, writer
+        ):
+            return
+        deadline = _deadline(request, route)
+        if self._stop is not None:
+            deadline = min(deadline, self._stop.stop_at)
+        await self._passing.pass_on(request, route, service, writer, deadline)
+
+    async def _serve(self, request, route, team, writer) -> bool:
+        """Serves a request by targets of this entry.
+
+        Returns False if another entry has to serve it, as this one has lost
+        its paths to the targets.
+        """
+        assert self.route_index is not None
         origin = await self._find_origin(request, route)
         suspect = self.quarantine.find_quarantined(request)
         in_trial = False
@@ -327,6 +356,10 @@
                 self._timers.add(timer)
                 try:
                     await self._run_attempts(context, relay)
+                except web.ApiError:
+                    if not await self._lost_path(context, relay):
+                        raise
+                    return False
                 finally:
                     self._timers.discard(timer)
         except TimeoutError:
@@ -339,13 +372,36 @@
                     after=_elapsed_seconds(request),
                 )
                 relay.abort()
-                return
+                return True
             if stopped:
                 raise self._stopped_error(context) from None
             raise self._timeout_error(context) from None
         finally:
             reservation.event_count = relay.event_count
             reservation.close(request, context.tokens_per_event)
+        return True
+
+    async def _lost_path(
+        self, context: RequestContext, relay: _relay.Relay
+    ) -> bool:
+        """Whether another entry may serve a request that failed here.
+
+        The request must not have run, or may be repeated, and must have
+        failed because no target can be reached.
+        """
+        attempts = context.attempts
+        repeatable = (
+            context.route.repeatable
+            and attempts.runs < context.route.max_targets
+        )
+        if relay.started or not attempts.unsent:
+            return False
+        if context.request.passed_on or (attempts.runs and not repeatable):
+            return False
+        await self.paths.check()
+        if context.service not in self.paths.lost:
+            return False
+        return not attempts.runs or self.retries.try_acquire()
 
     async def _find_origin(
         self, request: _request.Request, route: wire.Route
@@ -440,6 +496,12 @@
     ) -> None:
         """Tries targets until one answers or no retry is allowed."""
         while True:
+            if context.attempted_targets and self._passing.is_needed(
+                context.request, context.service
+            ):
+                if not await relay.finish_after_failure():
+                    raise self._attempts_failed_error(context)
+                return
             suspect = self.quarantine.find_quarantined(context.request)
             starts_trial = context.in_trial and not context.attempted_targets
             if suspect is not None and not starts_trial:
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -34,7 +34,8 @@
     waits from then on.  ``resume_after`` is the id of the last event of the
     stream that the caller has received, ``resumed_request`` the id of its
     request that got the first event, empty if it names none.  ``team`` is the
-    name of the caller's team, empty if there is none.
+    name of the caller's team, empty if there is none, ``key`` the API key.
+    ``passed_on`` tells whether another entry passed the request on.
     """
 
     __slots__ = (
@@ -45,7 +46,9 @@
         "headers",
         "host",
         "id",
+        "key",
         "method",
+        "passed_on",
         "path",
         "prompt",
         "request_target",
@@ -72,6 +75,8 @@
         prompt: tuple[PromptPart, ...] = (),
         resume_after: str | None = None,
         resumed_request: str = "",
+        key: str = "",
+        passed_on: bool = False,
     ):
         self.id = id
         self.method = method
@@ -87,6 +92,8 @@
         self.prompt = prompt
         self.resume_after = resume_after
         self.resumed_request = resumed_request
+        self.key = key
+        self.passed_on = passed_on
         self._digest: str | None = None
 
     @property
@@ -153,11 +160,17 @@
 
 
 class TargetCodec(typing.Protocol):
-    """The message format of targets."""
+    """The message format of targets, and of requests that are passed on."""
 
     def encode(self, attempt: Attempt) -> bytes:
         """Returns the bytes of a complete request."""
 
+    def encode_passed_on(self, request: Request, time_left: float) -> bytes:
+        """Returns the bytes of a caller's request for another entry.
+
+        ``time_left`` is in seconds.
+        """
+
     def decode(self, head: engines.ResponseHead) -> TargetResponse:
         """Decodes the headers of a response."""
 
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -114,6 +114,13 @@
         self.aborted = True
 
 
+class Peers:
+    """There are no other entries."""
+
+    def entries_with_path(self, service):
+        return []
+
+
 class Origins:
     """Keeps the origins of streams that this entry began."""
 
@@ -174,6 +181,7 @@
             codec=TargetCodec(),
             crash_quarantine=quarantine_fixture.make_quarantine(self.control),
             paths=make_paths(self.pool, self.targets),
+            peers=Peers(),
             origins=Origins(),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
--- a/galenashed/gateway/tests/test_handler.py
+++ b/galenashed/gateway/tests/test_handler.py
@@ -97,6 +97,7 @@
                 quarantine_fixture.Control()
             ),
             paths=_fixture.make_paths(pool, targets),
+            peers=_fixture.Peers(),
             origins=_fixture.Origins(),
             retries=routing.RetryBudget(share=0.1, max_saved=1.0),
             log=telemetry.NullDecisionLog(),
--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -147,6 +147,7 @@
             not isinstance(previous, wire.Instance)
             or previous.incarnation != instance.incarnation
             or previous.state != instance.state
+            or previous.unreachable != instance.unreachable
         )
         self._instance_updates.add(instance.name, changed=changed, now=now)
         self.urgent = self.urgent or changed
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -33,12 +33,33 @@
     """Returns the entries that serve callers.
 
     Entries that are cut off from control are included only if no entry has
-    contact with it.
+    contact with it, and those without a path to any target only if no entry
+    has one.
     """
     found = [entry for entry in alive if entry.state == "serving"]
     if not found:
         found = [entry for entry in alive if entry.state == "cut-off"]
-    return found
+    return [entry for entry in found if not entry.isolated] or found
+
+
+def with_path(
+    alive: list[wire.Instance], service: str, domain: str, rng: random.Random
+) -> list[str]:
+    """Returns where to pass on requests for a service, the best first.
+
+    Entries of the failure domain ``domain`` come first, as bytes between
+    domains cost more.
+    """
+    usable = [
+        entry
+        for entry in alive
+        if entry.state in ("serving", "cut-off")
+        and entry.relay_address
+        and service not in entry.unreachable
+    ]
+    rng.shuffle(usable)
+    usable.sort(key=lambda entry: entry.failure_domain != domain)
+    return [entry.relay_address for entry in usable]
 
 
 def choose(
@@ -86,7 +107,7 @@
     may, so these are included if they are in ``known``, the entries that were
     alive when contact was lost; see :func:`last_known`.  They may also have
     failed, so the entry includes itself, except while it ``lacks_tokens`` and
-    would refuse the requests.
+    would refuse the requests, or has no path to targets.
     """
     replicas = [
         entry
@@ -97,6 +118,6 @@
     ]
     rng.shuffle(replicas)
     chosen = [entry.address for entry in replicas[: MAX_ENTRIES - 1]]
-    if chosen and lacks_tokens:
+    if chosen and (lacks_tokens or own.isolated):
         return chosen
     return [*chosen, own.address]
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -178,6 +178,7 @@
             codec=codec,
             crash_quarantine=self.quarantine,
             paths=self.paths,
+            peers=self,
             origins=self._origin_exchange,
             retries=routing.RetryBudget(
                 share=cfg.retry_share, max_saved=MIN_SAVED_RETRIES
@@ -187,6 +188,7 @@
             rng=rng,
         )
         self._make_peer_services()
+        self.paths.on_change = self._gossiper.trigger_round
 
     def _make_control_client(self) -> None:
         """Creates the clients of the control replicas."""
@@ -351,6 +353,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.paths.close()
+        await self.gateway.close()
         await self.quarantine.close()
         await self._gossiper.close()
         await self._feed_client.close()
@@ -611,6 +614,18 @@
             request_rate=round(
                 self.gateway.request_rate.value(time.monotonic()), 2
             ),
+            relay_address=self.cfg.relay_address,
+            unreachable=sorted(self.paths.lost),
+            isolated=self.paths.isolated,
+        )
+
+    def entries_with_path(self, service: str) -> list[str]:
+        """See :class:`galenashed.gateway.PeerFinder`."""
+        return _entries.with_path(
+            self.instance_directory.alive(time.monotonic()),
+            service,
+            self.cfg.failure_domain,
+            self.rng,
         )
 
     async def _receive_gossip(self, requests, context) -> bool:
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -18,6 +18,8 @@
         ``ip:port`` that callers connect to.
     peers_address, control_address : str
         ``ip:port`` that other nodes connect to.
+    relay_address : str
+        ``ip:port`` where other nodes pass callers' requests on to this one.
     seeds : list of str
         ``peers_address`` of the nodes that are contacted first.
     replicas : list of str
@@ -56,6 +58,7 @@
         "peer_key",
         "peers_address",
         "region",
+        "relay_address",
         "replicas",
         "retry_burst",
         "retry_share",
@@ -74,6 +77,7 @@
         callers_address: str,
         peers_address: str,
         control_address: str,
+        relay_address: str,
         seeds: list[str],
         replicas: list[str],
         data_directory: pathlib.Path | None,
@@ -93,6 +97,7 @@
         self.callers_address = callers_address
         self.peers_address = peers_address
         self.control_address = control_address
+        self.relay_address = relay_address
         self.seeds = seeds
         self.replicas = replicas
         self.data_directory = data_directory
--- a/galenashed/platform/_headers.py
+++ b/galenashed/platform/_headers.py
@@ -13,6 +13,9 @@
 NOT_EXECUTED = "x-not-executed"
 TOKEN_USAGE = "x-token-usage"
 PRIORITY = "x-request-priority"
+# Key of the node that passes a request on, which another one accepts only at
+# the address for such requests.
+PEER_KEY = "galenashed-peer-key"
 
 # Headers of callers that are not forwarded to targets: the API key, and those
 # that targets accept only from the system.
@@ -24,6 +27,7 @@
         API_KEY,
         EXPECTED_TARGET,
         PRIORITY,
+        PEER_KEY,
         "x-expect-version",
         "x-pin-ms",
         "x-kv-hold",
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -1,6 +1,7 @@
 """ASGI application that decodes callers' requests for the gateway."""
 
 import asyncio
+import hmac
 import time
 
 import loguru
@@ -109,11 +110,24 @@
         Handles the decoded requests.
     is_draining : callable
         Returns whether this node is shutting down.
+    relay_address : str
+        ``ip:port`` at which other nodes pass requests on.
+    peer_key : str
+        Key that these nodes send.
     """
 
-    def __init__(self, *, gateway: gateway.Gateway, is_draining):
+    def __init__(
+        self,
+        *,
+        gateway: gateway.Gateway,
+        is_draining,
+        relay_address: str,
+        peer_key: str,
+    ):
         self.gateway = gateway
         self.is_draining = is_draining
+        self.relay_address = relay_address
+        self.peer_key = peer_key
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -121,6 +135,7 @@
         writer = AsgiResponseWriter(send=send, is_draining=self.is_draining)
         try:
             headers = _decode_headers(scope)
+            passed_on = self._is_passed_on(scope, headers)
             host = _get_header(headers, "host").partition(":")[0].lower()
             path = scope["raw_path"].decode("latin-1")
             key = _get_header(headers, _headers.API_KEY)
@@ -130,6 +145,8 @@
             request = _decode_request(
                 scope, headers, host, path, team, body, arrived_at
             )
+            request.key = key
+            request.passed_on = passed_on
         except web.ApiError as exc:
             await writer.send_error(exc)
             return
@@ -140,6 +157,23 @@
         )
         await _run_until_disconnect(task, receive)
 
+    def _is_passed_on(self, scope, headers) -> bool:
+        """Returns whether another node passed a request on.
+
+        Raises ApiError if a caller uses the address for such requests.
+        """
+        host, port = scope["server"]
+        if f"{host}:{port}" != self.relay_address:
+            return False
+        key = _get_header(headers, _headers.PEER_KEY)
+        if not hmac.compare_digest(key.encode(), self.peer_key.encode()):
+            raise web.ApiError(
+                status=403,
+                code="peers_only",
+                message="this address is for other nodes",
+            )
+        return True
+
     def _check_header_size(self, headers) -> None:
         limit = self._limits().max_header_bytes
         size = sum(len(name) + len(value) + 4 for name, value in headers)
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -67,7 +67,9 @@
         self.metrics = telemetry.InMemoryMetrics()
         self.node = node.Node(
             cfg=self.node_cfg,
-            codec=_targets.PlatformTargetCodec(),
+            codec=_targets.PlatformTargetCodec(
+                peer_key=self.node_cfg.peer_key
+            ),
             log=self.log,
             metrics=self.metrics,
             rng=random.Random(),
@@ -76,8 +78,11 @@
             app=_ingress.Ingress(
                 gateway=self.node.gateway,
                 is_draining=lambda: self.node.draining,
+                relay_address=self.node_cfg.relay_address,
+                peer_key=self.node_cfg.peer_key,
             ),
             address=cfg.listen.front,
+            extra_addresses=[self.node_cfg.relay_address],
             max_connections=MAX_CONNECTIONS,
             head_timeout=HEAD_TIMEOUT_SECONDS,
         )
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -19,6 +19,7 @@
 # Offsets from the first port of the range that is reserved for internal use.
 PEERS_PORT_OFFSET = 0
 CONTROL_PORT_OFFSET = 1
+RELAY_PORT_OFFSET = 2
 # Not a secret: the platform isolates its network and provides no shared secret
 # to the nodes.  The key only rejects programs that connect to a wrong address.
 PEER_KEY = "galenashed-platform-peers"
@@ -152,6 +153,7 @@
         callers_address=cfg.listen.front,
         peers_address=_make_address(cfg.ip, port_range, PEERS_PORT_OFFSET),
         control_address=_make_address(cfg.ip, port_range, CONTROL_PORT_OFFSET),
+        relay_address=_make_address(cfg.ip, port_range, RELAY_PORT_OFFSET),
         seeds=[
             _make_address(ip, port_range, PEERS_PORT_OFFSET) for ip in seeds
         ],
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -12,15 +12,21 @@
 
 
 class PlatformTargetCodec:
-    """Encodes requests to targets and decodes their response headers."""
+    """Encodes requests to targets and decodes their response headers.
+
+    Parameters
+    ----------
+    peer_key : str
+        Key that all nodes share, for requests that are passed on.
+    """
+
+    def __init__(self, *, peer_key: str):
+        self.peer_key = peer_key
 
     def encode(self, attempt: gateway.Attempt) -> bytes:
         """See :class:`galenashed.gateway.TargetCodec`."""
         req = attempt.request
-        lines = [f"{req.method} {req.request_target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in req.headers]
-        remaining_ms = max(1, int(attempt.time_left * MILLISECONDS_PER_SECOND))
-        lines.append(f"{_headers.TIME_LEFT}: {remaining_ms}")
+        lines = _start(req, attempt.time_left)
         lines.append(f"{_headers.EXPECTED_TARGET}: {attempt.target.name}")
         if attempt.team is not None:
             lines.append(f"{_headers.TEAM}: {attempt.team.name}")
@@ -28,10 +34,19 @@
             lines.append(f"{_headers.LAST_EVENT}: {attempt.resume_after}")
         priority = min(LOWEST_PRIORITY, max(0, attempt.priority))
         lines.append(f"{_headers.PRIORITY}: {priority}")
-        if req.body or req.method in METHODS_WITH_BODY:
-            lines.append(f"content-length: {len(req.body)}")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("latin-1") + req.body
+        return _finish(lines, req)
+
+    def encode_passed_on(
+        self, request: gateway.Request, time_left: float
+    ) -> bytes:
+        """See :class:`galenashed.gateway.TargetCodec`."""
+        lines = _start(request, time_left)
+        lines.append(f"{_headers.PEER_KEY}: {self.peer_key}")
+        if request.key:
+            lines.append(f"{_headers.API_KEY}: {request.key}")
+        if request.resume_after is not None:
+            lines.append(f"{_headers.LAST_EVENT}: {request.resume_after}")
+        return _finish(lines, request)
 
     def decode(self, head: engines.ResponseHead) -> gateway.TargetResponse:
         """See :class:`galenashed.gateway.TargetCodec`."""
@@ -46,6 +61,23 @@
         )
 
 
+def _start(req: gateway.Request, time_left: float) -> list[str]:
+    """Returns the lines that any request begins with."""
+    remaining_ms = max(1, int(time_left * MILLISECONDS_PER_SECOND))
+    return [
+        f"{req.method} {req.request_target} HTTP/1.1",
+        *(f"{name}: {value}" for name, value in req.headers),
+        f"{_headers.TIME_LEFT}: {remaining_ms}",
+    ]
+
+
+def _finish(lines: list[str], req: gateway.Request) -> bytes:
+    if req.body or req.method in METHODS_WITH_BODY:
+        lines.append(f"content-length: {len(req.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + req.body
+
+
 def _parse_load(value: str | None) -> wire.Load | None:
     """Parses ``running,waiting,slots``; returns None if it is invalid."""
     parts = (value or "").split(",")
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -281,7 +281,11 @@
             time_left=1.2345,
             resume_after="7",
         )
-        return _targets.PlatformTargetCodec().encode(attempt).decode()
+        return (
+            _targets.PlatformTargetCodec(peer_key="key")
+            .encode(attempt)
+            .decode()
+        )
 
     def test_encoded_request(self):
         head, _, body = self.encode().partition("\r\n\r\n")
@@ -304,7 +308,7 @@
             headers=[(n.replace("_", "-"), v) for n, v in headers.items()],
             framing=engines.Framing.LENGTH,
         )
-        return _targets.PlatformTargetCodec().decode(head)
+        return _targets.PlatformTargetCodec(peer_key="key").decode(head)
 
     def test_decoded_responses(self):
         rejected = self.decode(503, x_not_executed="1")
--- a/galenashed/platform/tests/test_lost_paths.py
+++ b/galenashed/platform/tests/test_lost_paths.py
@@ -194,7 +194,7 @@
         self.cut("refuse")
         self.send_until(time.monotonic() + CONTACT_SECONDS)
         for target in self.targets:
-            target.delay = 0.3
+            target.delay = 0.9
             target.cancelled_streams = 0
         with self.assertRaises(TimeoutError):
             self.site.generate(
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -45,7 +45,9 @@
     ``cores`` is the CPU time per second that the entry may use,
     ``cores_used`` what it uses.  ``replica`` and ``replica_address`` identify
     the control replica in the same process, if there is one, even if it is
-    not a member yet.
+    not a member yet.  ``relay_address`` is where the entry serves requests
+    that other entries pass on.  ``unreachable`` are the services to whose
+    targets it has no path, ``isolated`` tells whether these are all services.
     """
 
     name: str
@@ -63,6 +65,9 @@
     replica: str = ""
     replica_address: str = ""
     request_rate: float = 0.0
+    relay_address: str = ""
+    unreachable: list[str] = []
+    isolated: bool = False
 
 
 class TargetLimit(msgspec.Struct, frozen=True, kw_only=True):
