Check a lost path again also if a request's own check found it

The task waited without a timeout. Also, up to 16 targets of a service are probed if the first three are not reached: three of four may have crashed together.

--- a/galenashed/gateway/_paths.py
+++ b/galenashed/gateway/_paths.py
@@ -21,8 +21,10 @@
 
 # Targets that fail one after the other before the paths are checked.
 MIN_FAILED_TARGETS = 2
-# Targets of a service that are probed in one check.
-PROBED_TARGETS = 3
+# Targets of a service that are probed first, and the most that are probed if
+# none of these is reached: a few may have crashed together.
+FIRST_PROBED_TARGETS = 3
+MAX_PROBED_TARGETS = 16
 PROBE_SECONDS = 0.3
 # Time between two checks, and between those while a path is lost.
 MIN_CHECK_INTERVAL_SECONDS = 0.3
@@ -75,7 +77,7 @@
         self.rng = rng
         # Services of which no target can be reached.
         self.lost: frozenset[str] = frozenset()
-        # Whether that holds for all services that have targets.
+        # Whether that holds for all services, and for several targets.
         self.isolated = False
         # Called after :attr:`lost` has changed.
         self.on_change: typing.Callable[[], None] = lambda: None
@@ -120,13 +122,12 @@
         ):
             self._wake.set()
 
-    async def check(self) -> None:
-        """Checks all paths, unless they have just been checked."""
+    async def check(
+        self, *, max_age: float = MIN_CHECK_INTERVAL_SECONDS
+    ) -> None:
+        """Checks all paths, unless that was done ``max_age`` seconds ago."""
         if self._check is None or self._check.done():
-            if (
-                time.monotonic() - self._checked_at
-                < MIN_CHECK_INTERVAL_SECONDS
-            ):
+            if time.monotonic() - self._checked_at < max_age:
                 return
             self._check = asyncio.create_task(
                 self._check_all(), name="path check"
@@ -157,7 +158,8 @@
         )
         self._checked_at = time.monotonic()
         self._failed.clear()
-        self.isolated = bool(lost) and len(lost) == len(services)
+        target_count = sum(map(len, services.values()))
+        self.isolated = len(lost) == len(services) and target_count > 1
         if lost == self.lost:
             return
         self.log.write(
@@ -168,16 +170,24 @@
             heard=round(self._checked_at - self.pool.received_at, 3),
         )
         self.lost = lost
+        # The task may be waiting without a timeout.
+        self._wake.set()
         self.on_change()
 
     async def _reaches_any(self, addresses: list[str]) -> bool:
         """Returns whether a sample of addresses accepts a connection."""
         sample = self.rng.sample(
-            addresses, min(PROBED_TARGETS, len(addresses))
+            addresses, min(MAX_PROBED_TARGETS, len(addresses))
         )
+        first = sample[:FIRST_PROBED_TARGETS]
+        others = sample[FIRST_PROBED_TARGETS:]
+        return await self._probe(first) or await self._probe(others)
+
+    async def _probe(self, addresses: list[str]) -> bool:
+        """Returns whether any of the addresses accepts a connection."""
         probes = [
             asyncio.create_task(self.pool.accepts_connections(address))
-            for address in sample
+            for address in addresses
         ]
         try:
             for probe in asyncio.as_completed(probes, timeout=PROBE_SECONDS):
