Don't take the loss of all paths for crashes of the targets

An entry that is cut off by resets loses every request in progress at once, and each target then refuses it: requests would be reported as the cause of crashes, and the parts they share quarantined on all entries. If no target is reachable, other entries are asked whether they reach the one in question; a crash is reported only if none does.

The new unit test failed before (a suspect was reported).

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -172,6 +172,7 @@
         self.codec = codec
         self.quarantine = crash_quarantine
         self.paths = paths
+        self.peers = peers
         self._passing = _passing.Passing(
             paths=paths, peers=peers, codec=codec, log=log, metrics=metrics
         )
@@ -701,6 +702,18 @@
         if not await self.pool.refuses_connections(announced.address):
             return
         self.targets.eject(target, time.monotonic())
+        await self.paths.check(max_age=0.0)
+        if self.paths.isolated and await self.peers.any_reaches(
+            announced.address
+        ):
+            # A partition of this entry from all targets looks like a crash
+            # of each.
+            self.log.write(
+                "target out of reach",
+                request=context.request.id,
+                target=target.name,
+            )
+            return
         begun = relay.framing is not None
         context.crashed_target = begun or suspected
         self.metrics.count("gateway.target_crashed")
--- a/galenashed/gateway/_passing.py
+++ b/galenashed/gateway/_passing.py
@@ -37,6 +37,9 @@
         The best one comes first.
         """
 
+    async def any_reaches(self, address: str) -> bool:
+        """Whether some other entry can connect to a target."""
+
 
 class Passing:
     """Passes requests on to other entries.
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -115,7 +115,12 @@
 
 
 class Peers:
-    """There are no other entries."""
+    """No other entry serves requests; one may reach targets."""
+
+    reaches_targets = False
+
+    async def any_reaches(self, address):
+        return self.reaches_targets
 
     def entries_with_path(self, service):
         return []
@@ -173,6 +178,7 @@
             domain="east", limits=routing.TargetLimits(name="entry")
         )
         self.pool = engines.ConnectionPool(connect_timeout=1.0)
+        self.peers = Peers()
         self.control = quarantine_fixture.Control()
         self.gateway = gateway.Gateway(
             targets=self.targets,
@@ -181,7 +187,7 @@
             codec=TargetCodec(),
             crash_quarantine=quarantine_fixture.make_quarantine(self.control),
             paths=make_paths(self.pool, self.targets),
-            peers=Peers(),
+            peers=self.peers,
             origins=Origins(),
             retries=routing.RetryBudget(share=1.0, max_saved=10.0),
             log=telemetry.NullDecisionLog(),
--- a/galenashed/gateway/tests/test_crashes.py
+++ b/galenashed/gateway/tests/test_crashes.py
@@ -17,19 +17,26 @@
     def __init__(self, first, *, crashes):
         super().__init__(first)
         self.crashes = crashes
+        self.also_closed = None
 
     async def send_pieces(self, writer):
         await writer.drain()
         if self.crashes:
             self.server.close()
+        if self.also_closed is not None:
+            self.also_closed.server.close()
         raise ConnectionError
 
 
 class TestCrashReports(testtools.TestCase):
     """Requests that are lost with a target, or with a connection only."""
 
-    def relay(self, first, *, crashes):
-        """Returns the requests that reached another target, and suspects."""
+    def relay(self, first, *, crashes, loses_path=False, all_refuse=False):
+        """Returns the requests that reached another target, and suspects.
+
+        With ``loses_path``, this entry reaches no target from then on, but
+        another one does.
+        """
 
         async def run():
             fixture = _fixture.Fixture(
@@ -39,6 +46,9 @@
             )
             other = _fixture.Target(HEAD + EVENT)
             target = BreakingTarget(first, crashes=crashes)
+            if all_refuse:
+                fixture.peers.reaches_targets = loses_path
+                target.also_closed = other
             try:
                 task = await fixture.start_request(
                     _fixture.ResponseWriter(), target, other
@@ -72,6 +82,18 @@
         self.assertEqual(1, repeats)
         self.assertEqual([], suspected)
 
+    def test_loss_of_the_path_to_all_targets_is_not_reported(self):
+        for first in (b"", HEAD):
+            repeats, suspected = self.relay(
+                first, crashes=True, all_refuse=True, loses_path=True
+            )
+            self.assertEqual(0, repeats)
+            self.assertEqual([], suspected)
+
+    def test_crash_is_reported_if_no_entry_reaches_any_target(self):
+        _, suspected = self.relay(HEAD, crashes=True, all_refuse=True)
+        self.assertEqual(1, len(suspected))
+
     def test_lost_connection_to_a_running_target_is_not_reported(self):
         for first in (b"", HEAD):
             repeats, suspected = self.relay(first, crashes=False)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -72,6 +72,11 @@
 # A node that has just started knows too few other entries to answer discovery
 # requests.
 DISCOVERY_WARMUP_SECONDS = 2.0
+# Entries that are asked whether they reach a target, enough to find one on the
+# other side if most entries of a failure domain are cut off from targets.
+MAX_REACH_ASKED = 8
+REACH_PROBE_SECONDS = 0.2
+REACH_TIMEOUT_SECONDS = 0.3
 # Part of the shutdown timeout that is reserved for returning grants.
 GRANT_RETURN_TIMEOUT_SECONDS = 0.5
 
@@ -149,6 +154,7 @@
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
+        self._channels = rpc.ChannelPool(key=cfg.peer_key)
         self._origin_exchange = _origins.OriginExchange(
             name=cfg.name,
             region=cfg.region,
@@ -248,6 +254,7 @@
                 (methods.SPREAD, self._receive_gossip),
                 (methods.LEND, self._loan_exchange.lend),
                 (methods.RECORD_ORIGINS, self._origin_exchange.receive),
+                (methods.REACH_TARGET, self._reach_target),
                 (methods.FIND_ORIGIN, self._origin_exchange.answer),
             ],
         )
@@ -361,6 +368,7 @@
         await self._pool.close()
         await self._loan_exchange.close()
         await self._origin_exchange.close()
+        await self._channels.close()
         await self._peer_server.close()
         if self.replica is not None:
             await self.replica.close()
@@ -628,6 +636,46 @@
             self.rng,
         )
 
+    async def any_reaches(self, address: str) -> bool:
+        """See :class:`galenashed.gateway.PeerFinder`."""
+        entries = self.instance_directory.alive(time.monotonic())
+        asked = self.rng.sample(entries, min(MAX_REACH_ASKED, len(entries)))
+        questions = [
+            asyncio.create_task(
+                self._ask_reaches(entry.peer_address, address),
+                name="reach target",
+            )
+            for entry in asked
+        ]
+        try:
+            for question in asyncio.as_completed(questions):
+                if await question:
+                    return True
+        finally:
+            for task in questions:
+                task.cancel()
+        return False
+
+    async def _ask_reaches(self, peer_address: str, address: str) -> bool:
+        try:
+            return await self._channels.get(peer_address).call(
+                methods.REACH_TARGET, address, timeout=REACH_TIMEOUT_SECONDS
+            )
+        except rpc.RpcError as exc:
+            LOG.debug("no answer of {}: {}", peer_address, exc.code())
+            return False
+
+    async def _reach_target(self, address: str, context) -> bool:
+        """Answers another entry that can't reach a target."""
+        known = self.targets.ready_addresses().values()
+        if not any(address in addresses for addresses in known):
+            return False
+        try:
+            async with asyncio.timeout(REACH_PROBE_SECONDS):
+                return await self._pool.accepts_connections(address)
+        except TimeoutError:
+            return False
+
     async def _receive_gossip(self, requests, context) -> bool:
         async for messages in requests:
             for message in messages:
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -78,6 +78,12 @@
     request=streams.OriginQuery,
     reply=streams.OriginReply,
 )
+REACH_TARGET = rpc.Method(
+    path="/galenashed.Entry/ReachTarget",
+    kind="unary",
+    request=str,
+    reply=bool,
+)
 SPREAD = rpc.Method(
     path="/galenashed.Entry/Spread",
     kind="client_stream",
