Send nothing to a target that says in its answers that it leaves

A target that leaves says so in all its answers (Server-Leaving), which was not read: requests went on reaching it until its own report or its end. The entry that passes such an answer on now marks the target's incarnation as leaving, and gossip tells the others.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -10,7 +10,7 @@
 from galenashed.engines._connection import ConnectionPool
 from galenashed.engines._connection import Framing
 from galenashed.engines._connection import ResponseHead
-from galenashed.engines._rates import parse_rate
+from galenashed.engines._rates import parse_decimal
 
 __all__ = [
     "Connection",
@@ -22,6 +22,6 @@
     "TargetLostError",
     "check_complete",
     "is_close_delimited",
-    "parse_rate",
+    "parse_decimal",
     "read_body",
 ]
--- a/galenashed/engines/_rates.py
+++ b/galenashed/engines/_rates.py
@@ -3,13 +3,13 @@
 MAX_DIGITS = 18
 
 
-def parse_rate(value: str | None) -> float | None:
+def parse_decimal(value: str | None) -> float | None:
     """Parses a decimal number, 0 or more; returns None for anything else.
 
     Example::
 
-        assert parse_rate("1.5") == 1.5
-        assert parse_rate("soon") is None
+        assert parse_decimal("1.5") == 1.5
+        assert parse_decimal("soon") is None
     """
     if not value or len(value) > MAX_DIGITS:
         return None
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -268,7 +268,7 @@
         if self.router.limits is None:
             return
         name = slot.stats.incarnation_name
-        limit = engines.parse_rate(headers.get(LIMIT_HEADER))
+        limit = engines.parse_decimal(headers.get(LIMIT_HEADER))
         if limit is None and status in BUSY_STATUSES:
             # A rejection need not come from what limits the target.
             return
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -184,6 +184,10 @@
         self.route_index: _table.RouteIndex | None = None
         self.in_flight = 0
         self.request_rate = telemetry.RateMeter(seconds=RATE_SECONDS)
+        # Called with the announcement of a target that says it leaves.
+        self.on_leaving: typing.Callable[[gossip_wire.Target], object] = (
+            lambda target: None
+        )
         self._stop: PlannedStop | None = None
         self._timers: set[asyncio.Timeout] = set()
         # When the requests that targets have now were sent, oldest first.
@@ -792,6 +796,8 @@
             raise engines.TargetLostError(
                 f"{conn.address}: response to another request"
             )
+        if answer.leaving:
+            self.on_leaving(announced)
         if answer.limit is not None or not answer.not_executed:
             # A rejection need not come from what limits the target.
             self._note_limit(target, answer.limit)
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -149,7 +149,8 @@
     ``not_executed`` whether it states that it has not executed the request,
     ``misdirected`` whether the address belongs to another target by now.
     ``limit`` is the number of requests a second that the target takes from
-    all entries together, None if it names none.
+    all entries together, None if it names none.  ``leaving`` tells whether it
+    is about to stop.
     """
 
     request_id: str | None
@@ -157,6 +158,7 @@
     misdirected: bool
     load: gossip_wire.Load | None
     limit: float | None = None
+    leaving: bool = False
 
 
 class TargetCodec(typing.Protocol):
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -194,6 +194,7 @@
             rng=rng,
         )
         self._make_peer_services()
+        self.gateway.on_leaving = self._on_target_leaving
         self.paths.on_change = self._gossiper.trigger_round
 
     def _make_control_client(self) -> None:
@@ -532,6 +533,12 @@
         self.announce_target(leaving)
         return True
 
+    def _on_target_leaving(self, target: gossip_wire.Target) -> None:
+        """Marks a target that says in its answers that it leaves."""
+        known = self.target_directory.get(target.name)
+        if known is not None and known.state == "ready":
+            self.deregister_target(target.name, target.started)
+
     def select_entries(self, domain: str, region: str) -> list[str]:
         """Returns addresses that callers of a failure domain should use.
 
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -57,7 +57,8 @@
             or head.get(_headers.NOT_EXECUTED) is not None,
             misdirected=misdirected,
             load=_parse_load(head.get(_headers.TARGET_LOAD)),
-            limit=engines.parse_rate(head.get(_headers.TARGET_LIMIT)),
+            limit=engines.parse_decimal(head.get(_headers.TARGET_LIMIT)),
+            leaving=head.get(_headers.TARGET_LEAVING) == "1",
         )
 
 
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -60,6 +60,10 @@
         # when it got requests.
         self.limit = None
         self.arrivals = []
+        # Whether it says in its answers that it leaves, and the seconds after
+        # which a rejected request may come again, None if it names none.
+        self.says_leaving = False
+        self.retry_after = None
         # Rejects every second request, in an answer that names no limit.
         self.rejects_without_limit = False
         self.crashes = 0
@@ -118,6 +122,7 @@
             )
             return True
         if self.reject:
+            self.arrivals.append(time.monotonic())
             await self.send_response(
                 writer, 503, headers, b"", not_executed=True
             )
@@ -166,6 +171,7 @@
             f"X-Instance-Seal: seal-of-{self.id}\r\n"
             "X-Instance-Load: 0,0,8\r\n"
             + (f"Server-Limit: {self.limit}\r\n" if self.limit else "")
+            + ("Server-Leaving: 1\r\n" if self.says_leaving else "")
         )
 
     async def send_response(
@@ -174,6 +180,8 @@
         head = self.response_head(status, headers)
         if not_executed:
             head += "X-Not-Executed: 1\r\n"
+        if not_executed and self.retry_after is not None:
+            head += f"Retry-After: {self.retry_after}\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
         await writer.drain()
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -332,8 +332,8 @@
             ("\u00b2", None),
             ("9" * 40, None),
         ):
-            self.assertEqual(limit, engines.parse_rate(value), value)
-        self.assertIsNone(engines.parse_rate(None))
+            self.assertEqual(limit, engines.parse_decimal(value), value)
+        self.assertIsNone(engines.parse_decimal(None))
 
     def test_load_that_is_no_number_is_ignored(self):
         for value in ODD_NUMBERS:
