Leave a target alone for the time that its rejection names

A target that rejects a request with 503 may say in Retry-After for how long it wants nothing from the instance. The header was not read: the target was avoided for 0.2 s, and not at all once most targets of its service were. Such a target is now barred for the time it names, like one at its limit, also if no other is left; callers get a Retry-After that allows for it.

test_target_that_names_a_time_gets_nothing_for_so_long failed before (232 requests in the time, at most 2 are allowed) and passes.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -586,31 +586,31 @@
         self, context: RequestContext
     ) -> _targets.TargetState | None:
         now = time.monotonic()
-        excluded = set(context.attempted_targets)
+        other_versions: set[str] = set()
         if context.version is not None:
-            excluded |= self.targets.other_versions(
+            other_versions = self.targets.other_versions(
                 context.service, context.version
             )
         target = self.targets.choose(
             context.service,
             context.request.prompt,
-            excluded,
+            other_versions.union(context.attempted_targets),
             now,
             self.rng,
         )
         if target is None and not context.attempts.runs:
-            self._explain_refusal(context, excluded, now)
+            self._explain_refusal(context, other_versions, now)
         return target
 
     def _explain_refusal(
-        self, context: RequestContext, excluded: set[str], now: float
+        self, context: RequestContext, other_versions: set[str], now: float
     ) -> None:
         """Sets why no target takes a request, and when one may."""
-        wait = self.targets.seconds_until_limits_allow(
-            context.service, excluded, now
+        wait = self.targets.seconds_until_allowed(
+            context.service, other_versions, now
         )
         if wait is not None:
-            context.last_error = "the targets are at their limits"
+            context.last_error = "the targets take no requests for a time"
             # Spreads the callers that come back.
             context.retry_after = max(
                 MIN_RETRY_AFTER_SECONDS, wait * (1.0 + self.rng.random())
@@ -803,9 +803,10 @@
             self._note_limit(target, answer.limit)
         if answer.not_executed:
             context.last_error = f"rejected with status {head.status}"
-            self.targets.eject(
-                target, time.monotonic(), _targets.REJECTION_BACKOFF_SECONDS
-            )
+            now = time.monotonic()
+            self.targets.eject(target, now, _targets.REJECTION_BACKOFF_SECONDS)
+            if answer.retry_after is not None:
+                self.targets.pause(target, answer.retry_after, now)
             return _attempts.AttemptOutcome.REJECTED
         context.reservation.may_have_run = True
 
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -149,8 +149,9 @@
     ``not_executed`` whether it states that it has not executed the request,
     ``misdirected`` whether the address belongs to another target by now.
     ``limit`` is the number of requests a second that the target takes from
-    all entries together, None if it names none.  ``leaving`` tells whether it
-    is about to stop.
+    all entries together, None if it names none.  ``retry_after`` are the
+    seconds for which a target that rejects a request wants none of this
+    entry.  ``leaving`` tells whether it is about to stop.
     """
 
     request_id: str | None
@@ -158,6 +159,7 @@
     misdirected: bool
     load: gossip_wire.Load | None
     limit: float | None = None
+    retry_after: float | None = None
     leaving: bool = False
 
 
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -12,6 +12,8 @@
 EJECT_SECONDS = 2.0
 # Backoff from a target that rejects a request: about one short request.
 REJECTION_BACKOFF_SECONDS = 0.2
+# A longer time that a target asks for is not believed.
+MAX_PAUSE_SECONDS = 300.0
 # If the share of usable targets falls below this, the network is assumed to
 # be at fault and all targets that are announced as ready are used.
 MIN_USABLE_SHARE = 0.5
@@ -35,6 +37,7 @@
         "consecutive_failures",
         "ejected_until",
         "in_flight",
+        "paused_until",
         "pending_prompts",
         "report",
         "reported_at",
@@ -53,6 +56,8 @@
         self.in_flight = 0
         self.consecutive_failures = 0
         self.ejected_until = 0.0
+        # Until when it wants no requests of this entry.
+        self.paused_until = 0.0
         self.pending_prompts = _prompts.PendingPrompts()
         self.cached_parts = _prompts.CachedParts(max_tokens=MAX_CACHED_TOKENS)
 
@@ -272,40 +277,54 @@
     def choose(self, service: str, prompt, excluded, now: float, rng):
         """Returns the target for a request; None if there is none."""
         ring = self._ring_for(service, now)
-        at_limit = self._at_limit(ring, now)
-        if at_limit:
-            excluded = {*excluded, *(target.name for target in at_limit)}
+        barred = self._barred(ring, now)
+        if barred:
+            excluded = {*excluded, *(target.name for target in barred)}
         return _placement.choose(ring, prompt, excluded, rng)
 
-    def _at_limit(
+    def _barred(
         self, ring: _placement.HashRing[TargetState], now: float
     ) -> list[TargetState]:
-        """Returns the targets that take no more requests of this entry now."""
+        """Returns the targets that take no more requests of this entry now.
+
+        These are at the limits that they named, or have asked for a pause.
+        """
         exhausted = self.limits.exhausted(now)
-        if not exhausted:
-            return []
         return [
             target
             for target in ring.candidates
-            if target.incarnation_name in exhausted
+            if target.paused_until > now
+            or target.incarnation_name in exhausted
         ]
 
-    def seconds_until_limits_allow(
+    def seconds_until_allowed(
         self, service: str, excluded: typing.Collection[str], now: float
     ) -> float | None:
-        """Returns when a target that is at its limit takes another request.
+        """Returns when a target that is barred takes another request.
 
-        None if none of the service, of those not excluded, is at its limit.
+        None if none of the service, of those not excluded, is barred.
         """
         return min(
             (
-                self.limits.wait_seconds(target.incarnation_name, now)
-                for target in self._at_limit(self._ring_for(service, now), now)
+                max(
+                    target.paused_until - now,
+                    self.limits.wait_seconds(target.incarnation_name, now),
+                )
+                for target in self._barred(self._ring_for(service, now), now)
                 if target.name not in excluded
             ),
             default=None,
         )
 
+    def pause(self, target: TargetState, seconds: float, now: float) -> None:
+        """Sends a target nothing for the time that it has asked for.
+
+        Unlike an ejected target, it gets nothing even if no other is left.
+        """
+        target.paused_until = max(
+            target.paused_until, now + min(seconds, MAX_PAUSE_SECONDS)
+        )
+
     def affinity_target(
         self, service: str, prompt, now: float
     ) -> TargetState | None:
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -58,6 +58,7 @@
             misdirected=misdirected,
             load=_parse_load(head.get(_headers.TARGET_LOAD)),
             limit=engines.parse_decimal(head.get(_headers.TARGET_LIMIT)),
+            retry_after=engines.parse_decimal(head.get(_headers.RETRY_AFTER)),
             leaving=head.get(_headers.TARGET_LEAVING) == "1",
         )
 
--- a/galenashed/platform/tests/test_target_answers.py
+++ b/galenashed/platform/tests/test_target_answers.py
@@ -10,6 +10,8 @@
 NODES = 4
 # The time that rules allow between an answer and the last request.
 DRAIN_SECONDS = 2.0
+REJECTION_SECONDS = 0.5
+PAUSE_SECONDS = 3.0
 
 
 class TestTargetAnswers(testtools.TestCase):
@@ -55,3 +57,22 @@
         self.assertEqual({200}, {r.status for r in responses})
         self.assertEqual([], leaving.arrivals)
         self.assertEqual(len(responses), len(other.arrivals))
+
+    def test_target_that_names_a_time_gets_nothing_for_so_long(self):
+        (only,) = self.add_targets(1)
+        only.reject = True
+        only.retry_after = PAUSE_SECONDS
+        only.arrivals.clear()
+        responses = self.press(PAUSE_SECONDS - 0.5)
+        first = only.arrivals[0]
+        late = [at for at in only.arrivals if at > first + REJECTION_SECONDS]
+        self.assertLessEqual(len(late), 2)
+        self.assertEqual({503}, {r.status for r in responses})
+        first_wait = float(responses[0].headers["Retry-After"])
+        self.assertGreaterEqual(first_wait, PAUSE_SECONDS)
+        only.reject = False
+        _fleet.wait_for(
+            lambda: {self.look(n).status for n in range(NODES)} == {200},
+            "all nodes",
+            timeout=PAUSE_SECONDS + 2.0,
+        )
