Bill a stream once that a peer repeats after a lost attempt

A stream whose connection was reset as the path was lost ended with 502 although an entry with a path could repeat it: a request was only passed on if an attempt had failed to connect. And where it was passed on after an attempt that may have run, both entries billed the prompt. The reservation of the first entry is now released if the other one serves the request, and kept as spent otherwise.

The new test failed before (502, not 200) and passes.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -30,6 +30,7 @@
 # A stream that broke off shortly before its time limit may be taken up for as
 # long again.
 MAX_STREAM_TIME_LIMITS = 2.0
+CLIENT_ERROR = 400
 # Retry-After if any other instance can serve the request at once.
 RETRY_OTHER_INSTANCE_SECONDS = 0.1
 
@@ -319,20 +320,24 @@
         service = _table.select_service(
             route, request.resumed_request or request.id
         )
-        if not self._passing.is_needed(request, service) and await self._serve(
-            request, route, team, writer
-        ):
-            return
+        if self._passing.is_needed(request, service):
+            await self._pass_on(request, route, service, writer)
+        else:
+            await self._serve(request, route, team, writer)
+
+    async def _pass_on(self, request, route, service, writer) -> int:
+        """Has another entry serve a request; see :class:`Passing`."""
         deadline = _deadline(request, route)
         if self._stop is not None:
             deadline = min(deadline, self._stop.stop_at)
-        await self._passing.pass_on(request, route, service, writer, deadline)
+        return await self._passing.pass_on(
+            request, route, service, writer, deadline
+        )
 
-    async def _serve(self, request, route, team, writer) -> bool:
-        """Serves a request by targets of this entry.
+    async def _serve(self, request, route, team, writer) -> None:
+        """Serves a request by the targets that this entry reaches.
 
-        Returns False if another entry has to serve it, as this one has lost
-        its paths to the targets.
+        Another entry serves it if the paths to them are being lost.
         """
         assert self.route_index is not None
         origin = await self._find_origin(request, route)
@@ -361,17 +366,23 @@
         )
         self.retries.on_request()
         relay = _relay.Relay(context=context, writer=writer)
+        lost_path = False
         try:
             async with asyncio.timeout(self._time_left(context)) as timer:
                 self._timers.add(timer)
                 try:
                     await self._run_attempts(context, relay)
                 except web.ApiError:
-                    if not await self._lost_path(context, relay):
+                    lost_path = await self._lost_path(context, relay)
+                    if not lost_path:
                         raise
-                    return False
                 finally:
                     self._timers.discard(timer)
+            if lost_path:
+                status = await self._pass_on(request, route, service, writer)
+                if 0 < status < CLIENT_ERROR:
+                    # The other entry bills the request.
+                    reservation.may_have_run = False
         except TimeoutError:
             stopped = self._cuts_before_deadline(context)
             if relay.started:
@@ -382,14 +393,13 @@
                     after=_elapsed_seconds(request),
                 )
                 relay.abort()
-                return True
+                return
             if stopped:
                 raise self._stopped_error(context) from None
             raise self._timeout_error(context) from None
         finally:
             reservation.event_count = relay.event_count
             reservation.close(request, context.tokens_per_event)
-        return True
 
     async def _lost_path(
         self, context: RequestContext, relay: _relay.Relay
@@ -404,11 +414,12 @@
             context.route.repeatable
             and attempts.runs < context.route.max_targets
         )
-        if relay.started or not attempts.unsent:
+        if relay.started or context.request.passed_on:
             return False
-        if context.request.passed_on or (attempts.runs and not repeatable):
+        if attempts.runs and not repeatable:
             return False
-        await self.paths.check()
+        if attempts.unsent:
+            await self.paths.check()
         if context.service not in self.paths.lost:
             return False
         return not attempts.runs or self.retries.try_acquire()
--- a/galenashed/gateway/_passing.py
+++ b/galenashed/gateway/_passing.py
@@ -93,11 +93,12 @@
         service: str,
         writer: _request.ResponseWriter,
         deadline: float,
-    ) -> None:
-        """Has another entry serve a request.
+    ) -> int:
+        """Has another entry serve a request; returns its status.
 
         ``deadline`` is on the monotonic clock.  Raises ApiError if the
-        request fails before a response has started; aborts it after that.
+        request fails before a response has started; aborts it after that and
+        returns 0.
         """
         started = False
         try:
@@ -127,7 +128,7 @@
             )
             if started:
                 writer.abort()
-                return
+                return 0
             raise _lost_error(exc) from None
         self.log.write(
             "passed on",
@@ -136,6 +137,7 @@
             status=head.status,
             after=round(time.monotonic() - request.arrived_at, 4),
         )
+        return head.status
 
     async def _connect(
         self, request: _request.Request, route: wire.Route, service: str
--- a/galenashed/platform/tests/test_lost_paths.py
+++ b/galenashed/platform/tests/test_lost_paths.py
@@ -179,6 +179,24 @@
             "the bills",
         )
 
+    def test_stream_that_is_repeated_by_a_peer_is_billed_once(self):
+        node = CUT_NODES[0]
+        routes = self.site.configuration()["routes"]
+        routes[0]["maxAttempts"] = 5
+        self.assertEqual(200, self.site.put_configuration(routes=routes))
+        time.sleep(SETTLE_SECONDS)
+        before = self.site.balance().settled
+        streams = 10
+        for _ in range(streams):
+            self.assertEqual(200, self.send("/g/x", node).status)
+        # The connections that the node has kept are reset under the request.
+        self.cut("reset", nodes=[node])
+        self.assertEqual(200, self.send("/g/x", node).status)
+        time.sleep(SETTLE_SECONDS)
+        self.assertEqual(
+            before + (streams + 1) * (10 + 40), self.site.balance().settled
+        )
+
     def test_service_without_targets_is_refused_at_once(self):
         self.cut("refuse", nodes=range(NODES))
         self.send_until(time.monotonic() + CONTACT_SECONDS)
