Use forwarding as the term for requests that a peer serves

Renames only: PeerForwarder, Request.forwarded, gateway.forwarded, the log lines 'forwarded' and 'forwarding failed'.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -6,11 +6,11 @@
 behind :class:`TargetCodec` and :class:`ResponseWriter`.
 """
 
+from galenashed.gateway._forwarding import PeerFinder
 from galenashed.gateway._handler import Gateway
 from galenashed.gateway._handler import PlannedStop
 from galenashed.gateway._origins import OriginFinder
 from galenashed.gateway._origins import OriginRecords
-from galenashed.gateway._passing import PeerFinder
 from galenashed.gateway._paths import Paths
 from galenashed.gateway._prepaid import PrepaidReserver
 from galenashed.gateway._request import Attempt
--- a/galenashed/gateway/_passing.py
+++ b/galenashed/gateway/_forwarding.py
@@ -1,7 +1,7 @@
-"""Passes requests on to another entry, if this one has no path to targets.
+"""Forwards requests to another entry, if this one has no path to targets.
 
 The other entry admits, reserves, routes and bills the request like one of its
-own callers', and does not pass it on again.  This entry relays the response
+own callers', and does not forward it again.  This entry relays the response
 unchanged.  A request that was sent to another entry is not repeated here: it
 may have run.
 """
@@ -41,8 +41,8 @@
         """Whether some other entry can connect to a target."""
 
 
-class Passing:
-    """Passes requests on to other entries.
+class PeerForwarder:
+    """Forwards requests to other entries.
 
     Parameters
     ----------
@@ -84,9 +84,9 @@
 
     def is_needed(self, request: _request.Request, service: str) -> bool:
         """Whether a request should be served by another entry."""
-        return service in self.paths.lost and not request.passed_on
+        return service in self.paths.lost and not request.forwarded
 
-    async def pass_on(
+    async def forward(
         self,
         request: _request.Request,
         route: wire.Route,
@@ -106,7 +106,7 @@
                 conn = await self._connect(request, route, service)
                 try:
                     conn.send(
-                        self.codec.encode_passed_on(
+                        self.codec.encode_forwarded(
                             request, deadline - time.monotonic()
                         ),
                         no_response_body=request.method == "HEAD",
@@ -121,7 +121,7 @@
                     self._pool.release(conn)
         except (engines.TargetLostError, TimeoutError) as exc:
             self.log.write(
-                "passing on failed",
+                "forwarding failed",
                 request=request.id,
                 started=started,
                 reason=repr(exc),
@@ -131,7 +131,7 @@
                 return 0
             raise _lost_error(exc) from None
         self.log.write(
-            "passed on",
+            "forwarded",
             request=request.id,
             peer=conn.address,
             status=head.status,
@@ -146,7 +146,7 @@
 
         Raises ApiError if there is none.
         """
-        self.metrics.count("gateway.passed_on")
+        self.metrics.count("gateway.forwarded")
         now = time.monotonic()
         self._failed_until = {
             address: until
@@ -186,6 +186,6 @@
     return web.ApiError(
         status=502,
         code="peer_lost",
-        message="the instance that the request was passed on to was lost",
+        message="the instance that the request was forwarded to was lost",
         execution_status=web.ExecutionStatus.UNKNOWN,
     )
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -7,8 +7,8 @@
 
 from galenashed import engines
 from galenashed.gateway import _attempts
+from galenashed.gateway import _forwarding
 from galenashed.gateway import _origins
-from galenashed.gateway import _passing
 from galenashed.gateway import _paths
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _relay
@@ -160,7 +160,7 @@
         codec: _request.TargetCodec,
         crash_quarantine: quarantine.Quarantine,
         paths: _paths.Paths,
-        peers: _passing.PeerFinder,
+        peers: _forwarding.PeerFinder,
         origins: _origins.OriginFinder,
         retries: routing.RetryBudget,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
@@ -174,7 +174,7 @@
         self.quarantine = crash_quarantine
         self.paths = paths
         self.peers = peers
-        self._passing = _passing.Passing(
+        self._forwarder = _forwarding.PeerForwarder(
             paths=paths, peers=peers, codec=codec, log=log, metrics=metrics
         )
         self.origins = origins
@@ -196,7 +196,7 @@
 
     async def close(self) -> None:
         """Closes the connections to other entries."""
-        await self._passing.close()
+        await self._forwarder.close()
 
     def waiting_since(self) -> float | None:
         """Returns when the oldest request at a target was sent there."""
@@ -320,17 +320,17 @@
         service = _table.select_service(
             route, request.resumed_request or request.id
         )
-        if self._passing.is_needed(request, service):
-            await self._pass_on(request, route, service, writer)
+        if self._forwarder.is_needed(request, service):
+            await self._forward_to_peer(request, route, service, writer)
         else:
             await self._serve(request, route, team, writer)
 
-    async def _pass_on(self, request, route, service, writer) -> int:
-        """Has another entry serve a request; see :class:`Passing`."""
+    async def _forward_to_peer(self, request, route, service, writer) -> int:
+        """Has another entry serve a request; see :class:`PeerForwarder`."""
         deadline = _deadline(request, route)
         if self._stop is not None:
             deadline = min(deadline, self._stop.stop_at)
-        return await self._passing.pass_on(
+        return await self._forwarder.forward(
             request, route, service, writer, deadline
         )
 
@@ -379,7 +379,9 @@
                 finally:
                     self._timers.discard(timer)
             if lost_path:
-                status = await self._pass_on(request, route, service, writer)
+                status = await self._forward_to_peer(
+                    request, route, service, writer
+                )
                 if 0 < status < CLIENT_ERROR:
                     # The other entry bills the request.
                     reservation.may_have_run = False
@@ -414,7 +416,7 @@
             context.route.repeatable
             and attempts.runs < context.route.max_targets
         )
-        if relay.started or context.request.passed_on:
+        if relay.started or context.request.forwarded:
             return False
         if attempts.runs and not repeatable:
             return False
@@ -517,7 +519,7 @@
     ) -> None:
         """Tries targets until one answers or no retry is allowed."""
         while True:
-            if context.attempted_targets and self._passing.is_needed(
+            if context.attempted_targets and self._forwarder.is_needed(
                 context.request, context.service
             ):
                 if not await relay.finish_after_failure():
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -35,7 +35,7 @@
     stream that the caller has received, ``resumed_request`` the id of its
     request that got the first event, empty if it names none.  ``team`` is the
     name of the caller's team, empty if there is none, ``key`` the API key.
-    ``passed_on`` tells whether another entry passed the request on.
+    ``forwarded`` tells whether another entry passed the request on.
     """
 
     __slots__ = (
@@ -43,12 +43,12 @@
         "arrived_at",
         "body",
         "caller_timeout",
+        "forwarded",
         "headers",
         "host",
         "id",
         "key",
         "method",
-        "passed_on",
         "path",
         "prompt",
         "request_target",
@@ -76,7 +76,7 @@
         resume_after: str | None = None,
         resumed_request: str = "",
         key: str = "",
-        passed_on: bool = False,
+        forwarded: bool = False,
     ):
         self.id = id
         self.method = method
@@ -93,7 +93,7 @@
         self.resume_after = resume_after
         self.resumed_request = resumed_request
         self.key = key
-        self.passed_on = passed_on
+        self.forwarded = forwarded
         self._digest: str | None = None
 
     @property
@@ -172,12 +172,12 @@
 
 
 class TargetCodec(typing.Protocol):
-    """The message format of targets, and of requests that are passed on."""
+    """The message format of targets, and of requests that are forwarded."""
 
     def encode(self, attempt: Attempt) -> bytes:
         """Returns the bytes of a complete request."""
 
-    def encode_passed_on(self, request: Request, time_left: float) -> bytes:
+    def encode_forwarded(self, request: Request, time_left: float) -> bytes:
         """Returns the bytes of a caller's request for another entry.
 
         ``time_left`` is in seconds.
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -45,7 +45,7 @@
 def with_path(
     alive: list[wire.Instance], service: str, domain: str, rng: random.Random
 ) -> list[str]:
-    """Returns where to pass on requests for a service, the best first.
+    """Returns where to forward requests for a service, the best first.
 
     Entries of the failure domain ``domain`` come first, as bytes between
     domains cost more.
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -135,7 +135,7 @@
         writer = AsgiResponseWriter(send=send, is_draining=self.is_draining)
         try:
             headers = _decode_headers(scope)
-            passed_on = self._is_passed_on(scope, headers)
+            forwarded = self._is_forwarded(scope, headers)
             host = _get_header(headers, "host").partition(":")[0].lower()
             path = scope["raw_path"].decode("latin-1")
             key = _get_header(headers, _headers.API_KEY)
@@ -146,7 +146,7 @@
                 scope, headers, host, path, team, body, arrived_at
             )
             request.key = key
-            request.passed_on = passed_on
+            request.forwarded = forwarded
         except web.ApiError as exc:
             await writer.send_error(exc)
             return
@@ -157,7 +157,7 @@
         )
         await _run_until_disconnect(task, receive)
 
-    def _is_passed_on(self, scope, headers) -> bool:
+    def _is_forwarded(self, scope, headers) -> bool:
         """Returns whether another node passed a request on.
 
         Raises ApiError if a caller uses the address for such requests.
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     peer_key : str
-        Key that all nodes share, for requests that are passed on.
+        Key that all nodes share, for requests that are forwarded.
     """
 
     def __init__(self, *, peer_key: str):
@@ -36,7 +36,7 @@
         lines.append(f"{_headers.PRIORITY}: {priority}")
         return _finish(lines, req)
 
-    def encode_passed_on(
+    def encode_forwarded(
         self, request: gateway.Request, time_left: float
     ) -> bytes:
         """See :class:`galenashed.gateway.TargetCodec`."""
--- a/galenashed/platform/tests/test_lost_paths.py
+++ b/galenashed/platform/tests/test_lost_paths.py
@@ -138,9 +138,9 @@
     def is_direct_again(self):
         """Whether the cut nodes send requests to targets themselves."""
         for node in CUT_NODES:
-            metrics = self.site.counter(node, "gateway.passed_on")
+            metrics = self.site.counter(node, "gateway.forwarded")
             self.send_until(time.monotonic() + 0.5)
-            if self.site.counter(node, "gateway.passed_on") != metrics:
+            if self.site.counter(node, "gateway.forwarded") != metrics:
                 return False
         return True
 
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -46,7 +46,7 @@
     ``cores_used`` what it uses.  ``replica`` and ``replica_address`` identify
     the control replica in the same process, if there is one, even if it is
     not a member yet.  ``relay_address`` is where the entry serves requests
-    that other entries pass on.  ``unreachable`` are the services to whose
+    that other entries forward.  ``unreachable`` are the services to whose
     targets it has no path, ``isolated`` tells whether these are all services.
     """
 
