Have control admit a call under which two targets have crashed

Class: an entry decides from its own, older list about something that control knows.

Change: an idempotent or keyed call that an entry knows to be suspected runs only after control has admitted it, with the entry's own reports acknowledged before. Of calls that would complete the evidence control admits one at a time. If control does not answer, the call is refused with 503. Sound calls are not delayed: only what is suspected asks.

Measured: the new test with a feed 0.2 s late failed before (3 != 4) and passes; tests of quarantine, control, entry and failing targets pass. An entry that has not heard of any crash yet may still cost a target.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -27,7 +27,9 @@
 
 After a time in quarantine that doubles with each failure, a single request
 with the suspect may run as a trial.  Its answer clears the suspect.  A request
-as a whole gets few trials, as each costs a target.
+as a whole gets few trials, as each costs a target.  An entry that asks before
+the attempt that would complete the evidence against a whole request is
+admitted one attempt at a time.
 """
 
 import typing
@@ -149,11 +151,15 @@
 
 def _has_sufficient_evidence(name: str, record: _state.SuspectRecord) -> bool:
     if _is_request(name):
-        targets = {item.target for item in record.evidence}
-        return len(targets) >= REQUEST_QUARANTINE_CRASHES
+        return count_targets(record.evidence) >= REQUEST_QUARANTINE_CRASHES
     return count_crashes(record.evidence) >= QUARANTINE_CRASHES
 
 
+def count_targets(evidence: list[_state.Evidence]) -> int:
+    """Returns the number of targets that crashed."""
+    return len({item.target for item in evidence})
+
+
 def count_crashes(evidence: list[_state.Evidence]) -> int:
     """Returns the number of crashes that count against a part."""
     counted: list[_state.Evidence] = []
@@ -257,8 +263,10 @@
 ) -> bool:
     """Returns whether a request with the suspect may run."""
     record = state.suspects.get(cmd.suspect)
-    if record is None or not record.quarantined:
+    if record is None:
         return True
+    if not record.quarantined:
+        return _begin_last_attempt(state, cmd.suspect, record)
     if not record.trial_due:
         return False
     record.trial_due = False
@@ -268,6 +276,20 @@
     return True
 
 
+def _begin_last_attempt(
+    state: _state.ControlState, name: str, record: _state.SuspectRecord
+) -> bool:
+    """Returns whether an attempt that may crash the last target may begin."""
+    crashes = count_targets(record.evidence)
+    if not _is_request(name) or crashes < REQUEST_QUARANTINE_CRASHES - 1:
+        return True
+    trial_at = record.trial_at
+    if trial_at is not None and state.now - trial_at < TRIAL_SECONDS:
+        return False
+    record.trial_at = state.now
+    return True
+
+
 def list_suspects(state: _state.ControlState) -> wire.Quarantine:
     """Returns the suspects."""
     suspects = state.suspects
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -427,7 +427,9 @@
     ) -> wire.Reply:
         allowed = _quarantine.begin_trial(self.state, cmd, index)
         self._notify_quarantine(index)
-        return wire.Trial(allowed=allowed, count=0)
+        record = self.state.suspects.get(cmd.suspect)
+        count = _quarantine.count_targets(record.evidence) if record else 0
+        return wire.Trial(allowed=allowed, count=count)
 
     def _make_quarantine_reply(self, index: int) -> wire.Quarantine:
         self._notify_quarantine(index)
--- a/galenashed/control/tests/test_quarantine.py
+++ b/galenashed/control/tests/test_quarantine.py
@@ -263,6 +263,20 @@
         self.assertFalse(self.begin_trial("r2"))
         self.assertEqual([], self.trials_due())
 
+    def test_last_attempts_before_quarantine_run_one_at_a_time(self):
+        name = wire.name_request("r")
+        self.report("r")
+        for _ in range(2):
+            self.assertTrue(self.begin_trial("r", suspect=name))
+        self.report("r")
+        self.assertTrue(self.begin_trial("r", suspect=name))
+        self.assertFalse(self.begin_trial("r", suspect=name))
+        self.wait(_quarantine.TRIAL_SECONDS)
+        self.assertTrue(self.begin_trial("r", suspect=name))
+        self.answer("r")
+        for _ in range(2):
+            self.assertTrue(self.begin_trial("r", suspect=name))
+
     def test_trial_without_an_outcome_is_followed_by_another(self):
         self.quarantine_deadly()
         self.wait(40.0)
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -211,6 +211,8 @@
         """
         suspect = self.quarantine.find_quarantined(call)
         if suspect is None:
+            if self.quarantine.is_suspected(call):
+                await self.quarantine.admit_suspected(call, executed=sent)
             return
         if tries or not await self.quarantine.begin_trial(call):
             raise quarantine.make_error(suspect, executed=sent)
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -17,6 +17,7 @@
 VERDICT_SECONDS = 0.25
 COMMAND_SECONDS = 2.0
 RETRY_SECONDS = 0.2
+RETRY_AFTER_SECONDS = 1.0
 # Reports that wait for control, as when this entry is cut off.
 MAX_PENDING_REPORTS = 64
 # Requests without a begun answer that are reported of one crash unless they
@@ -69,16 +70,18 @@
 class _PendingReport:
     """A report that control has not acknowledged.
 
-    ``names`` are the suspects in it that no answer has cleared since, and
-    ``overdue`` tells whether the reply did not come in the usual time.
+    ``names`` are the suspects in it that no answer has cleared since,
+    ``overdue`` tells whether the reply did not come in the usual time, and
+    ``task`` ends once the report is acknowledged.
     """
 
-    __slots__ = ("command", "names", "overdue")
+    __slots__ = ("command", "names", "overdue", "task")
 
     def __init__(self, *, command: wire.ReportLostTarget, names: set[str]):
         self.command = command
         self.names = names
         self.overdue = False
+        self.task: asyncio.Task | None = None
 
 
 class Quarantine:
@@ -217,6 +220,34 @@
         )
         return True
 
+    async def admit_suspected(
+        self, request: SuspectedRequest, *, executed: bool
+    ) -> None:
+        """Waits until control admits a suspected request.
+
+        The list that this entry has may lack the latest crash.  Raises
+        ApiError if the request is quarantined, or if that can't be told;
+        ``executed`` tells whether it has been sent to a target before.
+        """
+        name = wire.name_request(request.digest)
+        reports = [item for item in self._pending if name in item.names]
+        if await self._wait_acknowledged(reports, COMMAND_SECONDS):
+            raise _make_unconfirmed_error(executed=executed)
+        command = wire.BeginSuspectTrial(suspect=name, request=request.digest)
+        try:
+            reply = await self.control.propose(
+                command, timeout=COMMAND_SECONDS
+            )
+        except self.unavailable:
+            LOG.info("{} not admitted: control does not answer", name)
+            raise _make_unconfirmed_error(executed=executed) from None
+        assert isinstance(reply, wire.Trial)
+        if reply.allowed:
+            return
+        if reply.count >= REQUEST_QUARANTINE_CRASHES:
+            raise make_error(name, executed=executed)
+        raise _make_unconfirmed_error(executed=executed)
+
     def on_answer_begun(self, request: SuspectedRequest) -> None:
         """Clears what was suspected in a request that a target answers."""
         if not (
@@ -264,15 +295,14 @@
             while len(self._unreported) > MAX_UNREPORTED_REQUESTS:
                 self._unreported.popitem(last=False)
             return
-        names = set(_suspect_names(request))
-        reports = {
-            self._start(self._report(report), "crash report"): report
-            for report in self._add_pending(commands, names)
-        }
-        if reports:
-            await asyncio.wait(reports, timeout=VERDICT_SECONDS)
-        for task, report in reports.items():
-            report.overdue = not task.done()
+        reports = self._add_pending(commands, set(_suspect_names(request)))
+        for report in reports:
+            report.task = self._start(self._report(report), "crash report")
+        unacknowledged = await self._wait_acknowledged(
+            reports, VERDICT_SECONDS
+        )
+        for report in unacknowledged:
+            report.overdue = True
 
     def _is_sampled(self, target: str) -> bool:
         """Whether a request is among the first that a target has lost."""
@@ -308,6 +338,15 @@
         self._pending += reports
         return reports
 
+    async def _wait_acknowledged(
+        self, reports: typing.Sequence[_PendingReport], timeout: float
+    ) -> list[_PendingReport]:
+        """Returns the reports that are not acknowledged in ``timeout``."""
+        tasks = [report.task for report in reports if report.task]
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout)
+        return [report for report in reports if report in self._pending]
+
     # Commands
 
     def _start(self, coro: typing.Coroutine, name: str) -> asyncio.Task:
@@ -354,7 +393,23 @@
         code="quarantined",
         message=f"targets crashed under requests with {suspect}; this one is"
         " not run" + (" again" if executed else ""),
-        execution_status=web.ExecutionStatus.UNKNOWN
-        if executed
-        else web.ExecutionStatus.NOT_RUN,
+        execution_status=_execution_status(executed),
+    )
+
+
+def _make_unconfirmed_error(*, executed: bool) -> web.ApiError:
+    """Returns the error of a request that may be quarantined by now."""
+    return web.ApiError(
+        status=503,
+        code="targets_failing",
+        message="targets crashed while they ran this request, and whether it"
+        " may run again can't be told yet",
+        execution_status=_execution_status(executed),
+        retry_after=RETRY_AFTER_SECONDS,
     )
+
+
+def _execution_status(executed: bool) -> web.ExecutionStatus:
+    if executed:
+        return web.ExecutionStatus.UNKNOWN
+    return web.ExecutionStatus.NOT_RUN
--- a/galenashed/quarantine/tests/test_quarantine.py
+++ b/galenashed/quarantine/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 
 from galenashed.protocol import control as wire
 from galenashed.quarantine.tests import _fixture
+from galenashed import web
 
 
 class Request:
@@ -213,6 +214,45 @@
 
         self.run_test(scenario)
 
+    def test_crash_that_the_feed_has_not_told_refuses_the_request(self):
+        async def scenario(first, second):
+            request = make_request(body=b"1")
+            await self.report(first, "t1", request)
+            self.feed()
+            await first.admit_suspected(request, executed=False)
+            for target in ("t2", "t3"):
+                await self.report(second, target, request)
+            self.assertFalse(self.is_quarantined(first, body=b"1"))
+            with testtools.ExpectedException(web.ApiError):
+                await first.admit_suspected(request, executed=False)
+
+        self.run_test(scenario)
+
+    def test_suspected_request_waits_for_its_own_report(self):
+        async def scenario(first, second):
+            request = make_request(body=b"1")
+            for target in ("t1", "t2"):
+                await self.report(second, target, request)
+            self.control.reachable = False
+            await self.report(first, "t3", request)
+            self.control.reachable = True
+            with testtools.ExpectedException(web.ApiError):
+                await first.admit_suspected(request, executed=True)
+            quarantined = self.control.state_machine.quarantine().quarantined
+            self.assertEqual(1, len(quarantined))
+
+        self.run_test(scenario)
+
+    def test_suspected_request_is_not_admitted_without_control(self):
+        async def scenario(first, second):
+            request = make_request(body=b"1")
+            await self.report(first, "t1", request)
+            self.control.reachable = False
+            with testtools.ExpectedException(web.ApiError):
+                await first.admit_suspected(request, executed=False)
+
+        self.run_test(scenario)
+
     async def wait_until_trial_is_due(self):
         self.control.now += 60.0
         await self.control.propose(wire.Barrier(), timeout=1.0)
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -399,6 +399,17 @@
             self.assertEqual(200, self.look(entry, "/unit").status)
         self.assertEqual(2, self.fleet.balance()["settled"])
 
+    def test_lookup_stops_at_most_three_targets_with_a_late_feed(self):
+        self.look("e1", "/unit?crash=1")
+        # The last crash is known to e2 and control only.
+        for name in self.fleet.control_names:
+            self.fleet.control_links[("e1", name)].delay = 0.2
+        self.look("e2", "/unit?crash=1")
+        response = self.look("e1", "/unit?crash=1")
+        self.assertEqual(3, self.count_exited())
+        self.assertEqual(422, response.status)
+        self.assertEqual("not run", response.json()["error"]["run"])
+
 
 class TestLimitedServices(testtools.TestCase):
     """Targets of a service that name a limit of requests a second."""
