Keep a call admitted until it is sent

Cause: control admits one attempt at a time of a call under which two targets have crashed. A call that then picked one of the crashed targets, which refused the connection, asked again and was refused because of its own first admission; for 10 s all repeats were refused too.

Change: a call that control has admitted stays admitted until it has been sent to a target.

--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -169,8 +169,10 @@
         slot_request = _slot_request(call)
         tries = 0
         sent = False
+        admitted = False
         while True:
-            await self._check_quarantine(call, tries, sent)
+            # A call stays admitted until it is sent.
+            admitted = admitted or await self._admit(call, sent=sent)
             slot = await self.dispatcher.acquire(slot_request)
             tries += 1
             suspected = self.quarantine.is_suspected(call)
@@ -183,6 +185,7 @@
                 continue
             except engines.TargetLostError as exc:
                 sent = True
+                admitted = False
                 slot.end(failed=True)
                 slot_request.requirements.excluded.add(slot.target.name)
                 crashed = await self._report_crash(call, slot.target)
@@ -202,20 +205,22 @@
             return
         raise _failing_error(tries, sent, exc)
 
-    async def _check_quarantine(
-        self, call: _call.Call, tries: int, sent: bool
-    ) -> None:
-        """Raises ApiError if targets crash under a call.
+    async def _admit(self, call: _call.Call, *, sent: bool) -> bool:
+        """Returns whether control had to admit a call, and has.
 
-        The first try may be the trial of a call in quarantine.
+        ``sent`` tells whether the call has been sent to a target before; if
+        not, it may be the trial of one in quarantine.  Raises ApiError if it
+        must not run.
         """
         suspect = self.quarantine.find_quarantined(call)
-        if suspect is None:
-            if self.quarantine.is_suspected(call):
-                await self.quarantine.admit_suspected(call, executed=sent)
-            return
-        if tries or not await self.quarantine.begin_trial(call):
-            raise quarantine.make_error(suspect, executed=sent)
+        if suspect is not None:
+            if sent or not await self.quarantine.begin_trial(call):
+                raise quarantine.make_error(suspect, executed=sent)
+            return True
+        if self.quarantine.is_suspected(call):
+            await self.quarantine.admit_suspected(call, executed=sent)
+            return True
+        return False
 
     async def _report_crash(self, call: _call.Call, target) -> bool:
         """Reports a call if the target that it ran on has crashed."""
@@ -252,8 +257,9 @@
     async def _run_claimed(self, call: _call.Call) -> wire.StoredResponse:
         slot_request = _slot_request(call)
         tries = 0
+        admitted = False
         while True:
-            await self._check_quarantine(call, tries, False)
+            admitted = admitted or await self._admit(call, sent=False)
             slot = await self.dispatcher.acquire(slot_request)
             tries += 1
             try:
