--- a/galenashed/tests/_fleet.py
+++ b/galenashed/tests/_fleet.py
@@ -232,6 +232,7 @@
         policy: str = "",
         snapshot_every: int = 10_000,
         proxied_targets: bool = False,
+        entry_module: str = "galenashed",
     ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
         self.proxy = _proxy.Proxy()
@@ -247,6 +248,7 @@
             zip(self.engine_names, engine_versions, strict=False)
         )
         self.proxied_targets = proxied_targets
+        self.entry_module = entry_module
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.control_links: dict[tuple[str, str], _proxy.Link] = {}
@@ -430,7 +432,17 @@
             + self._format_replicas(name),
         )
         args = ["entry", "--config", str(path)]
-        self.processes[name] = Process(name, args, self.folder)
+        self.processes[name] = Process(
+            name,
+            args,
+            self.folder,
+            module=self.entry_module,
+            env={"CUT_FILE": str(self.cut_file(name))},
+        )
+
+    def cut_file(self, entry: str) -> pathlib.Path:
+        """The file that cuts an entry's paths; see :mod:`_cut_entry`."""
+        return self.folder / f"cut-{entry}"
 
     def _configure_target(self, name: str, kind: str) -> None:
         address = f"127.0.0.1:{free_port()}"
