Share the path checks and questions about targets between request paths

Cause: entry/ needs what the gateway has for lost paths. Paths moves from gateway/ to engines/, behind the protocols Prober and KnownTargets, and the question whether others reach a target from node/ to gossip/, as ReachExchange. TargetClient tells which addresses fail and when a target last responded. The counter gateway.path_checks is now paths.checks.

--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -10,13 +10,19 @@
 from galenashed.engines._connection import ConnectionPool
 from galenashed.engines._connection import Framing
 from galenashed.engines._connection import ResponseHead
+from galenashed.engines._paths import KnownTargets
+from galenashed.engines._paths import Paths
+from galenashed.engines._paths import Prober
 from galenashed.engines._rates import parse_decimal
 
 __all__ = [
     "Connection",
     "ConnectionPool",
     "Framing",
+    "KnownTargets",
     "NotSentError",
+    "Paths",
+    "Prober",
     "ResponseHead",
     "TargetClient",
     "TargetLostError",
--- a/galenashed/engines/_client.py
+++ b/galenashed/engines/_client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import time
 import typing
 
 import aiohttp
@@ -124,6 +125,23 @@
     return bytes(body)
 
 
+async def accepts_connections(address: str) -> bool:
+    """Returns whether an address accepts a new connection.
+
+    Waits as long as the network; callers limit the time.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        transport, _ = await loop.create_connection(
+            asyncio.Protocol, host, int(port)
+        )
+    except (OSError, ValueError):
+        return False
+    transport.abort()
+    return True
+
+
 def _create_socket(address_info) -> socket.socket:
     """Returns a new socket with TCP keepalive enabled."""
     family, kind, proto, _, _ = address_info
@@ -149,6 +167,10 @@
     """
 
     def __init__(self) -> None:
+        # Monotonic time at which the head of a response last arrived.
+        self.received_at = float("-inf")
+        # Called with the address of a target that fails.
+        self.on_failed: typing.Callable[[str], None] = lambda address: None
         self._pooled: aiohttp.ClientSession
         self._unpooled: aiohttp.ClientSession
 
@@ -202,7 +224,7 @@
         session = self._pooled if reuse_connection else self._unpooled
         url = f"http://{address}{path}"
         try:
-            return await session.request(
+            resp = await session.request(
                 method,
                 yarl.URL(url, encoded=True),
                 data=body or None,
@@ -214,9 +236,20 @@
             aiohttp.ConnectionTimeoutError,
             aiohttp.InvalidURL,
         ) as exc:
+            self.on_failed(address)
             raise NotSentError(f"{address}: {exc}") from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            self.on_failed(address)
             raise TargetLostError(f"{address}: {exc!r}") from exc
+        except TargetLostError:
+            self.on_failed(address)
+            raise
+        self.received_at = time.monotonic()
+        return resp
+
+    async def accepts_connections(self, address: str) -> bool:
+        """See :class:`galenashed.engines.Prober`."""
+        return await accepts_connections(address)
 
     async def refuses_connections(self, address: str) -> bool:
         """Returns whether the address refuses connections: it is down.
--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -440,20 +440,8 @@
         self.received_at = time.monotonic()
 
     async def accepts_connections(self, address: str) -> bool:
-        """Returns whether an address accepts a new connection.
-
-        Waits as long as the network; callers limit the time.
-        """
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            transport, _ = await loop.create_connection(
-                asyncio.Protocol, host, int(port)
-            )
-        except (OSError, ValueError):
-            return False
-        transport.abort()
-        return True
+        """See :class:`galenashed.engines.Prober`."""
+        return await _client.accepts_connections(address)
 
     async def refuses_connections(self, address: str) -> bool:
         """Returns whether an address refuses connections: it is down.
--- a/galenashed/gateway/_paths.py
+++ b/galenashed/engines/_paths.py
@@ -15,8 +15,6 @@
 import time
 import typing
 
-from galenashed import engines
-from galenashed.gateway import _targets
 from galenashed import telemetry
 
 # Targets that fail one after the other before the paths are checked.
@@ -34,15 +32,42 @@
 SILENCE_CHECK_INTERVAL_SECONDS = 1.0
 
 
+class Prober(typing.Protocol):
+    """Opens connections to targets.
+
+    ``received_at`` is the monotonic time at which bytes last arrived from any
+    of them.
+    """
+
+    received_at: float
+
+    async def accepts_connections(self, address: str) -> bool:
+        """Returns whether an address accepts a new connection."""
+
+
+class Log(typing.Protocol):
+    """Receives a line for each decision."""
+
+    def write(self, event: str, **fields) -> None:
+        """Writes a line."""
+
+
+class KnownTargets(typing.Protocol):
+    """Lists the targets."""
+
+    def ready_addresses(self) -> dict[str, list[str]]:
+        """Returns the addresses of the ready targets of each service."""
+
+
 class Paths:
     """Checks the paths to the targets of each service.
 
     Parameters
     ----------
-    pool : ConnectionPool
+    pool : Prober
         Opens the probing connections, and knows when targets were heard.
-    targets : Targets
-        The known targets.
+    targets : KnownTargets
+        The targets that may receive requests.
     log : DecisionLog
         Receives a line for each path that is lost or regained.
     metrics : Metrics
@@ -64,9 +89,9 @@
     def __init__(
         self,
         *,
-        pool: engines.ConnectionPool,
-        targets: _targets.Targets,
-        log: telemetry.DecisionLog | telemetry.NullDecisionLog,
+        pool: Prober,
+        targets: KnownTargets,
+        log: Log,
         metrics: telemetry.Metrics,
         rng: random.Random,
     ):
@@ -146,7 +171,7 @@
             await asyncio.sleep(MIN_CHECK_INTERVAL_SECONDS)
 
     async def _check_all(self) -> None:
-        self.metrics.count("gateway.path_checks")
+        self.metrics.count("paths.checks")
         services = self.targets.ready_addresses()
         reached = await asyncio.gather(
             *[self._reaches_any(addresses) for addresses in services.values()]
--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -11,7 +11,6 @@
 from galenashed.gateway._handler import PlannedStop
 from galenashed.gateway._origins import OriginFinder
 from galenashed.gateway._origins import OriginRecords
-from galenashed.gateway._paths import Paths
 from galenashed.gateway._prepaid import PrepaidReserver
 from galenashed.gateway._request import Attempt
 from galenashed.gateway._request import PromptPart
@@ -30,7 +29,6 @@
     "Gateway",
     "OriginFinder",
     "OriginRecords",
-    "Paths",
     "PeerFinder",
     "PlannedStop",
     "PrepaidReserver",
--- a/galenashed/gateway/_forwarding.py
+++ b/galenashed/gateway/_forwarding.py
@@ -11,7 +11,6 @@
 import typing
 
 from galenashed import engines
-from galenashed.gateway import _paths
 from galenashed.gateway import _request
 from galenashed.protocol import routes as wire
 from galenashed import telemetry
@@ -61,7 +60,7 @@
     def __init__(
         self,
         *,
-        paths: _paths.Paths,
+        paths: engines.Paths,
         peers: PeerFinder,
         codec: _request.TargetCodec,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -9,7 +9,6 @@
 from galenashed.gateway import _attempts
 from galenashed.gateway import _forwarding
 from galenashed.gateway import _origins
-from galenashed.gateway import _paths
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
@@ -159,7 +158,7 @@
         pool: engines.ConnectionPool,
         codec: _request.TargetCodec,
         crash_quarantine: quarantine.Quarantine,
-        paths: _paths.Paths,
+        paths: engines.Paths,
         peers: _forwarding.PeerFinder,
         origins: _origins.OriginFinder,
         retries: routing.RetryBudget,
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -143,7 +143,7 @@
 
 
 def make_paths(pool, targets):
-    return gateway.Paths(
+    return engines.Paths(
         pool=pool,
         targets=targets,
         log=telemetry.NullDecisionLog(),
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -74,9 +74,6 @@
 DISCOVERY_WARMUP_SECONDS = 2.0
 # Entries that are asked whether they reach a target, enough to find one on the
 # other side if most entries of a failure domain are cut off from targets.
-MAX_REACH_ASKED = 8
-REACH_PROBE_SECONDS = 0.2
-REACH_TIMEOUT_SECONDS = 0.3
 # Part of the shutdown timeout that is reserved for returning grants.
 GRANT_RETURN_TIMEOUT_SECONDS = 0.5
 
@@ -154,7 +151,13 @@
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
-        self._channels = rpc.ChannelPool(key=cfg.peer_key)
+        self._reach_exchange = gossip.ReachExchange(
+            directory=self.instance_directory,
+            key=cfg.peer_key,
+            prober=self._pool,
+            targets=self.targets,
+            rng=rng,
+        )
         self._origin_exchange = _origins.OriginExchange(
             name=cfg.name,
             region=cfg.region,
@@ -168,7 +171,7 @@
             unavailable=control.ControlUnavailableError,
             log=log,
         )
-        self.paths = gateway.Paths(
+        self.paths = engines.Paths(
             pool=self._pool,
             targets=self.targets,
             log=log,
@@ -255,7 +258,7 @@
                 (methods.SPREAD, self._receive_gossip),
                 (methods.LEND, self._loan_exchange.lend),
                 (methods.RECORD_ORIGINS, self._origin_exchange.receive),
-                (methods.REACH_TARGET, self._reach_target),
+                (methods.REACH_TARGET, self._reach_exchange.answer),
                 (methods.FIND_ORIGIN, self._origin_exchange.answer),
             ],
         )
@@ -369,7 +372,7 @@
         await self._pool.close()
         await self._loan_exchange.close()
         await self._origin_exchange.close()
-        await self._channels.close()
+        await self._reach_exchange.close()
         await self._peer_server.close()
         if self.replica is not None:
             await self.replica.close()
@@ -645,43 +648,7 @@
 
     async def any_reaches(self, address: str) -> bool:
         """See :class:`galenashed.gateway.PeerFinder`."""
-        entries = self.instance_directory.alive(time.monotonic())
-        asked = self.rng.sample(entries, min(MAX_REACH_ASKED, len(entries)))
-        questions = [
-            asyncio.create_task(
-                self._ask_reaches(entry.peer_address, address),
-                name="reach target",
-            )
-            for entry in asked
-        ]
-        try:
-            for question in asyncio.as_completed(questions):
-                if await question:
-                    return True
-        finally:
-            for task in questions:
-                task.cancel()
-        return False
-
-    async def _ask_reaches(self, peer_address: str, address: str) -> bool:
-        try:
-            return await self._channels.get(peer_address).call(
-                methods.REACH_TARGET, address, timeout=REACH_TIMEOUT_SECONDS
-            )
-        except rpc.RpcError as exc:
-            LOG.debug("no answer of {}: {}", peer_address, exc.code())
-            return False
-
-    async def _reach_target(self, address: str, context) -> bool:
-        """Answers another entry that can't reach a target."""
-        known = self.targets.ready_addresses().values()
-        if not any(address in addresses for addresses in known):
-            return False
-        try:
-            async with asyncio.timeout(REACH_PROBE_SECONDS):
-                return await self._pool.accepts_connections(address)
-        except TimeoutError:
-            return False
+        return await self._reach_exchange.any_reaches(address)
 
     async def _receive_gossip(self, requests, context) -> bool:
         async for messages in requests:
