Forward requests of an entry that has lost its paths to the targets

Cause: as in the gateway, an entry takes the loss of its own path for the failure of each target, and only it can serve the callers that chose it.

Change: the entry checks its paths by new connections, after two targets have failed or when none responds for 0.6 s. While no target of a service is reached, the HTTP request goes over one hop to an entry that says in its gossip that it reaches it, of the own failure domain first. That one authenticates, reserves, claims the idempotency key, retries and bills. What failed here is forwarded only if it is known not to have run; what was sent to a peer is not repeated. A leaving caller ends the run at the peer. Entries that reach no target are left out of /v1/instances.

--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -14,6 +14,7 @@
 from galenashed.entry import _call
 from galenashed.entry import _calls
 from galenashed.entry import _configuration
+from galenashed.entry import _forwarding
 from galenashed.entry import _instances
 from galenashed.entry import _models
 from galenashed.entry import _requests
@@ -44,6 +45,8 @@
         Serves model requests.
     calls : CallHandler
         Serves calls of plain services.
+    forwarder : PeerForwarder
+        Forwards requests to services that this entry can't reach.
     instances : Instances
         Lists the instances that callers can use.
     control_client : ControlClient
@@ -63,6 +66,7 @@
         configuration: _configuration.Configuration,
         models: _models.ModelHandler,
         calls: _calls.CallHandler,
+        forwarder: _forwarding.PeerForwarder,
         instances: _instances.Instances,
         control_client: control.ControlClient,
         flush_bills,
@@ -73,6 +77,7 @@
         self.configuration = configuration
         self.models = models
         self.calls = calls
+        self.forwarder = forwarder
         self.instances = instances
         self.control_client = control_client
         self.flush_bills = flush_bills
@@ -220,7 +225,37 @@
         )
         budget = self._budget(request, team)
         receive = request.scope[RECEIVE_KEY]
-        return await self.models.handle(parsed, team, budget, receive)
+        return await self._serve_or_forward(
+            request,
+            body,
+            self.configuration.service_for_model(parsed.model.name),
+            lambda: self.models.handle(parsed, team, budget, receive),
+            repeatable=True,
+        )
+
+    async def _serve_or_forward(
+        self, request, body, service, serve, *, repeatable: bool
+    ) -> blacksheep.Response:
+        """Serves a request, or has an entry with a path to targets serve it.
+
+        ``serve`` is a coroutine function that serves it here.
+        """
+        forwarder = self.forwarder
+        if service is None or not forwarder.is_needed(request, service):
+            try:
+                return await serve()
+            except web.ApiError as exc:
+                if service is None or not await forwarder.can_forward(
+                    request, service, exc
+                ):
+                    raise
+        return await forwarder.forward(
+            request,
+            body,
+            service,
+            repeatable=repeatable,
+            receive=request.scope[RECEIVE_KEY],
+        )
 
     async def _call_service(self, request) -> blacksheep.Response:
         team = self._authenticate(request)
@@ -256,7 +291,13 @@
                 # An earlier attempt through another entry may have run it.
                 exc.execution_status = web.ExecutionStatus.UNKNOWN
             raise
-        return await self.calls.handle(call)
+        return await self._serve_or_forward(
+            request,
+            call.body,
+            service,
+            lambda: self.calls.handle(call),
+            repeatable=call.idempotent,
+        )
 
     async def _list_models(self, request) -> blacksheep.Response:
         self._authenticate(request)
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -45,6 +45,7 @@
         "on_lease_expired",
         "stats",
         "suspect",
+        "waiting_since",
     )
 
     def __init__(self, *, dispatcher, stats, suspect: bool):
@@ -52,6 +53,8 @@
         self._done = False
         self.stats = stats
         self.suspect = suspect
+        # Monotonic time, None once the target has responded.
+        self.waiting_since: float | None = time.monotonic()
         # Called at each lease check while the target's lease is expired.
         self.on_lease_expired: typing.Callable[[], None] | None = None
 
@@ -198,6 +201,25 @@
             if key[0] == target.service:
                 self._dispatch_queued(key)
 
+    def waiting_since(self) -> float | None:
+        """Returns since when a target has had a request without a response."""
+        return min(
+            (
+                slot.waiting_since
+                for slot in self._slots
+                if slot.waiting_since is not None
+            ),
+            default=None,
+        )
+
+    def ready_addresses(self) -> dict[str, list[str]]:
+        """See :class:`galenashed.engines.KnownTargets`."""
+        found: dict[str, list[str]] = {}
+        for target in self.targets.alive(time.monotonic()):
+            if target.state == "ready":
+                found.setdefault(target.service, []).append(target.address)
+        return found
+
     async def acquire(self, request: SlotRequest) -> Slot:
         """Returns a slot of a target, waiting in the queue if necessary.
 
@@ -265,6 +287,7 @@
         self, slot: Slot, status: int, headers: typing.Mapping[str, str]
     ) -> None:
         """Applies the limit that a target's response names, or none."""
+        slot.waiting_since = None
         if self.router.limits is None:
             return
         name = slot.stats.incarnation_name
--- a/galenashed/entry/_instances.py
+++ b/galenashed/entry/_instances.py
@@ -48,11 +48,35 @@
 
         Instances in the given failure domain come first; within each group
         they are ordered by load.  Draining, starting and cut-off instances
-        are left out.
+        are left out, and those that reach no target unless none does.
         """
         known = [self.describe(), *self.directory.alive(time.monotonic())]
         serving = [peer for peer in known if peer.state == "serving"]
+        reaching = [peer for peer in serving if not peer.isolated]
+        return [
+            {
+                "name": peer.name,
+                "address": peer.address,
+                "failure_domain": peer.failure_domain,
+            }
+            for peer in self._sort(reaching or serving, failure_domain)
+        ]
+
+    def with_path(self, service: str) -> list[wire.Instance]:
+        """Returns the other instances that reach a service, best first."""
+        own = self.describe()
+        peers = [
+            peer
+            for peer in self.directory.alive(time.monotonic())
+            if peer.name != own.name
+            and peer.state == "serving"
+            and service not in peer.unreachable
+        ]
+        return self._sort(peers, own.failure_domain)
 
+    def _sort(
+        self, peers: list[wire.Instance], failure_domain: str
+    ) -> list[wire.Instance]:
         def rank(peer: wire.Instance):
             return (
                 peer.failure_domain != failure_domain,
@@ -60,11 +84,4 @@
                 self.rng.random(),
             )
 
-        return [
-            {
-                "name": peer.name,
-                "address": peer.address,
-                "failure_domain": peer.failure_domain,
-            }
-            for peer in sorted(serving, key=rank)
-        ]
+        return sorted(peers, key=rank)
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -16,6 +16,7 @@
 from galenashed.entry import _claims
 from galenashed.entry import _configuration
 from galenashed.entry import _dispatcher
+from galenashed.entry import _forwarding
 from galenashed.entry import _instances
 from galenashed.entry import _models
 from galenashed.entry import _reservations
@@ -104,7 +105,7 @@
         self.quarantine = quarantine.Quarantine(
             control=self.control_client,
             unavailable=control.ControlUnavailableError,
-            log=_suspects.QuarantineLog(),
+            log=_suspects.ProcessLog(),
         )
         self._feed_client = control.FeedClient(
             client=self.control_client,
@@ -163,6 +164,16 @@
             rng=rng,
             limits=self.target_limits,
         )
+        self._client = engines.TargetClient()
+        self.paths = engines.Paths(
+            pool=self._client,
+            targets=self.dispatcher,
+            log=_suspects.ProcessLog(),
+            metrics=self._metrics,
+            rng=rng,
+        )
+        self._client.on_failed = self.paths.on_connect_failed
+        self.paths.on_change = self._gossiper.trigger_round
         self._instances = _instances.Instances(
             directory=self.instance_directory,
             describe=self.describe,
@@ -173,7 +184,12 @@
 
     def _make_app(self) -> _app.EntryApp:
         """Creates the request handlers and the HTTP application."""
-        self._client = engines.TargetClient()
+        self._forwarder = _forwarding.PeerForwarder(
+            name=self.cfg.name,
+            paths=self.paths,
+            instances=self._instances,
+            metrics=self._metrics,
+        )
         self._claims = _claims.Claims(
             control_client=self.control_client,
             holder=self.holder,
@@ -214,8 +230,9 @@
                 client=self._client,
                 claims=self._claims,
                 crash_quarantine=self.quarantine,
-                metrics=self._metrics,
+                    metrics=self._metrics,
             ),
+            forwarder=self._forwarder,
             instances=self._instances,
             control_client=self.control_client,
             flush_bills=self.budget_manager.flush,
@@ -226,10 +243,12 @@
     async def start(self) -> None:
         """Starts serving once the current configuration is loaded."""
         await self._client.start()
+        await self._forwarder.start()
         await self.control_client.start()
         await self._feed_client.start()
         await self.budget_manager.start()
         await self.dispatcher.start()
+        await self.paths.start()
         await self._peers.start()
         await self.app.start()
         while not self.configuration.serving:
@@ -277,12 +296,14 @@
         await self._witness.close()
         await self._witness_links.close()
         await self._gossiper.close()
+        await self.paths.close()
         await self.dispatcher.close()
         await self.quarantine.close()
         await self._crash_quarantine.close()
         await self._feed_client.close()
         await self.control_client.close()
         await self._peers.close()
+        await self._forwarder.close()
         await self._client.close()
 
     @property
@@ -309,12 +330,18 @@
             request_rate=round(
                 self.dispatcher.request_rate.value(time.monotonic()), 2
             ),
+            unreachable=sorted(self.paths.lost),
+            isolated=self.paths.isolated,
         )
 
     async def _update_senders(self) -> None:
-        """Tells the limits of targets which entries serve callers."""
+        """Tells the limits of targets which entries serve callers.
+
+        Also has the paths checked when no target responds.
+        """
         while True:
             now = time.monotonic()
+            self.paths.check_silence(self.dispatcher.waiting_since(), now)
             known = [self.describe(), *self.instance_directory.alive(now)]
             self.target_limits.set_senders(
                 [entry for entry in known if entry.state == "serving"], now
--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -29,8 +29,8 @@
 RETRY_AFTER_SECONDS = 1.0
 
 
-class QuarantineLog:
-    """Writes the decisions of a quarantine to the log of the process."""
+class ProcessLog:
+    """Writes decisions to the log of the process."""
 
     def write(self, event: str, **fields) -> None:
         """See :class:`galenashed.telemetry.DecisionLog`."""
