Don't take the lost paths of an entry for crashes of its targets

What callers saw: sound requests refused with 422 at all entries. An entry whose connections are reset reports each request under way as the cause of a crash, since the address refuses new connections.

Change: if an entry reaches no target at all, it asks up to eight others whether they reach that one, and reports a crash only if none does, as the gateway does.

The tests of calls and model runs are given the same check of connections as before.

--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -8,6 +8,7 @@
 from galenashed import engines
 from galenashed.entry import _call
 from galenashed.entry import _claims
+from galenashed.entry import _crashes
 from galenashed.entry import _dispatcher
 from galenashed.entry import _reservations
 from galenashed.protocol import control as wire
@@ -41,6 +42,8 @@
         Ensures that a non-idempotent call runs at most once.
     crash_quarantine : Quarantine
         Refuses calls under which targets crash.
+    crashes : CrashDetector
+        Tells whether a target has crashed.
     metrics : Metrics
         Counts retries.
     """
@@ -53,6 +56,7 @@
         client: engines.TargetClient,
         claims: _claims.Claims,
         crash_quarantine: quarantine.Quarantine,
+        crashes: _crashes.CrashDetector,
         metrics: telemetry.Metrics,
     ):
         self.dispatcher = dispatcher
@@ -60,6 +64,7 @@
         self.client = client
         self.claims = claims
         self.quarantine = crash_quarantine
+        self.crashes = crashes
         self.metrics = metrics
 
     async def handle(self, call: _call.Call) -> blacksheep.Response:
@@ -224,7 +229,7 @@
 
     async def _report_crash(self, call: _call.Call, target) -> bool:
         """Reports a call if the target that it ran on has crashed."""
-        if not await self.client.refuses_connections(target.address):
+        if not await self.crashes.has_crashed(target.address):
             return False
         await self.quarantine.report_crash(
             call,
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -8,6 +8,7 @@
 
 from galenashed import budget
 from galenashed import engines
+from galenashed.entry import _crashes
 from galenashed.entry import _dispatcher
 from galenashed.entry import _requests
 from galenashed.protocol import control as wire
@@ -129,6 +130,8 @@
         Sends requests to engines.
     crash_handler : CrashHandler
         Records crashes of targets and admits suspected requests.
+    crashes : CrashDetector
+        Tells whether a target has crashed.
     metrics : Metrics
         Counts retries and lost targets.
     """
@@ -139,11 +142,13 @@
         dispatcher: _dispatcher.Dispatcher,
         client: engines.TargetClient,
         crash_handler: CrashHandler,
+        crashes: _crashes.CrashDetector,
         metrics: telemetry.Metrics,
     ):
         self.dispatcher = dispatcher
         self.client = client
         self.crash_handler = crash_handler
+        self.crashes = crashes
         self.metrics = metrics
 
     async def open(self, run: ModelRun, *, first_event: int):
@@ -254,6 +259,6 @@
         LOG.warning("target {} lost during a request: {}", target.name, exc)
         self.metrics.count("model.target_lost")
         self._exclude_target(run, failed=True)
-        if await self.client.refuses_connections(target.address):
+        if await self.crashes.has_crashed(target.address):
             await self.crash_handler.report_crash(run, target)
         self._check_may_retry(run, exc)
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -15,6 +15,7 @@
 from galenashed.entry import _calls
 from galenashed.entry import _claims
 from galenashed.entry import _configuration
+from galenashed.entry import _crashes
 from galenashed.entry import _dispatcher
 from galenashed.entry import _forwarding
 from galenashed.entry import _instances
@@ -89,6 +90,7 @@
             handlers=[
                 (methods.SPREAD, self._receive_gossip),
                 (methods.WITNESS, self._witness.serve),
+                (methods.REACH_TARGET, self._reach_exchange.answer),
             ],
         )
 
@@ -174,6 +176,13 @@
         )
         self._client.on_failed = self.paths.on_connect_failed
         self.paths.on_change = self._gossiper.trigger_round
+        self._reach_exchange = gossip.ReachExchange(
+            directory=self.instance_directory,
+            key=cfg.peer_key,
+            prober=self._client,
+            targets=self.dispatcher,
+            rng=rng,
+        )
         self._instances = _instances.Instances(
             directory=self.instance_directory,
             describe=self.describe,
@@ -190,6 +199,9 @@
             instances=self._instances,
             metrics=self._metrics,
         )
+        crashes = _crashes.CrashDetector(
+            client=self._client, paths=self.paths, reach=self._reach_exchange
+        )
         self._claims = _claims.Claims(
             control_client=self.control_client,
             holder=self.holder,
@@ -211,6 +223,7 @@
             dispatcher=self.dispatcher,
             client=self._client,
             crash_handler=self._crash_quarantine,
+            crashes=crashes,
             metrics=self._metrics,
         )
         return _app.EntryApp(
@@ -230,7 +243,8 @@
                 client=self._client,
                 claims=self._claims,
                 crash_quarantine=self.quarantine,
-                    metrics=self._metrics,
+                crashes=crashes,
+                metrics=self._metrics,
             ),
             forwarder=self._forwarder,
             instances=self._instances,
@@ -303,6 +317,7 @@
         await self._feed_client.close()
         await self.control_client.close()
         await self._peers.close()
+        await self._reach_exchange.close()
         await self._forwarder.close()
         await self._client.close()
 
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -100,6 +100,9 @@
                 crash_quarantine=quarantine_fixture.make_quarantine(
                     quarantine_fixture.Control()
                 ),
+                crashes=types.SimpleNamespace(
+                    has_crashed=client.refuses_connections
+                ),
                 metrics=telemetry.NullMetrics(),
             )
             try:
--- a/galenashed/entry/tests/test_endless_responses.py
+++ b/galenashed/entry/tests/test_endless_responses.py
@@ -120,6 +120,9 @@
             runner = _runs.EngineRunner(
                 dispatcher=Dispatcher(await engine.start(), time_limit),
                 client=client,
+                crashes=types.SimpleNamespace(
+                    has_crashed=client.refuses_connections
+                ),
                 crash_handler=CrashHandler(),
                 metrics=telemetry.NullMetrics(),
             )
--- a/galenashed/tests/test_lost_paths.py
+++ b/galenashed/tests/test_lost_paths.py
@@ -111,6 +111,15 @@
     def test_connections_are_silent(self):
         self.check("silence")
 
+    def test_lost_paths_are_not_taken_for_crashes_of_targets(self):
+        # Connections to all engines, which the cut resets under a request.
+        _fleet.run_in_threads(8, lambda n: self.ask(CUT_ENTRY))
+        self.cut("reset")
+        for _ in range(3):
+            self.fleet.ask(CUT_ENTRY, "sound", timeout=TIMEOUT_SECONDS)
+        self.end_cut()
+        self.assertEqual(200, self.fleet.ask("e2", "sound").status)
+
     def test_each_call_runs_once_and_is_billed_once(self):
         self.cut("reset")
         self.send_for(CONTACT_SECONDS)
