--- a/galenashed/entry/_call.py
+++ b/galenashed/entry/_call.py
@@ -8,10 +8,13 @@
 from galenashed.protocol import control as wire
 from galenashed import web
 
+# Set on a request that another entry has forwarded.
+FORWARDED_BY = "galenashed-forwarded-by"
 HOP_BY_HOP = frozenset(
     (
         "connection",
         "content-length",
+        FORWARDED_BY,
         "host",
         "keep-alive",
         "proxy-authenticate",
--- a/galenashed/entry/_forwarding.py
+++ b/galenashed/entry/_forwarding.py
@@ -22,7 +22,6 @@
 
 LOG = loguru.logger
 
-FORWARDED_BY = "Galenashed-Forwarded-By"
 MAX_PEERS_TRIED = 3
 # Time for which an entry that could not be connected to is tried last.
 PEER_BACKOFF_SECONDS = 2.0
@@ -147,7 +146,7 @@
             for name, value in request.headers
             if name.decode("latin-1").lower() not in _call.HOP_BY_HOP
         ]
-        headers.append((FORWARDED_BY, self.name))
+        headers.append((_call.FORWARDED_BY, self.name))
         addresses = self._choose_peers(service)
         for address in addresses[:MAX_PEERS_TRIED]:
             try:
@@ -187,7 +186,7 @@
 
 
 def _is_forwarded(request: blacksheep.Request) -> bool:
-    return request.get_first_header(FORWARDED_BY.encode()) is not None
+    return request.get_first_header(_call.FORWARDED_BY.encode()) is not None
 
 
 def _make_response(
