Ask several replicas for the configuration feed side by side

Cause: an entry that has lost its feed asks one replica after the other, and waits 2 s for each that is silent or has just started. With three silent replicas of five, or four that have just started, a fresh feed is found only after up to 8 s, in which requests are handled by an old configuration. Class: a wait for each of several that may all fail, one after the other.

Change: while no feed is up to date, another replica is asked every 0.3 s, each at most once at a time; the first that is up to date is followed and the others are closed.

--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -17,6 +17,8 @@
 
 CALL_TIMEOUT_SECONDS = 2.0
 RETRY_SECONDS = 0.05
+# Time after which another replica is asked for its feed as well.
+HEDGE_SECONDS = 0.3
 MAX_BATCH_COMMANDS = 512
 MAX_BATCHES_IN_FLIGHT = 4
 
@@ -303,6 +305,24 @@
         return unanswered
 
 
+class _Feed:
+    """An open stream of events from the replica ``name``."""
+
+    __slots__ = ("call", "name", "opened_at")
+
+    def __init__(self, *, name: str, call):
+        self.name = name
+        self.call = call
+        self.opened_at = time.monotonic()
+
+    def age(self) -> float:
+        """Returns the seconds since the stream was opened."""
+        return time.monotonic() - self.opened_at
+
+    def close(self) -> None:
+        self.call.cancel()
+
+
 class FeedClient:
     """Receives the configuration feed of an entry.
 
@@ -344,41 +364,98 @@
         self._report_changed.set()
 
     async def _run(self) -> None:
-        names: list[str] = []
         while True:
-            if not names:
-                names = list(self.client.names)
-                self.rng.shuffle(names)
-            name = names.pop()
-            if name not in self.client.replicas:
-                continue
+            feed = await self._find_feed()
             try:
-                await self._follow(name)
+                await self._follow(feed)
             except (rpc.RpcError, TimeoutError, asyncio.InvalidStateError):
-                LOG.info("configuration feed from {} was interrupted", name)
+                LOG.info(
+                    "configuration feed from {} was interrupted", feed.name
+                )
+            finally:
+                feed.close()
             await asyncio.sleep(RETRY_SECONDS * 2)
 
-    async def _follow(self, name: str) -> None:
-        call = self.client.channel(name).open(methods.FOLLOW)
-        opened_at = time.monotonic()
-        await self._send_report(call)
-        writer = asyncio.create_task(self._send_report_changes(call))
+    async def _find_feed(self) -> _Feed:
+        """Returns the first feed that is up to date.
+
+        Replicas that don't answer soon are asked side by side, so that some
+        that hang don't hold the entry up.
+        """
+        attempts: dict[asyncio.Task[_Feed | None], str] = {}
+        names = self._iter_names()
         try:
             while True:
-                async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-                    event = await call.read()
-                if not isinstance(event, wire.FollowEvent):
-                    return
-                self.on_event(event)
-                age = event.age
-                if math.isinf(age):
+                name = next(names)
+                if name not in attempts.values():
+                    attempt = self._try_feed(name)
+                    attempts[asyncio.create_task(attempt, name="feed")] = name
+                done, _ = await asyncio.wait(
+                    attempts,
+                    timeout=HEDGE_SECONDS,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    del attempts[task]
+                feeds = [feed for task in done if (feed := task.result())]
+                for feed in feeds[1:]:
+                    feed.close()
+                if feeds:
+                    return feeds[0]
+                if done:
+                    await asyncio.sleep(RETRY_SECONDS * 2)
+        finally:
+            for task in attempts:
+                task.cancel()
+
+    def _iter_names(self) -> typing.Iterator[str]:
+        """Yields the names of replicas, in a new random order each time."""
+        while True:
+            names = list(self.client.names)
+            self.rng.shuffle(names)
+            yield from names
+
+    async def _try_feed(self, name: str) -> _Feed | None:
+        """Returns the feed of a replica once it is known to be up to date."""
+        if name not in self.client.replicas:
+            return None
+        feed = _Feed(
+            name=name, call=self.client.channel(name).open(methods.FOLLOW)
+        )
+        try:
+            await self._send_report(feed.call)
+            while (age := await self._read(feed)) is not None:
+                if age <= self.max_age:
+                    return feed
+                if math.isfinite(age) or feed.age() > self.max_age:
                     # A replica that has just started gets time to catch up.
-                    age = time.monotonic() - opened_at
+                    break
+        except (rpc.RpcError, TimeoutError, asyncio.InvalidStateError):
+            LOG.info("no configuration feed from {}", name)
+        except BaseException:
+            feed.close()
+            raise
+        feed.close()
+        return None
+
+    async def _read(self, feed: _Feed) -> float | None:
+        """Applies the next event; returns its age, None at the end."""
+        async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+            event = await feed.call.read()
+        if not isinstance(event, wire.FollowEvent):
+            return None
+        self.on_event(event)
+        return event.age
+
+    async def _follow(self, feed: _Feed) -> None:
+        """Reads a feed until it ends or is out of date."""
+        writer = asyncio.create_task(self._send_report_changes(feed.call))
+        try:
+            while (age := await self._read(feed)) is not None:
                 if age > self.max_age:
                     return
         finally:
             writer.cancel()
-            call.cancel()
 
     async def _send_report(self, call) -> None:
         async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
