Test that a late report of a restart does not join two versions

A target restarts under its id with other software, and no node has its report when a stream begins there.

--- a/galenashed/platform/tests/test_software_versions.py
+++ b/galenashed/platform/tests/test_software_versions.py
@@ -1,5 +1,6 @@
 """Streams of targets whose software has several versions."""
 
+import asyncio
 import http.client
 import json
 import re
@@ -98,6 +99,23 @@
         except urllib.error.HTTPError as exc:
             return exc.code, exc.read(), True
 
+    def take_up(self, streams, nodes):
+        """Returns how many streams went on; none at another version."""
+        went_on = 0
+        for number, (request_id, version, last) in enumerate(streams):
+            status, body, _ = self.send_as(
+                self.new_id(),
+                node=nodes[number % len(nodes)],
+                Last_Event_Id=last,
+                Resumes=request_id,
+            )
+            if status == 200:
+                self.assertEqual({version}, versions(body))
+                went_on += 1
+            else:
+                self.assertEqual(503, status)
+        return went_on
+
     def new_id(self):
         return f"id-{time.monotonic_ns()}"
 
@@ -152,23 +170,6 @@
         self.clear_failures()
         return streams
 
-    def take_up(self, streams, nodes):
-        """Returns how many streams went on; none at another version."""
-        went_on = 0
-        for number, (request_id, version, last) in enumerate(streams):
-            status, body, _ = self.send_as(
-                self.new_id(),
-                node=nodes[number % len(nodes)],
-                Last_Event_Id=last,
-                Resumes=request_id,
-            )
-            if status == 200:
-                self.assertEqual({version}, versions(body))
-                went_on += 1
-            else:
-                self.assertEqual(503, status)
-        return went_on
-
     def test_stream_is_taken_up_at_its_version_at_any_node(self):
         streams = self.begin_streams(range(NODES))
         self.assertEqual({"v1", "v2"}, {version for _, version, _ in streams})
@@ -214,6 +215,44 @@
         self.assertFalse(any(target.executions for target in self.engines))
 
 
+class TestRestartWithALateReport(VersionsTestCase):
+    """A target restarts at another version, which nodes learn later."""
+
+    counts = (2, 2)
+
+    def restart_silently(self, target):
+        self.site.targets.remove(target)
+        crash = asyncio.run_coroutine_threadsafe(
+            target.crash(), self.site.loop
+        )
+        crash.result(10)
+        target.version = "v2"
+        # The clocks of targets and nodes may differ.
+        time.sleep(1.5)
+
+    def test_stream_is_taken_up_at_the_version_that_wrote_it(self):
+        target, other = self.engines[:2]
+        self.restart_silently(target)
+        target.break_after = BREAK_AFTER
+        # Until the report arrives, the node itself would continue at v1.
+        other.reject = True
+        streams = []
+        for _ in range(MAX_STREAMS):
+            request_id = self.new_id()
+            status, body, whole = self.send_as(request_id, node=0)
+            if status == 200 and not whole and len(versions(body)) == 1:
+                streams.append((request_id, "v2", last_event_id(body)))
+            if len(streams) == 3:
+                break
+            time.sleep(0.02)
+        self.assertEqual(3, len(streams))
+        target.break_after = None
+        other.reject = False
+        self.site.targets.append(target)
+        time.sleep(2 * SPREAD_SECONDS + 0.3)
+        self.assertEqual(3, self.take_up(streams, range(NODES)))
+
+
 class TestOnlyTargetOfAVersion(VersionsTestCase):
     """The other targets have another version."""
 
