Correct the version of a stream once its target's restart is known

What callers see: a stream that began at a target which had just started again under its id with other software goes on at the version of before the restart.

Cause: the record of a beginning has the version that the entry knew, and the report of the restart may come later. Class: a fact about a process is taken from what was last heard of its address.

Change: the record names the target, its start and the time of the event. Who continues a stream, in the same request or later, compares them with the latest report: after the restart the version is the new one; within 1 s of it, by clocks of two machines, it is unknown, and nothing is guessed. Costs some 40 bytes a record; no message is added.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -43,12 +43,14 @@
     ``crashed_target`` is set if a target crashed and most likely because of
     the request: the target had begun the answer, without a complete event, or
     the request was suspected before.  ``version`` is that of the software
-    which wrote the first event of the stream, None before one is known.
+    which wrote the first event of the stream, None before one is known;
+    ``begun`` tells where that was, if it was in this request.
     """
 
     __slots__ = (
         "attempted_targets",
         "attempts",
+        "begun",
         "crashed_target",
         "deadline",
         "in_trial",
@@ -87,6 +89,7 @@
         # sent to one target.
         self.in_trial: bool = in_trial
         self.version: str | None = version
+        self.begun: streams.StreamOrigin | None = None
         self.attempted_targets: list[str] = []
         self.crashed_target = False
         self.last_error = ""
@@ -442,6 +445,8 @@
         origin = None
         if request.resumed_request:
             origin = await self.origins.find(request.resumed_request)
+        if origin is not None:
+            origin = self.targets.correct_origin(origin)
         known = origin is not None
         if origin is None:
             origin = self._only_possible_origin(request, route)
@@ -504,14 +509,16 @@
         context.version = target.version
         if not context.route.resumable:
             return
-        self.origins.record(
-            streams.StreamOrigin(
-                request=context.request.resumed_request or context.request.id,
-                service=context.service,
-                version=target.version,
-                keep_seconds=_longest_stream(context.route),
-            )
+        context.begun = streams.StreamOrigin(
+            request=context.request.resumed_request or context.request.id,
+            service=context.service,
+            version=target.version,
+            keep_seconds=_longest_stream(context.route),
+            target=target.name,
+            started=target.started,
+            begun_at=time.time(),
         )
+        self.origins.record(context.begun)
 
     async def _run_attempts(
         self, context: RequestContext, relay: _relay.Relay
@@ -604,6 +611,12 @@
     ) -> _targets.TargetState | None:
         now = time.monotonic()
         other_versions: set[str] = set()
+        if context.begun is not None:
+            begun = self.targets.correct_origin(context.begun)
+            if begun is None:
+                context.last_error = "the version of the stream is not known"
+                return None
+            context.version = begun.version
         if context.version is not None:
             other_versions = self.targets.other_versions(
                 context.service, context.version
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -2,10 +2,13 @@
 
 import typing
 
+import msgspec
+
 from galenashed.gateway import _placement
 from galenashed.gateway import _prompts
 from galenashed.gateway import _request
 from galenashed.protocol import gossip as wire
+from galenashed.protocol import streams
 from galenashed import routing
 
 EJECT_AFTER_FAILURES = 3
@@ -26,6 +29,8 @@
 RECENT_ANSWER_SECONDS = 3.0
 # How long a version is remembered after its last target is gone.
 VERSION_RETENTION_SECONDS = 600.0
+# Between the time of day of a target and that of an entry.
+MAX_CLOCK_DIFFERENCE_SECONDS = 1.0
 # Tokens of shared parts that a target is assumed to cache: about half of the
 # memory of the emulated engines, the rest is for running requests.
 MAX_CACHED_TOKENS = 120_000
@@ -209,6 +214,30 @@
             if name == service and seen_at >= since
         }
 
+    def correct_origin(
+        self, origin: streams.StreamOrigin
+    ) -> streams.StreamOrigin | None:
+        """Returns where a stream began, by what is known of its target now.
+
+        The report of a restart, maybe with other software, may have arrived
+        after the stream had begun.  None if which of both wrote it can't be
+        told, as clocks differ.
+        """
+        target = self._known.get(origin.target)
+        if target is None:
+            return origin
+        current = target.announced
+        if current.started <= origin.started or (
+            current.version == origin.version
+        ):
+            return origin
+        uptime = origin.begun_at - current.started
+        if abs(uptime) <= MAX_CLOCK_DIFFERENCE_SECONDS:
+            return None
+        if uptime < 0:
+            return origin
+        return msgspec.structs.replace(origin, version=current.version)
+
     def has_ready(self, service: str, version: str) -> bool:
         """Whether a target of a version may receive requests soon."""
         return any(
--- a/galenashed/gateway/tests/test_stream_origins.py
+++ b/galenashed/gateway/tests/test_stream_origins.py
@@ -74,3 +74,27 @@
         self.assertEqual({""}, self.targets.versions("s", since=0.0))
         self.announce("v2", started=5.0)
         self.assertEqual({"", "v2"}, self.targets.versions("s", since=0.0))
+
+    def test_restart_that_is_reported_late_corrects_where_streams_began(self):
+        self.announce("v1", started=100.0)
+
+        def corrected_version(begun_at):
+            corrected = self.targets.correct_origin(
+                streams.StreamOrigin(
+                    request="r",
+                    service="s",
+                    version="v1",
+                    keep_seconds=10.0,
+                    target="t",
+                    started=100.0,
+                    begun_at=begun_at,
+                )
+            )
+            return corrected and corrected.version
+
+        self.assertEqual("v1", corrected_version(210.0))
+        self.announce("v2", started=200.0)
+        self.assertEqual("v1", corrected_version(190.0))
+        self.assertEqual("v2", corrected_version(210.0))
+        # Clocks may differ by more than that.
+        self.assertIsNone(corrected_version(200.5))
--- a/galenashed/protocol/streams.py
+++ b/galenashed/protocol/streams.py
@@ -10,12 +10,18 @@
     one that continues the stream names it.  Only targets of the same
     ``service`` and software ``version`` can continue the stream.  The record
     is kept for ``keep_seconds``.
+
+    ``version`` is that of the ``target`` as far as the entry knew, which had
+    ``started`` last at that Unix time; ``begun_at`` is that of the event.
     """
 
     request: str
     service: str
     version: str
     keep_seconds: float
+    target: str = ""
+    started: float = 0.0
+    begun_at: float = 0.0
 
 
 class OriginQuery(msgspec.Struct, frozen=True, kw_only=True):
