Forward requests to busy entries and those cut off from control last

Cause, found by reading: entries that have lost their paths forward to any entry of their failure domain first. If most of a domain is cut off, the few that remain get the load of all, while other domains have room; and one that is cut off from control may lack tokens.

Change: entries in contact with control come first, then those that use at most 0.7 of their processor time, then those of the own domain.

Measured: two of three new tests failed before and pass. Not played at size.

--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -24,6 +24,9 @@
 # Share of the processor time of the entries with a replica that may be in use;
 # the rest is for bursts and for the loss of one of three such entries.
 MAX_UTILIZATION = 0.4
+# Above this share of its processor time, an entry is the last choice for the
+# requests of others.
+BUSY_UTILIZATION = 0.7
 # An entry that was not heard for longer may be gone for good, and is not named
 # even by those that are cut off and can't tell.
 MAX_SILENCE_SECONDS = 10.0
@@ -47,8 +50,10 @@
 ) -> list[str]:
     """Returns where to forward requests for a service, the best first.
 
-    Entries of the failure domain ``domain`` come first, as bytes between
-    domains cost more.
+    Those in contact with control come first, as others may lack tokens, and
+    then those whose processors are not busy: the few that remain in a domain
+    can't serve the callers of all others there.  Among these, entries of the
+    failure domain ``domain`` come first, as bytes between domains cost more.
     """
     usable = [
         entry
@@ -58,7 +63,13 @@
         and service not in entry.unreachable
     ]
     rng.shuffle(usable)
-    usable.sort(key=lambda entry: entry.failure_domain != domain)
+    usable.sort(
+        key=lambda entry: (
+            entry.state != "serving",
+            entry.cores_used > BUSY_UTILIZATION * entry.cores,
+            entry.failure_domain != domain,
+        )
+    )
     return [entry.relay_address for entry in usable]
 
 
--- a/galenashed/node/tests/test_entries.py
+++ b/galenashed/node/tests/test_entries.py
@@ -24,6 +24,7 @@
         sequence=1,
         address=f"{name}:1",
         peer_address=f"{name}:2",
+        relay_address=f"{name}:3",
         failure_domain=domain,
         region=region,
         cores=1.0,
@@ -138,3 +139,26 @@
             own, [], random.Random(1), lacks_tokens=True
         )
         self.assertEqual(["a:1"], alone)
+
+
+class TestWithPath(testtools.TestCase):
+    """Where an entry forwards requests for a service that it can't reach."""
+
+    def order(self, *entries):
+        return _entries.with_path(entries, "s", "east", random.Random(1))
+
+    def test_entries_of_the_domain_first(self):
+        found = self.order(entry("a", "west"), entry("b", "east"))
+        self.assertEqual(["b:3", "a:3"], found)
+
+    def test_few_busy_entries_of_the_domain_do_not_serve_all_others(self):
+        found = self.order(
+            entry("a", "east", used=0.9), entry("b", "west", used=0.3)
+        )
+        self.assertEqual(["b:3", "a:3"], found)
+
+    def test_entries_that_may_lack_tokens_last(self):
+        found = self.order(
+            entry("a", "east", "cut-off"), entry("b", "west", used=0.9)
+        )
+        self.assertEqual(["b:3", "a:3"], found)
