Tell others of stream origins only while versions differ

Each first event of a stream sent a message to four of up to 32 entries, a few of them a second for each entry, over as many channels.

Change: while all targets of a service have had one version and this entry most likely knows every target, every entry can tell by itself where streams began, so none is told. Their origins are kept, and told once another version appears or this entry is cut off.

Measured: the tests of versions, the soak, gateway/ and node/ pass, with a new one of streams that began before another version appeared, at an entry that is then killed: all of 24 are taken up.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -9,6 +9,7 @@
 from galenashed.gateway._forwarding import PeerFinder
 from galenashed.gateway._handler import Gateway
 from galenashed.gateway._handler import PlannedStop
+from galenashed.gateway._origins import MAX_ORIGIN_RECORDS
 from galenashed.gateway._origins import OriginFinder
 from galenashed.gateway._origins import OriginRecords
 from galenashed.gateway._prepaid import PrepaidReserver
@@ -25,6 +26,7 @@
 from galenashed.gateway._targets import TargetState
 
 __all__ = [
+    "MAX_ORIGIN_RECORDS",
     "Attempt",
     "Gateway",
     "OriginFinder",
--- a/galenashed/gateway/_origins.py
+++ b/galenashed/gateway/_origins.py
@@ -6,7 +6,7 @@
 
 # About a minute of the streams that an entry of the largest expected fleet
 # keeps for others: 4,700 streams a second, each kept by five of 370 entries.
-MAX_RECORDS = 20_000
+MAX_ORIGIN_RECORDS = 20_000
 MAX_KEEP_SECONDS = 600.0
 
 
@@ -35,7 +35,7 @@
 
     __slots__ = ("_records", "max_records")
 
-    def __init__(self, *, max_records: int = MAX_RECORDS):
+    def __init__(self, *, max_records: int = MAX_ORIGIN_RECORDS):
         self.max_records = max_records
         # Origins with the monotonic time until which they are kept, in the
         # order in which they were added.
--- a/galenashed/node/_origins.py
+++ b/galenashed/node/_origins.py
@@ -6,11 +6,18 @@
 them again.  They are told right after the event, in batches: of a stream whose
 entry is killed in between, no entry knows the beginning, and it is not
 continued unless only one version can have begun it.
+
+While all targets of a service have had one version, every entry knows where
+its streams began, and none is told.  Once another version appears, or this
+entry can't tell any more, others are told of the streams kept so far.
 """
 
 import asyncio
+import collections
+import contextlib
 import heapq
 import time
+import typing
 
 import loguru
 import xxhash
@@ -35,6 +42,8 @@
 # Entries of a region that may be holders, which bounds the connections.
 MAX_CANDIDATES = 32
 BATCH_SECONDS = 0.05
+# Between two checks whether others have to be told of the streams kept.
+CHECK_SECONDS = 0.25
 # Several round trips between failure domains of one region.
 QUERY_TIMEOUT_SECONDS = 0.2
 MAX_QUEUED_BATCHES = 8
@@ -57,6 +66,8 @@
         Key that all nodes share.
     sees_all_targets : callable
         Returns whether this entry most likely knows every target.
+    has_versions : callable
+        Returns whether the targets of a service have had several versions.
     log : DecisionLog
         Receives a line for each question and each contradiction.
     """
@@ -69,15 +80,22 @@
         directory: membership.Directory,
         key: str,
         sees_all_targets,
+        has_versions: typing.Callable[[str], bool],
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
     ):
         self.name = name
         self.region = region
         self.directory = directory
         self.sees_all_targets = sees_all_targets
+        self.has_versions = has_versions
         self.log = log
         self.records = gateway.OriginRecords()
         self._batches: dict[str, list[wire.StreamOrigin]] = {}
+        # Origins that others need not know yet, oldest first, with the
+        # monotonic time until which they are kept.
+        self._untold: collections.deque[tuple[float, wire.StreamOrigin]] = (
+            collections.deque(maxlen=gateway.MAX_ORIGIN_RECORDS)
+        )
         self._wake = asyncio.Event()
         self._links = links.LinkPool(
             key=key,
@@ -102,11 +120,41 @@
     def record(self, origin: wire.StreamOrigin) -> None:
         """See :class:`galenashed.gateway.OriginFinder`."""
         self._add(origin)
+        if self._others_need({origin.service}):
+            self._tell(origin)
+        else:
+            keep_until = time.monotonic() + origin.keep_seconds
+            self._untold.append((keep_until, origin))
+
+    def _others_need(self, services: set[str]) -> set[str]:
+        """Returns the services whose streams others can't tell apart."""
+        if not self.sees_all_targets():
+            return services
+        return {name for name in services if self.has_versions(name)}
+
+    def _tell(self, origin: wire.StreamOrigin) -> None:
         for holder in self._choose(origin.request, HOLDERS):
             self._batches.setdefault(holder.peer_address, []).append(origin)
         if self._batches:
             self._wake.set()
 
+    def _tell_kept(self) -> None:
+        """Tells others of origins that they need to know by now."""
+        now = time.monotonic()
+        while self._untold and self._untold[0][0] <= now:
+            self._untold.popleft()
+        if not self._untold:
+            return
+        needed = self._others_need({item.service for _, item in self._untold})
+        if not needed:
+            return
+        for _ in range(len(self._untold)):
+            keep_until, origin = self._untold.popleft()
+            if origin.service in needed:
+                self._tell(origin)
+            else:
+                self._untold.append((keep_until, origin))
+
     def _add(self, origin: wire.StreamOrigin) -> None:
         if not self.records.add(origin, time.monotonic()):
             self.log.write(
@@ -135,7 +183,12 @@
 
     async def _run(self) -> None:
         while True:
-            await self._wake.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_SECONDS):
+                    await self._wake.wait()
+            self._tell_kept()
+            if not self._batches:
+                continue
             await asyncio.sleep(BATCH_SECONDS)
             self._wake.clear()
             batches, self._batches = self._batches, {}
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -164,6 +164,7 @@
             directory=self.instance_directory,
             key=cfg.peer_key,
             sees_all_targets=self._sees_all_targets,
+            has_versions=self._has_versions,
             log=log,
         )
         self.quarantine = quarantine.Quarantine(
@@ -485,6 +486,10 @@
 
     # Targets and other nodes
 
+    def _has_versions(self, service: str) -> bool:
+        """Whether the targets of a service have had several versions."""
+        return len(self.targets.versions(service, float("-inf"))) > 1
+
     def _sees_all_targets(self) -> bool:
         """Whether a target that this entry doesn't know is unlikely.
 
--- a/galenashed/platform/tests/test_software_versions.py
+++ b/galenashed/platform/tests/test_software_versions.py
@@ -99,6 +99,27 @@
         except urllib.error.HTTPError as exc:
             return exc.code, exc.read(), True
 
+    def begin_streams(self, nodes):
+        """Returns (id, version, last event) of streams that broke off."""
+        self.set_break(BREAK_AFTER)
+        streams = []
+        for number in range(MAX_STREAMS):
+            request_id = self.new_id()
+            status, body, whole = self.send_as(
+                request_id, node=nodes[number % len(nodes)]
+            )
+            if status == 200 and not whole and body:
+                self.assertEqual(1, len(versions(body)))
+                (version,) = versions(body)
+                streams.append((request_id, version, last_event_id(body)))
+            if len(streams) == TAKEN_UP:
+                break
+            time.sleep(0.02)
+        self.assertEqual(TAKEN_UP, len(streams))
+        time.sleep(SPREAD_SECONDS)
+        self.clear_failures()
+        return streams
+
     def take_up(self, streams, nodes):
         """Returns how many streams went on; none at another version."""
         went_on = 0
@@ -149,27 +170,6 @@
         # One target of each version is sound.
         self.assertGreaterEqual(complete, TAKEN_UP / 2)
 
-    def begin_streams(self, nodes):
-        """Returns (id, version, last event) of streams that broke off."""
-        self.set_break(BREAK_AFTER)
-        streams = []
-        for number in range(MAX_STREAMS):
-            request_id = self.new_id()
-            status, body, whole = self.send_as(
-                request_id, node=nodes[number % len(nodes)]
-            )
-            if status == 200 and not whole and body:
-                self.assertEqual(1, len(versions(body)))
-                (version,) = versions(body)
-                streams.append((request_id, version, last_event_id(body)))
-            if len(streams) == TAKEN_UP:
-                break
-            time.sleep(0.02)
-        self.assertEqual(TAKEN_UP, len(streams))
-        time.sleep(SPREAD_SECONDS)
-        self.clear_failures()
-        return streams
-
     def test_stream_is_taken_up_at_its_version_at_any_node(self):
         streams = self.begin_streams(range(NODES))
         self.assertEqual({"v1", "v2"}, {version for _, version, _ in streams})
@@ -306,3 +306,17 @@
             self.new_id(), node=1, Last_Event_Id="4", Resumes="never-seen"
         )
         self.assertEqual(503, status)
+
+
+class TestNewVersion(VersionsTestCase):
+    """A target of another version starts after streams have begun."""
+
+    counts = (2, 0)
+
+    def test_streams_from_before_another_version_are_taken_up(self):
+        streams = self.begin_streams([3])
+        self.engines.append(self.site.add_target("engines", version="v2"))
+        time.sleep(3 * SPREAD_SECONDS)
+        self.site.processes[3].kill()
+        self.site.processes[3].wait()
+        self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
