Don't take slow probes for lost paths while targets are heard

What callers see: a busy entry forwards their requests to others although it reaches the targets, which costs a hop when processors are short.

Cause: a probe that is not accepted within 0.3 s counted as failed. Class: an entry takes its own slowness for the failure of others.

Change: a probe that is neither accepted nor refused proves nothing while bytes from targets arrive. Refused probes do, as open connections may live on in a cut.

--- a/galenashed/engines/_paths.py
+++ b/galenashed/engines/_paths.py
@@ -6,7 +6,9 @@
 targets of every service are probed with new connections once several have
 failed without a success in between, or once nothing at all has arrived from
 any target for a time in which requests waited.  Open connections prove
-nothing either, as they may live on while new ones are refused.
+nothing if new ones are refused, as they may live on.  But if a new connection
+is neither accepted nor refused while targets are heard on others, it is this
+entry or the target that is slow.
 """
 
 import asyncio
@@ -200,7 +202,7 @@
         self.on_change()
 
     async def _reaches_any(self, addresses: list[str]) -> bool:
-        """Returns whether a sample of addresses accepts a connection."""
+        """Returns whether targets at a sample of addresses are in reach."""
         sample = self.rng.sample(
             addresses, min(MAX_PROBED_TARGETS, len(addresses))
         )
@@ -209,7 +211,12 @@
         return await self._probe(first) or await self._probe(others)
 
     async def _probe(self, addresses: list[str]) -> bool:
-        """Returns whether any of the addresses accepts a connection."""
+        """Returns whether targets at the addresses are in reach.
+
+        One accepts a connection, or does not answer although bytes have
+        arrived from targets since.
+        """
+        started = time.monotonic()
         probes = [
             asyncio.create_task(self.pool.accepts_connections(address))
             for address in addresses
@@ -219,7 +226,7 @@
                 if await probe:
                     return True
         except TimeoutError:
-            pass
+            return self.pool.received_at >= started
         finally:
             for probe_task in probes:
                 probe_task.cancel()
