--- a/galenashed/entry/_forwarding.py
+++ b/galenashed/entry/_forwarding.py
@@ -26,7 +26,7 @@
 # Time for which an entry that could not be connected to is tried last.
 PEER_BACKOFF_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 0.5
-# Beside the time limit of a service, for the queue and retries of the peer.
+# On top of the time limit of a service, for queueing and retries at the peer.
 EXTRA_SECONDS = 10.0
 MAX_RESPONSE_BYTES = 32 * 2**20
 EVENT_STREAM = b"text/event-stream"
--- a/galenashed/node/_origins.py
+++ b/galenashed/node/_origins.py
@@ -127,7 +127,7 @@
             self._untold.append((keep_until, origin))
 
     def _others_need(self, services: set[str]) -> set[str]:
-        """Returns the services whose streams others can't tell apart."""
+        """Returns the services of whose streams others have to be told."""
         if not self.sees_all_targets():
             return services
         return {name for name in services if self.has_versions(name)}
--- a/galenashed/platform/tests/test_release_soak.py
+++ b/galenashed/platform/tests/test_release_soak.py
@@ -27,7 +27,6 @@
 TIME_LIMIT_SECONDS = 30.0
 # Events of a whole stream of a target.
 EVENTS = 10
-# Where the caller keeps no connection, it is sent elsewhere.
 TIMEOUT_SECONDS = 3.0
 MIN_TAKEN_UP = 12
 
