--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,99 +1,113 @@
-"""Runners that leave by a deregistration alone, reported to several nodes.
+"""Streams that are taken up elsewhere while their node is frozen.
 
-Each runner sends each status report to a node that it picks, and so it does
-with its deregistration.  Requesters send orders to all nodes all the while.
-Without the disruption, the runners report that they are draining first.
+Requesters read streams through one node, which freezes.  Meanwhile the first
+runner of another software version joins the service.  The requesters abandon
+their streams after a gap of four seconds and take them up at the other nodes.
 """
 
 import asyncio
 import pathlib
-import random
+import signal
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import harness
 
-STAYING = 2
-LEAVING = 8
-LEAVE_GAP_SECONDS = 1.5
-# A runner serves on for this long after the acknowledgement: a little longer
-# than ``drainMs``, and at times many seconds.
-SERVES_ON_SECONDS = 5.0
-# Allowed on top of ``drainMs`` for this process's own delays.
-SLACK_SECONDS = 0.3
-GAP_SECONDS = 0.08
-WORK_SECONDS = 0.15
-
-
-async def report(server, nodes, rng):
-    """Sends status reports until cancelled, each to a node of its choice."""
-    while True:
-        for node in rng.sample(nodes, len(nodes)):
-            if await server.beat(node):
-                break
-        await asyncio.sleep(harness.HEARTBEAT_MS / 1000)
-
-
-async def leave(server, reports, nodes, rng):
-    """Leaves; returns when a node acknowledged it."""
-    if not harness.TROUBLE:
-        server.state = "draining"
-        await asyncio.sleep(2 * harness.HEARTBEAT_MS / 1000)
-    reports.cancel()
-    await asyncio.gather(reports, return_exceptions=True)
-    for node in rng.sample(nodes, len(nodes)):
-        if await server.deregister(node):
-            break
-    else:
-        raise harness.CaseError("no node took the deregistration")
-    acknowledged_at = time.monotonic()
-    await asyncio.sleep(SERVES_ON_SECONDS)
-    await server.stop()
-    return acknowledged_at
+STREAMS = 16
+# A stream lasts for 9 s.
+EVENTS = 90
+FREEZE_SECONDS = 8.0
+# When the runner of the other version reports, after the freeze has begun.
+JOIN_AFTER_SECONDS = 2.0
+TRIES = 3
+RETRY_SECONDS = 0.3
+
+
+async def take_up(site, number, stream, nodes):
+    """Takes a stream up again; returns whether it went on."""
+    before = stream.last_id
+    for attempt_number in range(TRIES):
+        node = nodes[(number + attempt_number) % len(nodes)]
+        attempt = f"again-{number}-{attempt_number}"
+        await harness.send_stream(
+            site,
+            node,
+            stream,
+            attempt,
+            resumes=f"first-{number}",
+            last_id=before,
+        )
+        if stream.last_id > before:
+            return True
+        await asyncio.sleep(RETRY_SECONDS)
+    return False
+
+
+async def read_first(site, number, stream, node):
+    """Reads a stream from its beginning."""
+    await harness.send_stream(site, node, stream, f"first-{number}")
+
+
+async def read_both(site, number, stream, node, nodes):
+    """Reads a stream and takes it up if it breaks off.
+
+    Returns whether it went on, None if it was not taken up.
+    """
+    await read_first(site, number, stream, node)
+    if stream.complete:
+        return None
+    return await take_up(site, number, stream, nodes)
+
+
+async def read_new(site, number, nodes):
+    """Reads a new stream; returns whether it begins."""
+    stream = harness.Stream()
+    await read_first(site, f"new-{number}", stream, nodes[number % len(nodes)])
+    return stream.last_id > 0
 
 
 async def case(record):
     """Runs the case; returns what broke the rule, if anything did."""
-    rng = random.Random(1)
     site = harness.Site(record=record)
     try:
-        await site.start()
-        servers = []
-        reports = []
-        for number in range(STAYING + LEAVING):
-            server = await site.add_server(
-                harness.Server,
-                service="app",
-                ip="127.0.0.40",
-                name=f"i-{number}",
-                work=WORK_SECONDS,
-            )
-            servers.append(server)
-            reports.append(site.go(report(server, site.nodes, rng)))
-            await asyncio.sleep(0.3)
-        await asyncio.sleep(harness.CONTACT_SECONDS)
-        for node in site.nodes:
-            site.go(harness.send_orders(site, node, gap=GAP_SECONDS))
-        await asyncio.sleep(harness.CONTACT_SECONDS)
-        leaving = []
-        for number in range(STAYING, STAYING + LEAVING):
-            leaving.append(
-                site.go(
-                    leave(servers[number], reports[number], site.nodes, rng)
-                )
+        await site.start(routes=site.stream_routes())
+        frozen = site.nodes[-1]
+        nodes = site.nodes[:-1]
+        for number in range(2):
+            await harness.add_engine(site, f"e-{number}", "v1", nodes[number:])
+        await asyncio.sleep(2 * harness.CONTACT_SECONDS)
+        streams = [harness.Stream() for _ in range(STREAMS)]
+        readers = [
+            site.go(read_both(site, number, stream, frozen, nodes))
+            for number, stream in enumerate(streams)
+        ]
+        await asyncio.sleep(1.5)
+        if harness.TROUBLE:
+            frozen.signal(signal.SIGSTOP)
+        await asyncio.sleep(JOIN_AFTER_SECONDS)
+        await harness.add_engine(site, "e-2", "v2", nodes)
+        await asyncio.sleep(harness.MAX_GAP_SECONDS - JOIN_AFTER_SECONDS)
+        new = [site.go(read_new(site, n, nodes)) for n in range(STREAMS)]
+        await asyncio.sleep(FREEZE_SECONDS - harness.MAX_GAP_SECONDS)
+        if harness.TROUBLE:
+            frozen.signal(signal.SIGCONT)
+        went_on = await asyncio.gather(*readers)
+        began = await asyncio.gather(*new)
+        taken_up = [value for value in went_on if value is not None]
+        record.write(
+            f"{sum(taken_up)} of {len(taken_up)} streams went on,"
+            f" {sum(began)} of {len(began)} new ones began"
+        )
+        if len(taken_up) < 12:
+            return ""
+        share = sum(taken_up) / len(taken_up)
+        if share < sum(began) / len(began) / 2:
+            return (
+                f"{sum(taken_up)} of {len(taken_up)} streams went on,"
+                f" {sum(began)} of {len(began)} new ones began"
             )
-            await asyncio.sleep(LEAVE_GAP_SECONDS)
-        broken = []
-        for number, task in enumerate(leaving, STAYING):
-            server = servers[number]
-            acknowledged_at = await task
-            limit = acknowledged_at + harness.DRAIN_SECONDS + SLACK_SECONDS
-            late = harness.find_late(site, server, limit, acknowledged_at)
-            if late:
-                broken.append(f"{server.name}: {len(late)} requests")
-        return "; ".join(broken)
+        return ""
     finally:
         await site.close()
 
