--- a/review/harness.py
+++ b/review/harness.py
@@ -25,8 +25,9 @@
 HEARTBEAT_MS = 1200
 CONTACT_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
-REUSE_AFTER_SECONDS = 2.0
 START_SECONDS = 30.0
+# A case takes no longer than that.
+MAX_SECONDS = 110.0
 # Requesters abandon a stream after a longer gap: eight times the longest pause
 # of its route.
 MAX_GAP_SECONDS = 4.0
@@ -95,16 +96,14 @@
         self.complete = complete
 
 
-async def exchange(address, data, *, timeout, local=None):
+async def exchange(address, data, *, timeout):
     """Sends bytes on a new channel; returns the answer to them."""
     host, _, port = address.rpartition(":")
     answer = Answer()
     writer = None
     try:
         async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.open_connection(
-                host, int(port), local_addr=local
-            )
+            reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(data)
             await writer.drain()
             await read_answer(reader, answer)
@@ -802,15 +801,28 @@
     return late
 
 
+async def run(case, record):
+    """Runs a case; ends it after a time or at SIGTERM."""
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(MAX_SECONDS):
+        return await case(record)
+
+
 def main(folder, case):
-    """Runs a case; exits with 1 if the rule was broken, 0 if it held."""
+    """Runs a case; exits with 1 if the rule was broken, 0 if it held.
+
+    Exits with 2 if the case could not run.
+    """
     record = Record(pathlib.Path(folder) / "record.txt")
     record.write(f"trouble: {TROUBLE}")
     try:
-        broken = asyncio.run(case(record))
-    except CaseError as exc:
-        record.write(f"not run: {exc}")
-        print(f"not run: {exc}")
+        broken = asyncio.run(run(case, record))
+    except (Exception, asyncio.CancelledError) as exc:
+        record.write(f"not run: {exc!r}")
+        print(f"not run: {exc!r}")
         sys.exit(NOT_RUN)
     verdict = f"broken: {broken}" if broken else "held"
     record.write(verdict)
