--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,10 @@
 """A kill of all processes while the runners of a service are replaced.
 
-Requesters read streams of runners of one software version.  Runners of
-another version join, and the first ones deregister and serve on.  Then all
-processes are killed and are back within a second, and the requesters take
-their streams up again.
+Requesters read streams of two runners of one software version.  Two releases
+replace half of the runners each, by those of another version: a new one
+starts, then an old one deregisters and serves on.  Then all processes are
+killed and are back within a second, and the requesters take their streams up
+again.
 """
 
 import asyncio
@@ -20,8 +21,9 @@
 ALLOWED = 2
 # A stream lasts for 12 s, of a time limit of 15 s.
 PAUSE_SECONDS = 0.2
-JOIN_AFTER_SECONDS = 1.0
-LEAVE_AFTER_SECONDS = 1.5
+RELEASE_AFTER_SECONDS = 1.0
+LEAVE_AFTER_SECONDS = 0.5
+RELEASE_GAP_SECONDS = 1.0
 KILL_AFTER_SECONDS = 0.5
 DOWN_SECONDS = 0.2
 SERVES_ON_SECONDS = 8.0
@@ -76,17 +78,18 @@
             site.go(read(site, number, stream))
             for number, stream in enumerate(streams)
         ]
-        await asyncio.sleep(JOIN_AFTER_SECONDS)
-        for number in range(2, 4):
+        await asyncio.sleep(RELEASE_AFTER_SECONDS)
+        for number, (engine, reports) in enumerate(old):
+            if number:
+                await asyncio.sleep(RELEASE_GAP_SECONDS)
             await harness.add_engine(
                 site,
-                f"e-{number}",
+                f"e-{number + 2}",
                 "v2",
-                site.nodes[number - 2 :],
+                site.nodes[number:],
                 pause=PAUSE_SECONDS,
             )
-        await asyncio.sleep(LEAVE_AFTER_SECONDS)
-        for number, (engine, reports) in enumerate(old):
+            await asyncio.sleep(LEAVE_AFTER_SECONDS)
             reports.cancel()
             if not await engine.deregister(site.nodes[number]):
                 raise harness.CaseError("a deregistration was not taken")
