Begin streams only at versions that most replicas have recorded

Cause: a stream of unknown beginning goes on if one version alone can have begun it, and an entry took the versions that its own process had seen for all that there had been. A process that has just started has seen none of the past.

Change: each voting replica keeps the versions in use in a file that is synced. An entry begins streams that may be taken up only at versions that most voting replicas have recorded, and asks most of them before it lets a stream of unknown beginning go on; without an answer it refuses. Replicas of the last landing count as replicas without records, so that nothing changes while both landings run. The feed names the voting replicas again once its replica is up to date.

--- a/galenashed/consensus/__init__.py
+++ b/galenashed/consensus/__init__.py
@@ -18,9 +18,11 @@
 from galenashed.consensus._node import Transport
 from galenashed.consensus._state import Ready
 from galenashed.consensus._state import Restored
+from galenashed.consensus._storage import read_file
 from galenashed.consensus._storage import read_identity
 from galenashed.consensus._storage import Storage
 from galenashed.consensus._storage import StorageError
+from galenashed.consensus._storage import write_file
 from galenashed.protocol.consensus import Member
 
 __all__ = [
@@ -38,6 +40,8 @@
     "Transport",
     "add_learner",
     "promote",
+    "read_file",
     "read_identity",
     "remove",
+    "write_file",
 ]
--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -72,7 +72,7 @@
     return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
-def _write_file(path: pathlib.Path, payload: bytes) -> None:
+def write_file(path: pathlib.Path, payload: bytes) -> None:
     """Writes a file of one record atomically."""
     partial = path.with_suffix(".partial")
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
@@ -86,7 +86,8 @@
     _sync_directory(path.parent)
 
 
-def _read_file(path: pathlib.Path) -> bytes:
+def read_file(path: pathlib.Path) -> bytes:
+    """Returns what :func:`write_file` wrote; raises StorageError."""
     raw = path.read_bytes()
     payload = raw[RECORD_HEADER.size :]
     if len(raw) < RECORD_HEADER.size:
@@ -144,7 +145,7 @@
             raise StorageError(f"{self.directory}: directory is not empty")
         self._write_snapshot(wire.SnapshotMeta(members=members), b"")
         identity = Identity(cluster=self.cluster, name=self.name)
-        _write_file(
+        write_file(
             self.directory / "identity", msgspec.msgpack.encode(identity)
         )
 
@@ -250,7 +251,7 @@
     def _write_snapshot(self, meta: wire.SnapshotMeta, data: bytes) -> None:
         payload = msgspec.msgpack.encode(SnapshotFile(meta, data))
         path = self.directory / f"snapshot-{meta.index:015d}.snap"
-        _write_file(path, payload)
+        write_file(path, payload)
         for old in self._snapshot_paths():
             if old < path:
                 old.unlink()
@@ -275,7 +276,7 @@
         paths = self._snapshot_paths()
         if not paths:
             return SnapshotFile(wire.SnapshotMeta(), b"")
-        payload = _read_file(paths[-1])
+        payload = read_file(paths[-1])
         return msgspec.msgpack.decode(payload, type=SnapshotFile)
 
     def _read_log(
@@ -310,7 +311,7 @@
 
 def read_identity(directory: pathlib.Path) -> Identity:
     """Returns the identity stored in a directory; raises StorageError."""
-    content = _read_file(directory / "identity")
+    content = read_file(directory / "identity")
     return msgspec.msgpack.decode(content, type=Identity)
 
 
--- a/galenashed/control/__init__.py
+++ b/galenashed/control/__init__.py
@@ -15,6 +15,7 @@
 from galenashed.control._replicas import make_members
 from galenashed.control._server import ControlServer
 from galenashed.control._state_machine import ControlStateMachine
+from galenashed.control._versions import VersionRecords
 
 __all__ = [
     "ControlClient",
@@ -22,6 +23,7 @@
     "ControlStateMachine",
     "ControlUnavailableError",
     "FeedClient",
+    "VersionRecords",
     "compute_digest",
     "make_members",
     "merge_release",
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -130,10 +130,12 @@
         replicas = None
         addresses = self.addresses()
         if addresses != stream.replicas:
-            stream.replicas = replicas = addresses
+            replicas = addresses
         if math.isinf(age):
-            # The state may be older than what entries have seen before.
+            # The state may be older than what entries have seen before, so
+            # the replicas are sent again once it is not.
             return wire.FollowEvent(age=age, replicas=replicas)
+        stream.replicas = addresses
         release = None
         notes = self.state_machine.notes_after(stream.index)
         if notes is None:
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -14,10 +14,12 @@
 from galenashed.control import _notes
 from galenashed.control import _replicas
 from galenashed.control import _state_machine
+from galenashed.control import _versions
 from galenashed.protocol import consensus as consensus_wire
 from galenashed.protocol import control as wire
 from galenashed.protocol import methods
 from galenashed.protocol import rpc
+from galenashed.protocol import streams
 
 
 OPERATOR_COMMANDS = (wire.PublishNote, wire.ChangeReplicas)
@@ -45,6 +47,9 @@
         Source of the random election timeouts.
     election_timeout, heartbeat : float
         Seconds; see :class:`galenashed.consensus.Node`.
+    versions : VersionRecords or None
+        The versions of targets' software; None for a replica that keeps no
+        records of them.
     """
 
     def __init__(
@@ -60,10 +65,12 @@
         snapshot_every: int = 10_000,
         election_timeout: float = 0.5,
         heartbeat: float = 0.1,
+        versions: _versions.VersionRecords | None = None,
     ):
         self.name = name
         self.replicas = replicas
         self.storage = storage
+        self.versions = versions
         self.state_machine = _state_machine.ControlStateMachine()
         self.failed: asyncio.Future = (
             asyncio.get_running_loop().create_future()
@@ -98,9 +105,27 @@
                 (methods.FOLLOW, self._feed.serve),
                 (methods.QUERY, self._query),
                 (methods.STATUS, self._status),
+                *self._version_handlers(),
             ],
         )
 
+    def _version_handlers(self) -> list[tuple[rpc.Method, typing.Any]]:
+        versions = self.versions
+        if versions is None:
+            return []
+
+        async def record(items, context) -> bool:
+            await versions.record(items)
+            return True
+
+        async def find(query, context) -> streams.VersionReply:
+            return versions.find(query.service, query.max_age)
+
+        return [
+            (methods.RECORD_VERSIONS, record),
+            (methods.FIND_VERSIONS, find),
+        ]
+
     async def start(self) -> None:
         """Restores the state and starts serving."""
         await self.node.start()
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -449,7 +449,7 @@
             origin = self.targets.correct_origin(origin)
         known = origin is not None
         if origin is None:
-            origin = self._only_possible_origin(request, route)
+            origin = await self._only_possible_origin(request, route)
         self.log.write(
             "stream taken up",
             request=request.id,
@@ -474,16 +474,14 @@
             )
         return origin
 
-    def _only_possible_origin(
+    async def _only_possible_origin(
         self, request: _request.Request, route: wire.Route
     ) -> streams.StreamOrigin | None:
         """Returns where a stream must have begun that nobody knows.
 
         None if targets of several versions have been there since it began,
-        or if this entry may not know all of them.
+        or if it can't be told which.
         """
-        if not self.origins.sees_all_targets():
-            return None
         services = _table.services(route)
         if request.resumed_request:
             # The request that began the stream was sent to this one.
@@ -491,8 +489,14 @@
         if len(services) != 1:
             return None
         (service,) = services
+        # This process may have started, or heard of a target, only since.
+        recorded = await self.origins.find_versions(
+            service, _longest_stream(route)
+        )
+        if recorded is None:
+            return None
         since = request.arrived_at - _longest_stream(route)
-        versions = self.targets.versions(service, since)
+        versions = recorded | self.targets.versions(service, since)
         if len(versions) != 1:
             return None
         return streams.StreamOrigin(
@@ -621,6 +625,10 @@
             other_versions = self.targets.other_versions(
                 context.service, context.version
             )
+        elif context.route.resumable:
+            other_versions = self._unrecorded_targets(context.service)
+            if other_versions:
+                context.last_error = "no version of the targets is on record"
         target = self.targets.choose(
             context.service,
             context.request.prompt,
@@ -633,6 +641,18 @@
             self._explain_refusal(context, other_versions, now)
         return target
 
+    def _unrecorded_targets(self, service: str) -> set[str]:
+        """Returns the targets at which no stream may begin yet.
+
+        Whoever takes it up could not learn that their version was in use.
+        """
+        return {
+            name
+            for version in self.targets.versions(service, float("-inf"))
+            if not self.origins.may_begin(service, version)
+            for name in self.targets.of_version(service, version)
+        }
+
     def _explain_refusal(
         self, context: RequestContext, other_versions: set[str], now: float
     ) -> None:
--- a/galenashed/gateway/_origins.py
+++ b/galenashed/gateway/_origins.py
@@ -19,8 +19,16 @@
     async def find(self, request: str) -> wire.StreamOrigin | None:
         """Returns the origin of the stream that a request began, if known."""
 
-    def sees_all_targets(self) -> bool:
-        """Whether this entry most likely knows every target."""
+    def may_begin(self, service: str, version: str) -> bool:
+        """Whether it is on record that streams may begin at a version."""
+
+    async def find_versions(
+        self, service: str, max_age: float
+    ) -> set[str] | None:
+        """Returns the versions at which recent streams may have begun.
+
+        None if that can't be told.
+        """
 
 
 class OriginRecords:
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -133,6 +133,8 @@
         # By service and software version: the monotonic time at which a
         # target of them was last alive, infinite until :meth:`set_alive`.
         self._version_seen_at: dict[tuple[str, str], float] = {}
+        # Called when a target has a version that no target had before.
+        self.on_new_version: typing.Callable[[], None] = lambda: None
         # Services whose targets fail if they must reject too many requests:
         # how many a second, and when an answer said so.
         self._brittle: dict[str, tuple[float, float]] = {}
@@ -144,9 +146,10 @@
         if announced.name not in self._alive:
             self._alive |= {announced.name}
             self._rings.clear()
-        self._version_seen_at.setdefault(
-            (announced.service, announced.version), float("inf")
-        )
+        version = (announced.service, announced.version)
+        if version not in self._version_seen_at:
+            self._version_seen_at[version] = float("inf")
+            self.on_new_version()
         current = self._known.get(announced.name)
         if current is None or (
             current.announced.incarnation != announced.incarnation
@@ -214,6 +217,14 @@
             if name == service and seen_at >= since
         }
 
+    def current_versions(self) -> set[tuple[str, str]]:
+        """Returns service and version of all targets that are alive."""
+        return {
+            (target.announced.service, target.announced.version)
+            for name, target in self._known.items()
+            if name in self._alive
+        }
+
     def correct_origin(
         self, origin: streams.StreamOrigin
     ) -> streams.StreamOrigin | None:
@@ -247,6 +258,15 @@
             for target in self._known.values()
         )
 
+    def of_version(self, service: str, version: str) -> set[str]:
+        """Returns the names of a service's targets of a version."""
+        return {
+            target.name
+            for target in self._known.values()
+            if target.announced.service == service
+            and target.announced.version == version
+        }
+
     def other_versions(self, service: str, version: str) -> set[str]:
         """Returns the names of a service's targets of other versions."""
         return {
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -138,9 +138,12 @@
     async def find(self, request):
         return self.records.get(request, time.monotonic())
 
-    def sees_all_targets(self):
+    def may_begin(self, service, version):
         return True
 
+    async def find_versions(self, service, max_age):
+        return set()
+
 
 def make_paths(pool, targets):
     return engines.Paths(
--- a/galenashed/node/_origins.py
+++ b/galenashed/node/_origins.py
@@ -24,6 +24,7 @@
 
 from galenashed import gateway
 from galenashed import membership
+from galenashed.node import _versions
 from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import links
 from galenashed.protocol import methods
@@ -66,6 +67,8 @@
         Key that all nodes share.
     sees_all_targets : callable
         Returns whether this entry most likely knows every target.
+    versions : VersionRecorder
+        Records the versions of targets.
     has_versions : callable
         Returns whether the targets of a service have had several versions.
     log : DecisionLog
@@ -81,6 +84,7 @@
         key: str,
         sees_all_targets,
         has_versions: typing.Callable[[str], bool],
+        versions: _versions.VersionRecorder,
         log: telemetry.DecisionLog | telemetry.NullDecisionLog,
     ):
         self.name = name
@@ -88,6 +92,7 @@
         self.directory = directory
         self.sees_all_targets = sees_all_targets
         self.has_versions = has_versions
+        self.versions = versions
         self.log = log
         self.records = gateway.OriginRecords()
         self._batches: dict[str, list[wire.StreamOrigin]] = {}
@@ -246,6 +251,16 @@
             return None
         return reply.origin
 
+    def may_begin(self, service: str, version: str) -> bool:
+        """See :class:`galenashed.gateway.OriginFinder`."""
+        return self.versions.is_recorded(service, version)
+
+    async def find_versions(
+        self, service: str, max_age: float
+    ) -> set[str] | None:
+        """See :class:`galenashed.gateway.OriginFinder`."""
+        return await self.versions.find(service, max_age)
+
     async def answer(
         self, query: wire.OriginQuery, context
     ) -> wire.OriginReply:
--- a/galenashed/node/_replica.py
+++ b/galenashed/node/_replica.py
@@ -29,8 +29,12 @@
     if directory is None:
         return None
     name = _stored_name(directory)
+    versions = control.VersionRecords(path=directory / "versions")
+    # On a disk in use, the last landing kept no such file.
+    complete = name is not None or cfg.bootstrap
     if name is None:
         name = _create_storage(cfg, directory)
+    versions.open(complete=complete)
     storage = consensus.Storage(
         directory=directory, cluster=CLUSTER, name=name
     )
@@ -44,6 +48,7 @@
         rng=rng,
         election_timeout=ELECTION_TIMEOUT_SECONDS,
         heartbeat=HEARTBEAT_INTERVAL_SECONDS,
+        versions=versions,
     )
 
 
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import random
 import time
 import uuid
@@ -29,6 +30,7 @@
 from galenashed.node import _replica_manager
 from galenashed.node import _settings
 from galenashed.node import _token_holders
+from galenashed.node import _versions
 from galenashed.protocol import control as wire
 from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import methods
@@ -166,6 +168,15 @@
             targets=self.targets,
             rng=rng,
         )
+        # Addresses of the voting replicas, none before they are known.
+        self._voters: list[str] = []
+        self._version_recorder = _versions.VersionRecorder(
+            key=cfg.peer_key,
+            voters=self._known_voters,
+            current=self.targets.current_versions,
+            log=log,
+        )
+        self.targets.on_new_version = self._version_recorder.notify
         self._origin_exchange = _origins.OriginExchange(
             name=cfg.name,
             region=cfg.region,
@@ -173,6 +184,7 @@
             key=cfg.peer_key,
             sees_all_targets=self._sees_all_targets,
             has_versions=self._has_versions,
+            versions=self._version_recorder,
             log=log,
         )
         self.quarantine = quarantine.Quarantine(
@@ -292,6 +304,7 @@
         await self._feed_client.start()
         await self.budget_manager.start()
         await self._gossiper.start()
+        await self._version_recorder.start()
         await self._origin_exchange.start()
         await self.paths.start()
         if self._replica_manager is not None:
@@ -382,6 +395,7 @@
         await self._pool.close()
         await self._loan_exchange.close()
         await self._origin_exchange.close()
+        await self._version_recorder.close()
         await self._reach_exchange.close()
         await self._peer_server.close()
         if self.replica is not None:
@@ -438,6 +452,16 @@
             query, timeout=READ_TIMEOUT_SECONDS
         )
 
+    def _known_voters(self) -> list[str]:
+        """Returns the addresses of the voting replicas.
+
+        A replica of the last landing names them only before it knows that it
+        is up to date.
+        """
+        if self._voters or not self._has_current_routes:
+            return self._voters
+        return list(self.control_client.replicas.values())
+
     def _make_follow_report(self) -> wire.FollowReport:
         return wire.FollowReport(
             name=self.cfg.name,
@@ -454,6 +478,9 @@
             self._control_contact_at = time.monotonic() - event.age
         if event.replicas is not None:
             self.control_client.set_replicas(event.replicas)
+            if math.isfinite(event.age):
+                self._voters = list(event.replicas.values())
+                self._version_recorder.notify()
         for name in event.recalls:
             self.budget_manager.recall(name)
         if event.quarantine is not None:
--- a/galenashed/platform/tests/test_software_versions.py
+++ b/galenashed/platform/tests/test_software_versions.py
@@ -326,3 +326,47 @@
         self.site.processes[3].kill()
         self.site.processes[3].wait()
         self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
+
+
+class TestKillOfAll(VersionsTestCase):
+    """All processes are killed at the same moment and start again.
+
+    Guards against streams that go on at another version because nobody
+    remembers that there was one.
+    """
+
+    counts = (2, 0)
+
+    def kill_all(self):
+        self.site.lose_power()
+        self.site.start_again()
+        for node in range(NODES):
+            self.site.wait_until_ready(node)
+
+    def take_up_for_a_time(self, streams):
+        """Returns how many streams went on, at the latest after 6 s."""
+        went_on = 0
+        deadline = time.monotonic() + 6.0
+        while went_on < len(streams) and time.monotonic() < deadline:
+            went_on = self.take_up(streams, range(NODES))
+            time.sleep(0.2)
+        return went_on
+
+    def test_streams_do_not_go_on_at_a_version_that_replaced_theirs(self):
+        streams = self.begin_streams(range(NODES))
+        old = list(self.engines)
+        self.engines += [
+            self.site.add_target("engines", n, version="v2") for n in range(2)
+        ]
+        time.sleep(SPREAD_SECONDS)
+        for target in old:
+            self.site.targets.remove(target)
+            target.state = "draining"
+            self.site.announce(target)
+        self.kill_all()
+        self.assertEqual(0, self.take_up_for_a_time(streams))
+
+    def test_streams_go_on_while_there_was_one_version(self):
+        streams = self.begin_streams(range(NODES))
+        self.kill_all()
+        self.assertEqual(TAKEN_UP, self.take_up_for_a_time(streams))
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -54,6 +54,18 @@
     reply=control.ReplicaStatus,
     roles=("peer", "operator"),
 )
+RECORD_VERSIONS = rpc.Method(
+    path="/galenashed.Control/RecordVersions",
+    kind="unary",
+    request=list[streams.SoftwareVersion],
+    reply=bool,
+)
+FIND_VERSIONS = rpc.Method(
+    path="/galenashed.Control/FindVersions",
+    kind="unary",
+    request=streams.VersionQuery,
+    reply=streams.VersionReply,
+)
 WITNESS = rpc.Method(
     path="/galenashed.Entry/Witness",
     kind="bidi",
--- a/galenashed/protocol/streams.py
+++ b/galenashed/protocol/streams.py
@@ -1,4 +1,4 @@
-"""Messages about the beginnings of streams, exchanged between entries."""
+"""Messages about the beginnings of streams, and the software behind them."""
 
 import msgspec
 
@@ -34,3 +34,31 @@
     """Reply to an :class:`OriginQuery`; None if the entry knows none."""
 
     origin: StreamOrigin | None = None
+
+
+class SoftwareVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """A version of the software that targets of a service run."""
+
+    service: str
+    version: str
+
+
+class VersionQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks a replica which versions of a service were in use lately.
+
+    ``max_age`` is the length of that time, in seconds.
+    """
+
+    service: str
+    max_age: float
+
+
+class VersionReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to a :class:`VersionQuery`.
+
+    ``complete`` is False if the replica has no records of a part of that
+    time, as its disk is new.
+    """
+
+    versions: list[str]
+    complete: bool
