Tell the own failure domain of open streams while there is one version

Cause: other entries were told where a stream began only while a service had targets of several versions. An entry that is lost before the second version appears can't tell them any more.

Change: with one version, two entries of the own failure domain are told of the streams that are still open after half a second; whoever takes a stream up asks the first entries of each domain as well.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -550,6 +550,8 @@
                 return
             outcome = await self._send(context, target, relay)
             if outcome is None:
+                if context.begun is not None:
+                    self.origins.end(context.begun.request)
                 self._record_answer(context, relay)
                 return
             context.attempts.record(outcome)
--- a/galenashed/gateway/_origins.py
+++ b/galenashed/gateway/_origins.py
@@ -16,6 +16,9 @@
     def record(self, origin: wire.StreamOrigin) -> None:
         """Records the first event of a stream; does not block."""
 
+    def end(self, request: str) -> None:
+        """Notes that a stream was sent to its end."""
+
     async def find(self, request: str) -> wire.StreamOrigin | None:
         """Returns the origin of the stream that a request began, if known."""
 
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -135,6 +135,9 @@
     def record(self, origin):
         self.records.add(origin, time.monotonic())
 
+    def end(self, request):
+        pass
+
     async def find(self, request):
         return self.records.get(request, time.monotonic())
 
--- a/galenashed/node/_origins.py
+++ b/galenashed/node/_origins.py
@@ -1,15 +1,17 @@
 """Tells other entries where streams began, and asks them.
 
 A caller takes a stream that broke off up again at any entry of its region,
-also after the entry that began it was killed.  A hash of the request's id
-selects the few entries that are told of its first event; the same hash finds
-them again.  They are told right after the event, in batches: of a stream whose
-entry is killed in between, no entry knows the beginning, and it is not
-continued unless only one version can have begun it.
-
-While all targets of a service have had one version, every entry knows where
-its streams began, and none is told.  Once another version appears, or this
-entry can't tell any more, others are told of the streams kept so far.
+also after the entry that began it was killed or has frozen.  A hash of the
+request's id selects the few entries that are told of its first event; the same
+hash finds them again.  They are told in batches: of a stream whose entry is
+lost before, no entry knows the beginning, and it is not continued unless only
+one version can have begun it.
+
+While targets of several versions serve, others are told right after the first
+event.  While all have had one version, two entries of the own failure domain
+are told of the streams that are still open after a moment: any entry can tell
+where a stream began until another version appears, and this one may be lost by
+then.  If it is not, it tells the others as well.
 """
 
 import asyncio
@@ -37,11 +39,18 @@
 # Entries that are told of a stream.  With two fifths of all entries killed at
 # once, all four are lost for one stream in forty.
 HOLDERS = 4
+# Entries of the own failure domain that are told while there is one version.
+NEAR_HOLDERS = 2
+# The first by the hash in each failure domain, as one of the two may be gone.
+ASKED_IN_DOMAIN = 3
 # Entries that are asked: more than were told, as entries that have started
 # since then take places among the first by the hash.
 MAX_ASKED = 8
 # Entries of a region that may be holders, which bounds the connections.
 MAX_CANDIDATES = 32
+MAX_NEAR_CANDIDATES = 8
+# Most streams end before, and need no record elsewhere.
+TELL_AFTER_SECONDS = 0.5
 BATCH_SECONDS = 0.05
 # Between two checks whether others have to be told of the streams kept.
 CHECK_SECONDS = 0.25
@@ -59,8 +68,8 @@
     ----------
     name : str
         Name of this entry.
-    region : str
-        Its region, whose entries are told and asked.
+    region, domain : str
+        Its region, whose entries are told and asked, and its failure domain.
     directory : Directory
         Lists the other entries.
     key : str
@@ -80,6 +89,7 @@
         *,
         name: str,
         region: str,
+        domain: str,
         directory: membership.Directory,
         key: str,
         sees_all_targets,
@@ -89,6 +99,7 @@
     ):
         self.name = name
         self.region = region
+        self.domain = domain
         self.directory = directory
         self.sees_all_targets = sees_all_targets
         self.has_versions = has_versions
@@ -101,6 +112,10 @@
         self._untold: collections.deque[tuple[float, wire.StreamOrigin]] = (
             collections.deque(maxlen=gateway.MAX_ORIGIN_RECORDS)
         )
+        # By request, oldest first: origins that entries of the own failure
+        # domain are told of at a monotonic time.
+        self._due: dict[str, tuple[float, wire.StreamOrigin]] = {}
+        self._candidates = _Candidates()
         self._wake = asyncio.Event()
         self._links = links.LinkPool(
             key=key,
@@ -128,8 +143,13 @@
         if self._others_need({origin.service}):
             self._tell(origin)
         else:
-            keep_until = time.monotonic() + origin.keep_seconds
-            self._untold.append((keep_until, origin))
+            now = time.monotonic()
+            self._untold.append((now + origin.keep_seconds, origin))
+            self._due[origin.request] = (now + TELL_AFTER_SECONDS, origin)
+
+    def end(self, request: str) -> None:
+        """See :class:`galenashed.gateway.OriginFinder`."""
+        self._due.pop(request, None)
 
     def _others_need(self, services: set[str]) -> set[str]:
         """Returns the services of whose streams others have to be told."""
@@ -138,11 +158,37 @@
         return {name for name in services if self.has_versions(name)}
 
     def _tell(self, origin: wire.StreamOrigin) -> None:
-        for holder in self._choose(origin.request, HOLDERS):
+        self._due.pop(origin.request, None)
+        self._send_to(self._choose(origin.request, HOLDERS), origin)
+
+    def _send_to(
+        self,
+        holders: list[gossip_wire.Instance],
+        origin: wire.StreamOrigin,
+    ) -> None:
+        for holder in holders:
             self._batches.setdefault(holder.peer_address, []).append(origin)
         if self._batches:
             self._wake.set()
 
+    def _tell_near(self) -> None:
+        """Tells entries of the own domain of streams that are still open."""
+        now = time.monotonic()
+        while self._due:
+            request = next(iter(self._due))
+            due_at, origin = self._due[request]
+            if due_at > now:
+                return
+            del self._due[request]
+            near = _first(
+                self._find_candidates().by_domain.get(self.domain, []),
+                request,
+                NEAR_HOLDERS,
+            )
+            others = self._choose(request, NEAR_HOLDERS)
+            others = [entry for entry in others if entry not in near]
+            self._send_to([*near, *others][:NEAR_HOLDERS], origin)
+
     def _tell_kept(self) -> None:
         """Tells others of origins that they need to know by now."""
         now = time.monotonic()
@@ -171,20 +217,34 @@
 
     def _choose(self, request: str, count: int) -> list[gossip_wire.Instance]:
         """Returns the first other entries by the hash of a request's id."""
-        entries = [
-            entry
-            for entry in self.directory.alive(time.monotonic())
-            if entry.name != self.name
-            and entry.region == self.region
-            and entry.state != "draining"
-        ]
-        if len(entries) > MAX_CANDIDATES:
-            entries = heapq.nsmallest(
-                MAX_CANDIDATES, entries, key=lambda entry: _hash(entry.name)
+        return _first(self._find_candidates().all, request, count)
+
+    def _choose_asked(self, request: str) -> list[gossip_wire.Instance]:
+        """Returns the entries that may have been told of a stream."""
+        asked = self._choose(request, MAX_ASKED)
+        for near in self._find_candidates().by_domain.values():
+            asked += [
+                entry
+                for entry in _first(near, request, ASKED_IN_DOMAIN)
+                if entry not in asked
+            ]
+        return asked
+
+    def _find_candidates(self) -> "_Candidates":
+        """Returns the entries that may be holders, as of a moment ago."""
+        now = time.monotonic()
+        if now - self._candidates.at >= CHECK_SECONDS:
+            entries = [
+                entry
+                for entry in self.directory.alive(now)
+                if entry.name != self.name
+                and entry.region == self.region
+                and entry.state != "draining"
+            ]
+            self._candidates = _Candidates(
+                at=now, entries=entries, own=(self.name, self.domain)
             )
-        return heapq.nsmallest(
-            count, entries, key=lambda entry: _hash(f"{request}#{entry.name}")
-        )
+        return self._candidates
 
     async def _run(self) -> None:
         while True:
@@ -192,6 +252,7 @@
                 async with asyncio.timeout(CHECK_SECONDS):
                     await self._wake.wait()
             self._tell_kept()
+            self._tell_near()
             if not self._batches:
                 continue
             await asyncio.sleep(BATCH_SECONDS)
@@ -215,7 +276,7 @@
         origin = self.records.get(request, time.monotonic())
         if origin is not None:
             return origin
-        asked = self._choose(request, MAX_ASKED)
+        asked = self._choose_asked(request)
         queries = [
             asyncio.create_task(
                 self._ask(entry.peer_address, request), name="stream origin"
@@ -269,5 +330,49 @@
         return wire.OriginReply(origin=origin)
 
 
+class _Candidates:
+    """Entries that may be holders, in all and by failure domain.
+
+    ``own`` is name and domain of this entry, which takes a place that stays
+    empty: all entries choose among the same ones.
+    """
+
+    __slots__ = ("all", "at", "by_domain")
+
+    def __init__(
+        self,
+        *,
+        at: float = float("-inf"),
+        entries: typing.Iterable[gossip_wire.Instance] = (),
+        own: tuple[str, str] = ("", ""),
+    ):
+        self.at = at
+        own_name, own_domain = own
+        by_name = {entry.name: entry for entry in entries}
+        names = sorted([*by_name, own_name], key=_hash)
+        self.all = [
+            by_name[name]
+            for name in names[:MAX_CANDIDATES]
+            if name != own_name
+        ]
+        self.by_domain: dict[str, list[gossip_wire.Instance]] = {}
+        places = collections.Counter[str]()
+        for name in names:
+            entry = by_name.get(name)
+            domain = own_domain if entry is None else entry.failure_domain
+            places[domain] += 1
+            if entry is not None and places[domain] <= MAX_NEAR_CANDIDATES:
+                self.by_domain.setdefault(domain, []).append(entry)
+
+
+def _first(
+    entries: list[gossip_wire.Instance], request: str, count: int
+) -> list[gossip_wire.Instance]:
+    """Returns the first entries by the hash of a request's id."""
+    return heapq.nsmallest(
+        count, entries, key=lambda entry: _hash(f"{request}#{entry.name}")
+    )
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -180,6 +180,7 @@
         self._origin_exchange = _origins.OriginExchange(
             name=cfg.name,
             region=cfg.region,
+            domain=cfg.failure_domain,
             directory=self.instance_directory,
             key=cfg.peer_key,
             sees_all_targets=self._sees_all_targets,
--- a/galenashed/platform/tests/test_software_versions.py
+++ b/galenashed/platform/tests/test_software_versions.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import re
+import signal
 import time
 import urllib.request
 
@@ -23,6 +24,8 @@
 MAX_STREAMS = 400
 # A stream's beginning may be known at other nodes only after this time.
 SPREAD_SECONDS = 0.3
+# Other nodes are told of streams that last for as long.
+OPEN_SECONDS = 1.5
 
 
 def versions(body):
@@ -327,6 +330,17 @@
         self.site.processes[3].wait()
         self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
 
+    def test_streams_of_a_frozen_node_are_taken_up(self):
+        # Guards against streams that are lost with the only node which knows
+        # that they began before another version appeared.
+        streams = self.begin_streams([3])
+        time.sleep(OPEN_SECONDS)
+        self.site.processes[3].signal(signal.SIGSTOP)
+        self.addCleanup(self.site.processes[3].signal, signal.SIGCONT)
+        self.engines.append(self.site.add_target("engines", version="v2"))
+        time.sleep(3 * SPREAD_SECONDS)
+        self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
+
 
 class TestKillOfAll(VersionsTestCase):
     """All processes are killed at the same moment and start again.
