Treat an answer that ends together with its target as broken off

Cause: the kernel closes the connections of a killed process in an orderly way, so that an answer with neither a length nor chunks looks complete if its target is killed between two events.

Change: after the end of an answer that ends with its connection, the gateway probes the target's address. If it refuses connections, or closes the probe within 50 ms, the answer was broken off: a stream that may resume goes on at another target, other answers are cut.

Three tests of test_broken_streams failed before.

--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -374,6 +374,24 @@
     )
 
 
+class _Probe(asyncio.Protocol):
+    """A connection that carries no request."""
+
+    def __init__(self) -> None:
+        self._closed = asyncio.Event()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the target closed the connection."""
+        self._closed.set()
+
+    async def closes_within(self, seconds: float) -> bool:
+        """Returns whether the target closes the connection so soon."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._closed.wait()
+        return self._closed.is_set()
+
+
 class ConnectionPool:
     """Connections to targets, kept for later requests where that is safe.
 
@@ -445,20 +463,23 @@
         """See :class:`galenashed.engines.Prober`."""
         return await _sockets.accepts_connections(address)
 
-    async def refuses_connections(self, address: str) -> bool:
+    async def refuses_connections(
+        self, address: str, *, hold_seconds: float = 0.0
+    ) -> bool:
         """Returns whether an address refuses connections: it is down.
 
         A target that is out of reach, or that answers too late, is not known
         to be down.  A process that is shutting down may reset a connection
-        that it has just accepted, so the probe is repeated then.
+        that it has just accepted, so the probe is repeated then, also if that
+        happens within ``hold_seconds``.
         """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         for _ in range(MAX_PROBE_ATTEMPTS):
             try:
                 async with asyncio.timeout(PROBE_SECONDS):
-                    transport, _ = await loop.create_connection(
-                        asyncio.Protocol, host, int(port)
+                    transport, probe = await loop.create_connection(
+                        _Probe, host, int(port)
                     )
             except ConnectionRefusedError:
                 return True
@@ -467,8 +488,10 @@
                 continue
             except (OSError, TimeoutError, ValueError):
                 return False
+            closed = hold_seconds and await probe.closes_within(hold_seconds)
             transport.abort()
-            return False
+            if not closed:
+                return False
         return False
 
     def release(self, conn: Connection) -> None:
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -30,6 +30,8 @@
 # long again.
 MAX_STREAM_TIME_LIMITS = 2.0
 CLIENT_ERROR = 400
+# A process that ends closes its sockets one after the other.
+CRASH_PROBE_SECONDS = 0.05
 # Retry-After if any other instance can serve the request at once.
 RETRY_OTHER_INSTANCE_SECONDS = 0.1
 
@@ -886,7 +888,12 @@
                 target.pending_prompts.end(context.request.id)
                 self.quarantine.on_answer_begun(context.request)
 
-        outcome = await relay.forward(head, conn, on_answer)
+        async def has_crashed() -> bool:
+            return await self.pool.refuses_connections(
+                announced.address, hold_seconds=CRASH_PROBE_SECONDS
+            )
+
+        outcome = await relay.forward(head, conn, on_answer, has_crashed)
         on_answer()
         return outcome
 
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -97,10 +97,12 @@
         head: engines.ResponseHead,
         conn: engines.Connection,
         on_event: typing.Callable[[], None],
+        has_crashed: typing.Callable[[], typing.Awaitable[bool]],
     ) -> _attempts.AttemptOutcome | None:
         """Forwards a response; returns None once it is complete.
 
-        ``on_event`` is called when events of this target arrive.  Raises
+        ``on_event`` is called when events of this target arrive;
+        ``has_crashed`` tells whether the target has ended.  Raises
         TargetLostError if the connection breaks.
         """
         self.framing = head.framing
@@ -116,6 +118,12 @@
             await self._forward_events(head, conn, on_event)
         else:
             await self._forward_bytes(head, conn)
+        if head.framing is engines.Framing.CLOSE and await has_crashed():
+            # The end of a process closes its connections in the same way as
+            # the end of a response.
+            raise engines.TargetLostError(
+                f"{conn.address}: the connection closed with the target"
+            )
         await self.writer.finish()
         return None
 
--- a/galenashed/gateway/tests/test_broken_streams.py
+++ b/galenashed/gateway/tests/test_broken_streams.py
@@ -32,16 +32,22 @@
 
 
 class BreakingTarget(_fixture.Target):
-    """Sends ``first`` and closes or resets the connection."""
+    """Sends ``first`` and closes or resets the connection.
 
-    def __init__(self, first, *, reset=False):
+    If it ``ends``, it listens no more, like a process that was killed.
+    """
+
+    def __init__(self, first, *, reset=False, ends=False):
         super().__init__(first)
         self.reset = reset
+        self.ends = ends
 
     async def send_pieces(self, writer):
         await writer.drain()
         # Lets the gateway read what was sent: a reset discards the rest.
         await asyncio.sleep(0.05)
+        if self.ends:
+            self.server.close()
         if self.reset:
             sock = writer.get_extra_info("socket")
             linger = struct.pack("ii", 1, 0)
@@ -61,6 +67,7 @@
         kind=routes.RouteKind.STREAM,
         resumable=False,
         reset=False,
+        ends=False,
     ):
         """Returns the response to the caller and the other target."""
 
@@ -74,7 +81,9 @@
             other_target = BreakingTarget(other or head())
             try:
                 task = await fixture.start_request(
-                    writer, BreakingTarget(first, reset=reset), other_target
+                    writer,
+                    BreakingTarget(first, reset=reset, ends=ends),
+                    other_target,
                 )
                 await task
             finally:
@@ -159,6 +168,17 @@
     def test_stream_that_closes_after_an_event_is_complete(self):
         self.check_complete(head() + STREAM)
 
+    # A target that is killed closes its connections in an orderly way, also
+    # between two events.
+    def test_stream_that_ends_with_its_target_is_cut(self):
+        self.check_cut(head() + EVENTS[0], ends=True)
+
+    def test_stream_that_ends_with_its_target_is_resumed(self):
+        self.check_resumed(head() + EVENTS[0], ends=True)
+
+    def test_plain_response_that_ends_with_its_target_is_cut(self):
+        self.check_plain_cut(b"HTTP/1.1 200 OK\r\n\r\nabc", ends=True)
+
     def test_stream_with_a_length_is_complete(self):
         self.check_complete(head(length(STREAM)) + STREAM)
 
