Treat a response that ends together with its service as incomplete

Callers of plain services by the product's own entry got a part of a response as if it were whole, recorded and billed, if the service was killed while it sent a response without length or chunks.

Cause: as in the gateway, the end of a connection was taken for the end of the response, though the end of a process closes connections alike.

Change: the entry probes the address after the end of such a response.

Evidence: test_response_that_ends_with_its_service_is_incomplete failed before and passes now.

--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -325,7 +325,16 @@
                     "response has the X-Request-Id of another request"
                 )
             self.dispatcher.on_response(slot, resp.status, resp.headers)
-            return await self._read_bounded(resp)
+            body = await self._read_bounded(resp)
+            if clients.is_close_delimited(resp) and (
+                await self.crashes.has_crashed(slot.target.address)
+            ):
+                # The end of a process closes its connections in the same way
+                # as the end of a response.
+                raise engines.TargetLostError(
+                    "the connection closed with the target"
+                )
+            return body
         except aiohttp.ClientError as exc:
             raise engines.TargetLostError(repr(exc)) from exc
         finally:
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -21,11 +21,15 @@
 
 
 class Service:
-    """Sends ``data``, and closes or resets the connection."""
+    """Sends ``data``, and closes or resets the connection.
 
-    def __init__(self, data, *, reset):
+    If it ``ends``, it listens no more, like a process that was killed.
+    """
+
+    def __init__(self, data, *, reset, ends):
         self.data = data
         self.reset = reset
+        self.ends = ends
         self.requests = 0
         self.server = None
 
@@ -47,6 +51,8 @@
         await writer.drain()
         # Lets the client read what was sent: a reset discards the rest.
         await asyncio.sleep(0.05)
+        if self.ends:
+            self.server.close()
         if self.reset:
             sock = writer.get_extra_info("socket")
             linger = struct.pack("ii", 1, 0)
@@ -62,7 +68,9 @@
         self.retry_budget = types.SimpleNamespace(try_acquire=lambda: False)
 
     async def acquire(self, slot_request):
-        target = types.SimpleNamespace(name="service", address=self.address)
+        target = types.SimpleNamespace(
+            name="service", incarnation="1", address=self.address
+        )
         return types.SimpleNamespace(
             target=target, end=lambda *, failed=False: None
         )
@@ -79,6 +87,8 @@
 def make_call():
     return types.SimpleNamespace(
         attempt="a",
+        digest="d",
+        part_ids=(),
         body=b"",
         headers=[],
         idempotent=True,
@@ -92,9 +102,9 @@
 class TestBrokenCalls(testtools.TestCase):
     """A response that is broken off is not taken for complete."""
 
-    def call(self, data, *, reset=False):
+    def call(self, data, *, reset=False, ends=False):
         async def run():
-            service = Service(data, reset=reset)
+            service = Service(data, reset=reset, ends=ends)
             client = clients.TargetClient()
             await client.start()
             handler = _calls.CallHandler(
@@ -129,6 +139,11 @@
     def test_response_without_length_is_complete_at_close(self):
         self.assertEqual(b"abc", self.call(PLAIN % b"" + b"abc").body)
 
+    def test_response_that_ends_with_its_service_is_incomplete(self):
+        # A service that is killed closes its connections in an orderly way.
+        self.check_lost(PLAIN % b"" + b"abc", ends=True)
+        self.check_lost(EVENTS % b"" + EVENT, ends=True)
+
     def test_response_shorter_than_its_length_is_incomplete(self):
         self.check_lost(PLAIN % b"content-length: 9\r\n" + b"abc")
 
