Read the bodies of requests that offer another protocol

Cause: the parser takes what follows a head with an offer for the other protocol and ends the request there; the server ignores the offer and feeds the rest to the parser as a new request.

Change: a new parser, given the headers that tell the length of the body, reads on from the end of the head.

--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -5,6 +5,7 @@
 import socket
 import typing
 
+import httptools
 import loguru
 import uvicorn
 import uvicorn.protocols.http.httptools_impl as httptools_impl
@@ -16,6 +17,8 @@
 MAX_HEAD_BYTES = 32 * 1024
 LISTEN_BACKLOG = 1024
 STARTUP_POLL_SECONDS = 0.005
+# These tell where the body of a request ends.
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
@@ -26,6 +29,10 @@
     interrupt; it is closed after the response.  Trailers are discarded; like
     chunk headers, they are limited to ``MAX_HEAD_BYTES`` without a part of a
     body among them.
+
+    An offer to change the protocol is ignored.  The parser takes what follows
+    the head of such a request for the other protocol, so a new parser reads
+    on, which is given the headers that tell the length of the body.
     """
 
     head_timeout = 10.0
@@ -38,6 +45,10 @@
         self._framing_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._input_ended = False
+        # While the old parser ends at an offer, and while a new one is given
+        # the head again.
+        self._ends_at_offer = False
+        self._repeats_head = False
         if len(self.connections) > self.max_connections:
             self._refuse(
                 503,
@@ -128,11 +139,40 @@
                 return
         else:
             self._framing_bytes += len(data)
-        super().data_received(data)
+        self._parse(data)
         if self._framing_bytes > MAX_HEAD_BYTES:
             self._framing_bytes = 0
             self._on_long_framing()
 
+    def _parse(self, data: bytes) -> None:
+        self._unset_keepalive_if_required()
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                (end,) = exc.args
+                data = data[end:]
+                self._continue_after_offer()
+            except httptools.HttpParserError:
+                self.send_400_response("Invalid HTTP request received.")
+                return
+
+    def _continue_after_offer(self) -> None:
+        """Has a new parser read the body of a request and what follows."""
+        framing = [
+            b"%s: %s\r\n" % (name, value)
+            for name, value in self.headers
+            if name in FRAMING_HEADERS
+        ]
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        self._ends_at_offer = False
+        self._repeats_head = True
+        head = b"POST / HTTP/1.1\r\n%s\r\n" % b"".join(framing)
+        self.parser.feed_data(head)
+        self._repeats_head = False
+
     def _on_long_framing(self) -> None:
         if self.cycle is not None and self.cycle.response_started:
             self.transport.abort()
@@ -149,17 +189,26 @@
     max_body_prefix_bytes = 256 * 1024
 
     def on_message_begin(self) -> None:
+        if self._repeats_head:
+            return
         super().on_message_begin()
         self._framing_bytes = 0
         if self._head_timer is None:
             self._head_bytes = 0
             self._start_head_timer()
 
+    def on_url(self, url: bytes) -> None:
+        if not self._repeats_head:
+            super().on_url(url)
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._head_timer is not None:
+        if self._head_timer is not None and not self._repeats_head:
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
+        if self._repeats_head:
+            return
+        self._ends_at_offer = self.parser.should_upgrade()
         self._stop_head_timer()
         super().on_headers_complete()
         if self.is_draining:
@@ -178,6 +227,8 @@
         super().on_body(body)
 
     def on_message_complete(self) -> None:
+        if self._ends_at_offer:
+            return
         self._framing_bytes = 0
         super().on_message_complete()
 
--- a/galenashed/web/tests/test_server.py
+++ b/galenashed/web/tests/test_server.py
@@ -125,3 +125,113 @@
                 return first, second
         finally:
             await server.abort()
+
+
+class EchoApp:
+    """ASGI application that answers with the body of the request."""
+
+    def __init__(self):
+        self.bodies = []
+
+    async def __call__(self, scope, receive, send):
+        body = b""
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        self.bodies.append((scope["method"], scope["path"], body))
+        headers = [(b"content-length", b"%d" % len(body))]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+class TestUpgradeOffers(testtools.TestCase):
+    """A request that offers another protocol is read as if it did not.
+
+    Guards against bodies that are lost, and run as requests of their own.
+    """
+
+    OFFER = (
+        b"Host: x\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+        b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n"
+    )
+    INNER = b"POST /inner HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+
+    def serve(self, *packets, last):
+        """Returns what was served, once ``last`` was."""
+
+        async def run():
+            app = EchoApp()
+            server = web.HttpServer(app=app, address="127.0.0.1:0")
+            await server.start()
+            try:
+                async with asyncio.timeout(WAIT_SECONDS):
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", server.port
+                    )
+                    for packet in packets:
+                        writer.write(packet)
+                        await writer.drain()
+                        await asyncio.sleep(0.02)
+                    while not app.bodies or app.bodies[-1][1] != last:
+                        await reader.readuntil(b"\r\n\r\n")
+                        await asyncio.sleep(0.02)
+                    writer.close()
+            finally:
+                await server.abort()
+            return app.bodies
+
+        return asyncio.run(run())
+
+    def request(self, path, framing, *, offer=OFFER):
+        return b"POST %s HTTP/1.1\r\n%s%s\r\n" % (path, offer, framing)
+
+    def check(self, body, *packets):
+        after = self.request(b"/after", b"Content-Length: 2\r\n") + b"ok"
+        self.assertEqual(
+            [("POST", "/first", body), ("POST", "/after", b"ok")],
+            self.serve(*packets, after, last="/after"),
+        )
+
+    def test_body_with_a_length_in_a_packet_of_its_own(self):
+        head = self.request(
+            b"/first", b"Content-Length: %d\r\n" % len(self.INNER)
+        )
+        self.check(self.INNER, head, self.INNER)
+
+    def test_body_with_a_length_in_the_packet_of_the_head(self):
+        head = self.request(
+            b"/first", b"Content-Length: %d\r\n" % len(self.INNER)
+        )
+        self.check(self.INNER, head + self.INNER)
+
+    def test_body_in_pieces_and_a_head_in_pieces(self):
+        head = self.request(
+            b"/first", b"Content-Length: %d\r\n" % len(self.INNER)
+        )
+        data = head + self.INNER
+        self.check(
+            self.INNER,
+            *[data[start : start + 40] for start in range(0, len(data), 40)],
+        )
+
+    def test_body_in_chunks(self):
+        head = self.request(b"/first", b"Transfer-Encoding: chunked\r\n")
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(self.INNER), self.INNER)
+        self.check(self.INNER, head, chunk)
+
+    def test_no_body(self):
+        self.check(b"", self.request(b"/first", b""))
+
+    def test_offers_in_requests_that_are_pipelined(self):
+        framing = b"Content-Length: 1\r\n"
+        data = b"".join(
+            self.request(path, framing) + b"x" for path in (b"/1", b"/2")
+        )
+        self.assertEqual(
+            [("POST", "/1", b"x"), ("POST", "/2", b"x")],
+            self.serve(data, last="/2"),
+        )
