Number deregistrations above all reports of a target

Cause: the node that takes a deregistration numbered it after the last report that it knew. Nodes that the target had called since knew higher numbers and took it for older.

Change: deregistrations have a number above that of any report.

--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -71,6 +71,8 @@
 BUDGET_LOG_INTERVAL_SECONDS = 2.0
 NAMED_CHECK_INTERVAL_SECONDS = 2.0
 MAX_LOGGED_HOLDERS = 8
+# Higher than the sequence number of any report that a target sends.
+LAST_SEQUENCE = 1 << 40
 # A node that has just started knows too few other entries to answer discovery
 # requests.
 DISCOVERY_WARMUP_SECONDS = 2.0
@@ -595,8 +597,11 @@
             known.started,
         ):
             return False
+        # Other nodes may have had later reports of the target, and reports
+        # that it sent before may still arrive.
+        sequence = max(known.sequence, LAST_SEQUENCE) + 1
         leaving = msgspec.structs.replace(
-            known, sequence=known.sequence + 1, state="leaving"
+            known, sequence=sequence, state="leaving"
         )
         self.announce_target(leaving)
         return True
--- a/galenashed/platform/tests/test_site.py
+++ b/galenashed/platform/tests/test_site.py
@@ -401,6 +401,10 @@
         self.assertEqual(200, self.site.call("/o/x").status)
 
 
+# The bound of the deployments for targets that leave.
+DRAIN_SECONDS = 2.0
+
+
 class TestSiteWithFaults(testtools.TestCase):
     """Failures of processes and disks, shutdown, and exhausted budgets."""
 
@@ -553,3 +557,34 @@
         for number in range(20):
             self.assertEqual(200, site.call("/o/x", node=number % 4).status)
         self.assertEqual(0, len(leaving.executions))
+
+    def test_deregistered_target_gets_no_new_requests_from_any_node(self):
+        # Guards against a deregistration that nodes take for older than the
+        # reports of the target which they had themselves.
+        site = self.start()
+        site.add_target("app")
+        leaving = site.add_target("app")
+        site.targets.remove(leaving)
+        for node in range(4):
+            _fleet.wait_for(
+                lambda node=node: site.call("/o/x", node=node).status == 200,
+                "a target",
+            )
+        # Only the first report of several is spread at once.
+        for node in (1, 1, 1, 2, 2, 2):
+            site.announce(leaving, node)
+        response = _fleet.fetch(
+            site.control_address(0),
+            f"/Instances.Deregister/{leaving.id}",
+            method="POST",
+            body={"born": leaving.born},
+            key="",
+        )
+        self.assertEqual(200, response.status)
+        acknowledged_at = time.monotonic()
+        # A target that answers is in use for longer than its lease.
+        while time.monotonic() < acknowledged_at + 2 * DRAIN_SECONDS:
+            for node in range(4):
+                site.call("/o/x", node=node)
+        last_at = max(leaving.arrivals, default=0.0)
+        self.assertLess(last_at, acknowledged_at + DRAIN_SECONDS)
