Continue no stream at a target that was down before its next report

Cause: an entry held the version of the last report for true after the address had refused connections.

Change: from a refusal on, no stream is continued there until the target reports a later start, or reports again after the longest delay of a report. An entry whose stream breaks off probes the address at once.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -765,11 +765,14 @@
         ``known`` is the index of the quarantine when the request was sent,
         ``suspected`` tells whether other targets had crashed under it then.
         """
+        announced = target.announced
         if relay.attempt_event_count:
+            if context.route.resumable and await self._is_down(announced):
+                self.targets.on_refused(target, time.monotonic())
             return
-        announced = target.announced
         if not await self.pool.refuses_connections(announced.address):
             return
+        self.targets.on_refused(target, time.monotonic())
         self.targets.eject(target, time.monotonic())
         await self.paths.check(max_age=0.0)
         if self.paths.isolated and await self.peers.any_reaches(
@@ -813,6 +816,8 @@
         except engines.NotSentError as exc:
             context.last_error = str(exc)
             self.targets.eject(target, time.monotonic())
+            if isinstance(exc.__cause__, ConnectionRefusedError):
+                self.targets.on_refused(target, time.monotonic())
             self.paths.on_connect_failed(target.name)
             return _attempts.AttemptOutcome.NOT_SENT
         if not conn.used:
@@ -888,15 +893,18 @@
                 target.pending_prompts.end(context.request.id)
                 self.quarantine.on_answer_begun(context.request)
 
-        async def has_crashed() -> bool:
-            return await self.pool.refuses_connections(
-                announced.address, hold_seconds=CRASH_PROBE_SECONDS
-            )
-
-        outcome = await relay.forward(head, conn, on_answer, has_crashed)
+        outcome = await relay.forward(
+            head, conn, on_answer, lambda: self._is_down(announced)
+        )
         on_answer()
         return outcome
 
+    async def _is_down(self, announced: gossip_wire.Target) -> bool:
+        """Whether the process that has just closed a connection has ended."""
+        return await self.pool.refuses_connections(
+            announced.address, hold_seconds=CRASH_PROBE_SECONDS
+        )
+
     def _note_limit(
         self, target: _targets.TargetState, limit: float | None
     ) -> None:
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -31,6 +31,8 @@
 VERSION_RETENTION_SECONDS = 600.0
 # Between the time of day of a target and that of an entry.
 MAX_CLOCK_DIFFERENCE_SECONDS = 1.0
+# A report may arrive this long after the target has sent it.
+MAX_REPORT_DELAY_SECONDS = 3.0
 # Tokens of shared parts that a target is assumed to cache: about half of the
 # memory of the emulated engines, the rest is for running requests.
 MAX_CACHED_TOKENS = 120_000
@@ -52,6 +54,8 @@
         "report",
         "reported_at",
         "same_domain",
+        "seen_down_at",
+        "seen_down_sequence",
         "sent_since_report",
     )
 
@@ -70,6 +74,10 @@
         self.ejected_until = 0.0
         # Until when it wants no requests of this entry.
         self.paused_until = 0.0
+        # When its address refused connections, until it has reported since,
+        # and the number of the last report that it may have sent before.
+        self.seen_down_at: float | None = None
+        self.seen_down_sequence = 0
         self.pending_prompts = _prompts.PendingPrompts()
         self.cached_parts = _prompts.CachedParts(max_tokens=MAX_CACHED_TOKENS)
 
@@ -184,6 +192,7 @@
         alive_names = frozenset(alive)
         self._update_versions(alive_names, now)
         for target in self._known.values():
+            self._check_reported_since_down(target, now)
             age = target.report_age(now)
             answered_recently = age is not None and age < RECENT_ANSWER_SECONDS
             if answered_recently != target.answered_recently:
@@ -197,6 +206,26 @@
                 del self._known[name]
                 self._rings.clear()
 
+    def on_refused(self, target: TargetState, now: float) -> None:
+        """Notes that the address of a target refuses connections.
+
+        The process that listens there next may run other software, and its
+        report may come later than the first connection to it.
+        """
+        target.seen_down_at = now
+        target.seen_down_sequence = target.announced.sequence
+
+    def _check_reported_since_down(
+        self, target: TargetState, now: float
+    ) -> None:
+        if target.seen_down_at is None:
+            return
+        sequence = target.announced.sequence
+        if now - target.seen_down_at < MAX_REPORT_DELAY_SECONDS:
+            target.seen_down_sequence = sequence
+        elif sequence > target.seen_down_sequence:
+            target.seen_down_at = None
+
     def _update_versions(self, alive: frozenset[str], now: float) -> None:
         for name, target in self._known.items():
             if name in alive:
@@ -268,12 +297,18 @@
         }
 
     def other_versions(self, service: str, version: str) -> set[str]:
-        """Returns the names of a service's targets of other versions."""
+        """Returns the names of a service's targets of other versions.
+
+        So are those that may have restarted since their last report.
+        """
         return {
             target.name
             for target in self._known.values()
             if target.announced.service == service
-            and target.announced.version != version
+            and (
+                target.announced.version != version
+                or target.seen_down_at is not None
+            )
         }
 
     def _ring_for(self, service: str, now: float) -> _placement.HashRing:
--- a/galenashed/gateway/tests/test_stream_origins.py
+++ b/galenashed/gateway/tests/test_stream_origins.py
@@ -47,13 +47,13 @@
             domain="east", limits=routing.TargetLimits(name="entry")
         )
 
-    def announce(self, version, started=0.0):
+    def announce(self, version, started=0.0, sequence=1):
         self.targets.update(
             gossip.Target(
                 name="t",
                 incarnation=str(started),
                 started=started,
-                sequence=1,
+                sequence=sequence,
                 service="s",
                 address="127.0.0.1:1",
                 failure_domain="east",
@@ -75,6 +75,27 @@
         self.announce("v2", started=5.0)
         self.assertEqual({"", "v2"}, self.targets.versions("s", since=0.0))
 
+    def other_versions_at(self, now):
+        self.targets.set_alive(["t"], ["t"], now=now)
+        return self.targets.other_versions("s", "v1")
+
+    def test_target_that_was_down_may_have_another_version(self):
+        self.announce("v1")
+        self.targets.on_refused(self.targets.get("t"), 10.0)
+        self.assertEqual({"t"}, self.other_versions_at(10.5))
+        # A report that may have been sent before it was down.
+        self.announce("v1", sequence=2)
+        self.assertEqual({"t"}, self.other_versions_at(11.0))
+        self.assertEqual({"t"}, self.other_versions_at(14.0))
+        self.announce("v1", sequence=3)
+        self.assertEqual(set(), self.other_versions_at(14.5))
+
+    def test_target_that_was_down_reports_its_restart(self):
+        self.announce("v1")
+        self.targets.on_refused(self.targets.get("t"), 10.0)
+        self.announce("v1", started=11.0)
+        self.assertEqual(set(), self.other_versions_at(11.5))
+
     def test_restart_that_is_reported_late_corrects_where_streams_began(self):
         self.announce("v1", started=100.0)
 
--- a/galenashed/platform/tests/test_software_versions.py
+++ b/galenashed/platform/tests/test_software_versions.py
@@ -190,7 +190,8 @@
         streams = self.begin_streams([3])
         self.site.processes[3].kill()
         self.site.processes[3].wait()
-        self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
+        taken_up = self.take_up(streams, [0, 1, 2])
+        self.assertEqual(TAKEN_UP, taken_up, self.refusals)
 
     def test_stream_is_taken_up_again_and_again(self):
         streams = self.begin_streams(range(NODES))
@@ -262,6 +263,40 @@
         self.assertEqual(3, self.take_up(streams, range(NODES)))
 
 
+class TestRestartUnderTheSameId(VersionsTestCase):
+    """The only target restarts at another version."""
+
+    counts = (1, 0)
+
+    def test_streams_do_not_go_on_there_before_its_report(self):
+        # Guards against a version that is taken from the report before.
+        target = self.engines[0]
+        target.break_after = BREAK_AFTER
+        streams = []
+        for number in range(MAX_STREAMS):
+            request_id = self.new_id()
+            _, body, whole = self.send_as(request_id, node=number % NODES)
+            if not whole and versions(body) == {"v1"}:
+                streams.append((request_id, "v1", last_event_id(body)))
+            if len(streams) == 2 * NODES:
+                break
+            time.sleep(0.02)
+        self.assertEqual(2 * NODES, len(streams))
+        target.break_after = None
+        self.site.targets.remove(target)
+        target.restart_seconds = 1.0
+        crash = asyncio.run_coroutine_threadsafe(
+            target.crash(), self.site.loop
+        )
+        for node in range(NODES):
+            self.assertEqual(0, self.take_up(streams[:1], [node]))
+        target.version = "v2"
+        crash.result(10)
+        for _ in range(3):
+            self.assertEqual(0, self.take_up(streams, range(NODES)))
+            time.sleep(0.3)
+
+
 class TestOnlyTargetOfAVersion(VersionsTestCase):
     """The other targets have another version."""
 
@@ -328,7 +363,8 @@
         time.sleep(3 * SPREAD_SECONDS)
         self.site.processes[3].kill()
         self.site.processes[3].wait()
-        self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
+        taken_up = self.take_up(streams, [0, 1, 2])
+        self.assertEqual(TAKEN_UP, taken_up, self.refusals)
 
     def test_streams_of_a_frozen_node_are_taken_up(self):
         # Guards against streams that are lost with the only node which knows
@@ -339,7 +375,8 @@
         self.addCleanup(self.site.processes[3].signal, signal.SIGCONT)
         self.engines.append(self.site.add_target("engines", version="v2"))
         time.sleep(3 * SPREAD_SECONDS)
-        self.assertEqual(TAKEN_UP, self.take_up(streams, [0, 1, 2]))
+        taken_up = self.take_up(streams, [0, 1, 2])
+        self.assertEqual(TAKEN_UP, taken_up, self.refusals)
 
 
 class TestKillOfAll(VersionsTestCase):
