--- a/galenashed/platform/tests/test_order_soak.py
+++ b/galenashed/platform/tests/test_order_soak.py
@@ -34,7 +34,10 @@
 
 
 class Stream:
-    """What a caller has read of a stream, over its tries."""
+    """What a caller has read of a stream, over its tries.
+
+    ``faults`` tells the ways in which its order broke, with details.
+    """
 
     def __init__(self):
         self.last = 0
@@ -46,19 +49,19 @@
         """Adds what one try has brought; ``whole`` if it looked complete."""
         rest = _EVENT.sub(b"", body)
         if whole and rest:
-            self.faults.append(f"ends inside an event: {rest!r}")
+            self.faults.append(("ends inside an event", rest))
         for number, version in _EVENT.findall(body):
             expected = self.last + 1
             if int(number) > expected:
-                self.faults.append(f"{number} follows {self.last}: missing")
+                self.faults.append(("missing", self.last, number))
             elif int(number) < expected:
-                self.faults.append(f"{number} follows {self.last}: twice")
+                self.faults.append(("twice", self.last, number))
             self.last = int(number)
             self.versions.add(version)
         if len(self.versions) > 1:
-            self.faults.append(f"two versions: {sorted(self.versions)}")
+            self.faults.append(("two versions", sorted(self.versions)))
         if whole and self.last < _target_process.EVENTS:
-            self.faults.append(f"ends as complete after {self.last}")
+            self.faults.append(("ends early", self.last))
         self.complete = self.complete or whole
 
 
@@ -219,9 +222,14 @@
         for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
             faults = self.check(seed)
             complete = sum(stream.complete for _, stream in self.streams)
+            ways = collections.Counter(
+                way
+                for found in faults.values()
+                for way in {fault[0] for fault in found}
+            )
             print(
                 f"seed {seed}: {len(self.streams)} streams, {complete}"
-                f" complete, {len(faults)} faulty, {dict(self.counts)}"
+                f" complete, faulty: {dict(ways)}, {dict(self.counts)}"
             )
             self.assertEqual({}, faults)
             self.assertGreaterEqual(complete, MIN_STREAMS)
