Acknowledge no version that could not be written, and simplify the recorder

A replica whose disk can't be written when it starts failed the start; it now keeps no records until the disk can be written, and its refusal to record is an error to the entry. The recorder has one method that waits for most replicas, in place of two counts of mixed replies.

--- a/galenashed/control/_versions.py
+++ b/galenashed/control/_versions.py
@@ -76,8 +76,7 @@
         """Reads the file, or creates it.
 
         ``complete`` tells whether a file that is missing means that there
-        was nothing to record, and not that it was lost with a disk.  Raises
-        OSError.
+        was nothing to record, and not that it was lost with a disk.
         """
         since = 0.0 if complete else self.clock()
         if self.path.exists():
@@ -96,7 +95,11 @@
                 }
                 return
         self._since = since
-        self._write(self._recorded)
+        try:
+            self._write(self._recorded)
+        except OSError as exc:
+            # Nothing is recorded until the disk can be written.
+            LOG.error("records of versions can't be written: {}", exc)
 
     async def record(
         self, versions: typing.Iterable[wire.SoftwareVersion]
--- a/galenashed/control/tests/test_versions.py
+++ b/galenashed/control/tests/test_versions.py
@@ -52,6 +52,12 @@
         self.path.write_bytes(b"damaged")
         self.assertFalse(self.open(complete=True).find("s", 60.0).complete)
 
+    def test_records_that_cannot_be_written_are_not_acknowledged(self):
+        self.path = self.path / "missing" / "versions"
+        records = self.open(complete=True)
+        self.assertRaises(OSError, self.record, records, "v1")
+        self.assertEqual([], records.find("s", 60.0).versions)
+
     def test_version_that_is_no_longer_recorded_is_dropped(self):
         records = self.open(complete=True)
         self.record(records, "v1", "v2")
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -632,7 +632,9 @@
         elif context.route.resumable:
             other_versions = self._unrecorded_targets(context.service)
             if other_versions:
-                context.last_error = "no version of the targets is on record"
+                context.last_error = (
+                    "targets of versions that are not on record are left out"
+                )
         target = self.targets.choose(
             context.service,
             context.request.prompt,
--- a/galenashed/node/_versions.py
+++ b/galenashed/node/_versions.py
@@ -87,22 +87,17 @@
         These are the streams of the last ``max_age`` seconds.  None if too
         few replicas know.
         """
-        voters = self.voters()
-        query = wire.VersionQuery(service=service, max_age=max_age)
-        replies = await self._ask_all(
-            voters, methods.FIND_VERSIONS, query, QUERY_TIMEOUT_SECONDS
+        replies = await self._ask_most(
+            self.voters(),
+            methods.FIND_VERSIONS,
+            wire.VersionQuery(service=service, max_age=max_age),
+            timeout=QUERY_TIMEOUT_SECONDS,
+            without_records=wire.VersionReply(versions=[], complete=True),
+            counts=lambda reply: reply.complete,
         )
-        complete = [
-            reply for reply in replies if reply is True or reply.complete
-        ]
-        if len(complete) <= len(voters) // 2:
+        if replies is None:
             return None
-        return {
-            version
-            for reply in replies
-            if reply is not True
-            for version in reply.versions
-        }
+        return {version for reply in replies for version in reply.versions}
 
     async def _run(self) -> None:
         while True:
@@ -129,10 +124,14 @@
             wire.SoftwareVersion(service=service, version=version)
             for service, version in sorted(due)
         ]
-        replies = await self._ask_all(
-            voters, methods.RECORD_VERSIONS, items, RECORD_TIMEOUT_SECONDS
+        replies = await self._ask_most(
+            voters,
+            methods.RECORD_VERSIONS,
+            items,
+            timeout=RECORD_TIMEOUT_SECONDS,
+            without_records=True,
         )
-        if len(replies) <= len(voters) // 2:
+        if replies is None:
             return
         new = due - self._recorded.keys()
         self._recorded.update(dict.fromkeys(due, now))
@@ -146,39 +145,53 @@
                 after=round(time.monotonic() - now, 4),
             )
 
-    async def _ask_all(
-        self, voters: typing.Collection[str], method, message, timeout: float
-    ) -> list:
-        """Returns the replies of the replicas, once most have answered."""
+    async def _ask_most(
+        self,
+        voters: typing.Collection[str],
+        method: rpc.Method,
+        message: typing.Any,
+        *,
+        timeout: float,
+        without_records: typing.Any,
+        counts: typing.Callable[[typing.Any], bool] = bool,
+    ) -> list[typing.Any] | None:
+        """Returns the replies so far once most replicas have one that counts.
+
+        None if too few have.  ``without_records`` is the reply of a replica
+        that keeps no records.
+        """
         queries = [
             asyncio.create_task(
-                self._ask(address, method, message, timeout), name="versions"
+                self._ask(address, method, message, timeout, without_records),
+                name="versions",
             )
             for address in voters
         ]
-        replies: list = []
+        replies = []
         try:
             for query in asyncio.as_completed(queries):
                 reply = await query
                 if reply is not None:
                     replies.append(reply)
-                complete = [
-                    item
-                    for item in replies
-                    if item is True or getattr(item, "complete", True)
-                ]
-                if len(complete) > len(voters) // 2:
-                    break
+                if sum(map(counts, replies)) > len(voters) // 2:
+                    return replies
         finally:
             for task in queries:
                 task.cancel()
-        return replies
+        return None
 
-    async def _ask(self, address: str, method, message, timeout: float):
+    async def _ask(
+        self,
+        address: str,
+        method: rpc.Method,
+        message: typing.Any,
+        timeout: float,
+        without_records: typing.Any,
+    ) -> typing.Any:
         """Returns the reply of a replica, None if it failed.
 
         A replica of the last landing doesn't know the methods.  It counts as
-        one that has no records, as entries of that landing assume.
+        one that keeps no records, as entries of that landing assume.
         """
         try:
             return await self._channels.get(address).call(
@@ -186,6 +199,6 @@
             )
         except rpc.RpcError as exc:
             if exc.code() is grpc.StatusCode.UNIMPLEMENTED:
-                return True
+                return without_records
             LOG.debug("versions at {}: {}", address, exc.code())
             return None
