--- a/galenashed/platform/tests/test_order_soak.py
+++ b/galenashed/platform/tests/test_order_soak.py
@@ -23,6 +23,8 @@
 SEEDS = int(os.environ.get("GALENASHED_SOAK_SEEDS", "1"))
 FIRST_SEED = int(os.environ.get("GALENASHED_SOAK_FIRST_SEED", "0"))
 SOAK_SECONDS = 15.0
+# The soak goes on for as long until MIN_STREAMS are complete.
+MAX_SOAK_SECONDS = 90.0
 NODES = 5
 TARGETS = 6
 CALLERS = 8
@@ -192,6 +194,11 @@
                 self.site.lose_power()
                 self.stopping.wait(0.2)
                 self.site.start_again()
+                # Else a busy machine would serve nothing between the kills.
+                self.site.wait_until_ready(self.rng.randrange(NODES))
+
+    def complete_count(self):
+        return sum(stream.complete for _, stream in self.streams)
 
     def check(self, seed):
         self.start(seed)
@@ -205,7 +212,13 @@
         ]
         for thread in threads:
             thread.start()
+        started = time.monotonic()
         time.sleep(SOAK_SECONDS)
+        while (
+            self.complete_count() < MIN_STREAMS
+            and time.monotonic() < started + MAX_SOAK_SECONDS
+        ):
+            time.sleep(0.5)
         self.stopping.set()
         for thread in threads:
             thread.join()
@@ -221,7 +234,7 @@
     def test_streams_keep_their_order(self):
         for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
             faults = self.check(seed)
-            complete = sum(stream.complete for _, stream in self.streams)
+            complete = self.complete_count()
             ways = collections.Counter(
                 way
                 for found in faults.values()
