Close the channels to replicas that recorded versions once they are idle

Each entry kept a channel to each voting replica between two recordings, which are a minute apart: 7 x 370 in the largest expected fleet, each with keepalives every two seconds at both ends. They are closed after the idle time of the pool now; test_channels_that_are_idle_are_closed failed before. Its cost in processor time was not measured.

--- a/galenashed/node/_versions.py
+++ b/galenashed/node/_versions.py
@@ -106,6 +106,7 @@
                     await self._wake.wait()
             self._wake.clear()
             await self._record_due()
+            self._channels.close_idle(time.monotonic())
 
     async def _record_due(self) -> None:
         """Records what most replicas don't have, or had long ago."""
--- a/galenashed/node/tests/test_versions.py
+++ b/galenashed/node/tests/test_versions.py
@@ -1,4 +1,5 @@
 import asyncio
+from unittest import mock
 
 import testtools
 
@@ -127,3 +128,15 @@
             self.assertLessEqual(await recorder.find("s", 60.0), {"v1"})
 
         self.check(replicas, {("s", "v1")}, scenario)
+
+    def test_channels_that_are_idle_are_closed(self):
+        replicas = [Replica() for _ in range(3)]
+
+        async def scenario(recorder):
+            await self.wait_until_recorded(recorder, "v1")
+            async with asyncio.timeout(10.0):
+                while len(recorder._channels):
+                    await asyncio.sleep(0.1)
+
+        with mock.patch.object(rpc, "IDLE_CHANNEL_SECONDS", 0.5):
+            self.check(replicas, {("s", "v1")}, scenario)
--- a/galenashed/protocol/rpc.py
+++ b/galenashed/protocol/rpc.py
@@ -287,12 +287,13 @@
         self._used_at[address] = now
         channel = self._channels.get(address)
         if channel is None:
-            self._close_idle(now)
+            self.close_idle(now)
             channel = Channel(address=address, key=self.key)
             self._channels[address] = channel
         return channel
 
-    def _close_idle(self, now: float) -> None:
+    def close_idle(self, now: float) -> None:
+        """Closes the channels that were not used for a time."""
         idle = [
             address
             for address, used_at in self._used_at.items()
