Answer 400 to an offer whose body has no known end

A request that offers another protocol and has a transfer coding other than chunks ended its connection by an unhandled exception: the parser does not check the coding of such a request, the one that reads on does, outside of the handler of errors. test_body_without_a_known_end_is_an_error failed before.

--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -146,17 +146,17 @@
 
     def _parse(self, data: bytes) -> None:
         self._unset_keepalive_if_required()
-        while data:
-            try:
-                self.parser.feed_data(data)
-                return
-            except httptools.HttpParserUpgrade as exc:
-                (end,) = exc.args
-                data = data[end:]
-                self._continue_after_offer()
-            except httptools.HttpParserError:
-                self.send_400_response("Invalid HTTP request received.")
-                return
+        try:
+            while data:
+                try:
+                    self.parser.feed_data(data)
+                    return
+                except httptools.HttpParserUpgrade as exc:
+                    (end,) = exc.args
+                    data = data[end:]
+                    self._continue_after_offer()
+        except httptools.HttpParserError:
+            self.send_400_response("Invalid HTTP request received.")
 
     def _continue_after_offer(self) -> None:
         """Has a new parser read the body of a request and what follows."""
--- a/galenashed/web/tests/test_server.py
+++ b/galenashed/web/tests/test_server.py
@@ -235,3 +235,25 @@
             [("POST", "/1", b"x"), ("POST", "/2", b"x")],
             self.serve(data, last="/2"),
         )
+
+    def test_body_without_a_known_end_is_an_error(self):
+        async def run():
+            server = web.HttpServer(app=EchoApp(), address="127.0.0.1:0")
+            await server.start()
+            try:
+                async with asyncio.timeout(WAIT_SECONDS):
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", server.port
+                    )
+                    writer.write(
+                        self.request(b"/", b"Transfer-Encoding: gzip\r\n")
+                        + b"x"
+                    )
+                    try:
+                        return await reader.read()
+                    finally:
+                        writer.close()
+            finally:
+                await server.abort()
+
+        self.assertTrue(asyncio.run(run()).startswith(b"HTTP/1.1 400 "))
