--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -7,6 +7,7 @@
 
 from galenashed import engines
 from galenashed.gateway import _attempts
+from galenashed.gateway import _continuations
 from galenashed.gateway import _forwarding
 from galenashed.gateway import _origins
 from galenashed.gateway import _prepaid
@@ -26,9 +27,6 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 # The time over which requests a second are averaged.
 RATE_SECONDS = 5.0
-# A stream that broke off shortly before its time limit may be taken up for as
-# long again.
-MAX_STREAM_TIME_LIMITS = 2.0
 CLIENT_ERROR = 400
 # A process that ends closes its sockets one after the other.
 CRASH_PROBE_SECONDS = 0.05
@@ -182,6 +180,9 @@
             paths=paths, peers=peers, codec=codec, log=log, metrics=metrics
         )
         self.origins = origins
+        self._continuations = _continuations.Continuations(
+            targets=targets, origins=origins, log=log
+        )
         self.retries = retries
         self.log = log
         self.metrics = metrics
@@ -344,7 +345,7 @@
         Another entry serves it if the paths to them are being lost.
         """
         assert self.route_index is not None
-        origin = await self._find_origin(request, route)
+        origin = await self._continuations.find_origin(request, route)
         suspect = self.quarantine.find_quarantined(request)
         in_trial = False
         if suspect is not None:
@@ -430,101 +431,15 @@
             return False
         return not attempts.runs or self.retries.try_acquire()
 
-    async def _find_origin(
-        self, request: _request.Request, route: wire.Route
-    ) -> streams.StreamOrigin | None:
-        """Returns where the stream began that a request continues.
-
-        None if it continues none.  Targets don't check that they continue
-        what their own version began.  So a request whose beginning is unknown
-        is served only if one version alone can have begun it; otherwise
-        raises ApiError.
-        """
-        if request.resume_after is None:
-            return None
-        if route.kind is not wire.RouteKind.STREAM:
-            return None
-        origin = None
-        if request.resumed_request:
-            origin = await self.origins.find(request.resumed_request)
-        if origin is not None:
-            origin = self.targets.correct_origin(origin)
-        known = origin is not None
-        if origin is None:
-            origin = await self._only_possible_origin(request, route)
-        self.log.write(
-            "stream taken up",
-            request=request.id,
-            resumes=request.resumed_request,
-            after=request.resume_after,
-            known=known,
-            service=origin.service if origin else None,
-            version=origin.version if origin else None,
-        )
-        if origin is None:
-            raise web.ApiError(
-                status=503,
-                code="stream_origin_unknown",
-                message="the version that began the stream is not known",
-            )
-        if origin.service not in _table.services(route):
-            raise web.ApiError(
-                status=503,
-                code="stream_origin_gone",
-                message="the route no longer leads to the service that began"
-                " the stream",
-            )
-        return origin
-
-    async def _only_possible_origin(
-        self, request: _request.Request, route: wire.Route
-    ) -> streams.StreamOrigin | None:
-        """Returns where a stream must have begun that nobody knows.
-
-        None if targets of several versions have been there since it began,
-        or if it can't be told which.
-        """
-        services = _table.services(route)
-        if request.resumed_request:
-            # The request that began the stream was sent to this one.
-            services = [_table.select_service(route, request.resumed_request)]
-        if len(services) != 1:
-            return None
-        (service,) = services
-        # This process may have started, or heard of a target, only since.
-        recorded = await self.origins.find_versions(
-            service, _longest_stream(route)
-        )
-        if recorded is None:
-            return None
-        since = request.arrived_at - _longest_stream(route)
-        versions = recorded | self.targets.versions(service, since)
-        if len(versions) != 1:
-            return None
-        return streams.StreamOrigin(
-            request=request.resumed_request or request.id,
-            service=service,
-            version=versions.pop(),
-            keep_seconds=_longest_stream(route),
-        )
-
     def _record_origin(
         self, context: RequestContext, target: gossip_wire.Target
     ) -> None:
         """Records which software writes the stream of a request."""
         context.version = target.version
-        if not context.route.resumable:
-            return
-        context.begun = streams.StreamOrigin(
-            request=context.request.resumed_request or context.request.id,
-            service=context.service,
-            version=target.version,
-            keep_seconds=_longest_stream(context.route),
-            target=target.name,
-            started=target.started,
-            begun_at=time.time(),
-        )
-        self.origins.record(context.begun)
+        if context.route.resumable:
+            context.begun = self._continuations.record(
+                context.request, context.route, context.service, target
+            )
 
     async def _run_attempts(
         self, context: RequestContext, relay: _relay.Relay
@@ -630,7 +545,9 @@
                 context.service, context.version
             )
         elif context.route.resumable:
-            other_versions = self._unrecorded_targets(context.service)
+            other_versions = self._continuations.unrecorded_targets(
+                context.service
+            )
             if other_versions:
                 context.last_error = (
                     "targets of versions that are not on record are left out"
@@ -647,18 +564,6 @@
             self._explain_refusal(context, other_versions, now)
         return target
 
-    def _unrecorded_targets(self, service: str) -> set[str]:
-        """Returns the targets at which no stream may begin yet.
-
-        Whoever takes it up could not learn that their version was in use.
-        """
-        return {
-            name
-            for version in self.targets.versions(service, float("-inf"))
-            if not self.origins.may_begin(service, version)
-            for name in self.targets.of_version(service, version)
-        }
-
     def _explain_refusal(
         self, context: RequestContext, other_versions: set[str], now: float
     ) -> None:
@@ -990,11 +895,6 @@
     return request.arrived_at + time_limit
 
 
-def _longest_stream(route: wire.Route) -> float:
-    """Returns how long ago a stream that is taken up may have begun."""
-    return MAX_STREAM_TIME_LIMITS * route.time_limit
-
-
 def _elapsed_seconds(request: _request.Request) -> float:
     """Returns the seconds since a request arrived."""
     return round(time.monotonic() - request.arrived_at, 4)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -170,26 +170,7 @@
             targets=self.targets,
             rng=rng,
         )
-        # Addresses of the voting replicas, none before they are known.
-        self._voters: list[str] = []
-        self._version_recorder = _versions.VersionRecorder(
-            key=cfg.peer_key,
-            voters=self._known_voters,
-            current=self.targets.current_versions,
-            log=log,
-        )
-        self.targets.on_new_version = self._version_recorder.notify
-        self._origin_exchange = _origins.OriginExchange(
-            name=cfg.name,
-            region=cfg.region,
-            domain=cfg.failure_domain,
-            directory=self.instance_directory,
-            key=cfg.peer_key,
-            sees_all_targets=self._sees_all_targets,
-            has_versions=self._has_versions,
-            versions=self._version_recorder,
-            log=log,
-        )
+        self._make_stream_records()
         self.quarantine = quarantine.Quarantine(
             control=self.control_client,
             unavailable=control.ControlUnavailableError,
@@ -224,6 +205,30 @@
         self.gateway.on_leaving = self._on_target_leaving
         self.paths.on_change = self._gossiper.trigger_round
 
+    def _make_stream_records(self) -> None:
+        """Creates the records of where streams began, and of versions."""
+        cfg, log = self.cfg, self.log
+        # Addresses of the voting replicas, none before they are known.
+        self._voters: list[str] = []
+        self._version_recorder = _versions.VersionRecorder(
+            key=cfg.peer_key,
+            voters=self._known_voters,
+            current=self.targets.current_versions,
+            log=log,
+        )
+        self.targets.on_new_version = self._version_recorder.notify
+        self._origin_exchange = _origins.OriginExchange(
+            name=cfg.name,
+            region=cfg.region,
+            domain=cfg.failure_domain,
+            directory=self.instance_directory,
+            key=cfg.peer_key,
+            sees_all_targets=self._sees_all_targets,
+            has_versions=self._has_versions,
+            versions=self._version_recorder,
+            log=log,
+        )
+
     def _make_control_client(self) -> None:
         """Creates the clients of the control replicas."""
         cfg = self.cfg
