Test streams at nodes of two builds side by side

A new node asks and tells replicas of the build in production about versions, which these don't keep.

--- a/galenashed/platform/tests/test_two_builds.py
+++ b/galenashed/platform/tests/test_two_builds.py
@@ -30,6 +30,8 @@
 # Fully drained after the shutdown timeout.
 GRACE_SECONDS = 4
 CALL_PAUSE_SECONDS = 0.05
+# A node that has just started counts as sure of the others after two seconds.
+STREAM_SECONDS = 4.0
 # Statuses that tell the caller that its request was not run.
 NOT_RUN = (408, 429, 503)
 
@@ -187,6 +189,25 @@
             for _ in range(20):
                 self.assertFalse(self.reaches(node, leaving), node)
 
+    def check_streams(self):
+        """Streams begin and are taken up at every node, of either build.
+
+        Guards against entries that wait for records of versions which the
+        replicas of the build in production don't keep.
+        """
+        for node in range(NODES):
+            for headers in (
+                {},
+                {"Last_Event_Id": "4", "Resumes": "never-seen"},
+            ):
+                _fleet.wait_for(
+                    lambda node=node, headers=headers: (
+                        self.site.generate(node=node, **headers).status == 200
+                    ),
+                    f"a stream at node {node} with {headers}",
+                    timeout=STREAM_SECONDS,
+                )
+
     def reaches(self, node, target):
         """Whether a target executes a lookup that is sent to a node."""
         probe = f"probe-{node}-{time.monotonic_ns()}"
@@ -211,10 +232,13 @@
             traffic.start()
             try:
                 self.replace(3, traffic, production=False)
+                self.check_streams()
                 self.replace(0, traffic, production=False)
+                self.check_streams()
                 self.check_configuration()
                 self.replace(1, traffic, production=False)
                 self.replace(2, traffic, production=False)
+                self.check_streams()
                 self.check_configuration()
                 _fleet.wait_for(
                     lambda: all(map(self.uses_compact_gossip, range(NODES))),
@@ -222,6 +246,7 @@
                 )
                 self.replace(3, traffic, production=True)
                 self.replace(0, traffic, production=True)
+                self.check_streams()
                 self.check_configuration()
             finally:
                 traffic.stopping.set()
