Log how long holders are silent, and lost tokens that were not announced

The log told what dead holders lost, but not whether it was lost because they had announced it or because they had been silent for too long; and the largest holders, but not which of them are gone.

--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -35,12 +35,14 @@
     """Unbilled tokens in the grants of an instance.
 
     It may spend those ``unannounced`` only after an announcement, or once it
-    has been cut off from control for long.
+    has been cut off from control for long.  ``silent`` are the seconds since
+    its last announcement, by the clock of its machine; None if there is none.
     """
 
     instance: str
     tokens: int
     unannounced: int
+    silent: float | None
 
 
 class WrittenOff(msgspec.Struct, frozen=True, kw_only=True):
@@ -295,7 +297,7 @@
 
     Tokens that they may have spent without billing them count as spent.
     """
-    freed = lost = 0
+    freed = lost = unannounced = 0
     longest_silence: float | None = None
     for name, budget in list(budget_of_grant.items()):
         budget_state = state.budgets[budget]
@@ -314,13 +316,20 @@
             _shrink(budget_state, grant, min(grant.amount, grant.limit or 0))
             freed += previous_amount - grant.amount
         unbilled = grant.amount - grant.settled
+        if grant.limit is not None:
+            unannounced += min(unbilled, max(0, grant.amount - grant.limit))
         budget_state.outstanding -= unbilled
         budget_state.settled += unbilled
         budget_state.lost += unbilled
         lost += unbilled
         del budget_state.grants[name]
         del budget_of_grant[name]
-    return wire.Succession(freed=freed, lost=lost, silent=longest_silence)
+    return wire.Succession(
+        freed=freed,
+        lost=lost,
+        silent=longest_silence,
+        unannounced=unannounced,
+    )
 
 
 def _silent_seconds(state, grant, cmd: wire.SucceedHolder) -> float | None:
@@ -454,8 +463,20 @@
             tokens[instance] += grant.amount - grant.settled
             if grant.limit is not None:
                 unannounced[instance] += max(0, grant.amount - grant.limit)
+    heard: dict[str, float] = {}
+    for name, holder in state.holders.items():
+        instance = name.rpartition("/")[0]
+        if holder.heard_at is not None:
+            heard[instance] = max(heard.get(instance, 0.0), holder.heard_at)
     return [
-        HeldTokens(instance, held, unannounced[instance])
+        HeldTokens(
+            instance,
+            held,
+            unannounced[instance],
+            round(state.now - heard[instance], 1)
+            if instance in heard
+            else None,
+        )
         for instance, held in tokens.most_common(count)
     ]
 
--- a/galenashed/control/tests/test_state_machine.py
+++ b/galenashed/control/tests/test_state_machine.py
@@ -119,11 +119,18 @@
         self.open(1, 300, holder="e2/x")
         self.settle(1, self.bill("k", 40, grant="e2/x/1"), holder="e2/x")
         self.assertEqual(
-            [("e2", 260, 0), ("e1", 100, 0)],
+            [("e2", 260, 0, None), ("e1", 100, 0, None)],
             self.state_machine.largest_holders(5),
         )
         self.assertEqual(1, len(self.state_machine.largest_holders(1)))
 
+    def test_largest_holders_tell_how_long_they_are_silent(self):
+        self.open(1, 100, holder="e1/x")
+        self.now = 5.0
+        self.apply(wire.Holding(holder="e1/x", sent_at=3.0, limits={}))
+        ((_, _, _, silent),) = self.state_machine.largest_holders(1)
+        self.assertEqual(2.0, silent)
+
     def test_duplicate_open_returns_the_same_grant(self):
         first = self.open(1, need=100)
         again = self.open(1, need=100)
@@ -337,6 +344,7 @@
     def test_long_silence_counts_whole_grant_as_spent(self):
         reply = self.succeed_after(3.5)
         self.assertEqual((0, 200), (reply.freed, reply.lost))
+        self.assertEqual(150, reply.unannounced)
 
     def test_clock_set_back_counts_whole_grant_as_spent(self):
         reply = self.succeed_after(-1.0)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -764,6 +764,7 @@
                 freed=reply.freed,
                 lost=reply.lost,
                 silent=reply.silent,
+                unannounced=reply.unannounced,
             )
             return
 
