Store on disk how much of each grant may be spent, so that the rest comes back

Callers of a fleet that had lost all power got 402 from its return on, although tokens were left: control believes the announced limits of a dead holder only if its successor starts within 2.8 s, and even then what was announced, 5.6 s of demand, counts as spent. Nothing about tokens was on the disks of the nodes, which held most of what was lost.

A holder with a disk now bounds its spending there, half a second of demand ahead. Its successor has control shrink the grants to the bounds before it proves the holder dead. Grants are returned and replaced by others, which the disk does not bound, while it stalls or fails.

--- a/galenashed/budget/__init__.py
+++ b/galenashed/budget/__init__.py
@@ -15,10 +15,12 @@
 from galenashed.budget._manager import BudgetManager
 from galenashed.budget._policy import POLICIES
 from galenashed.budget._policy import Policy
+from galenashed.budget._ports import BoundsStore
 from galenashed.budget._witness_records import WitnessRecords
 
 __all__ = [
     "POLICIES",
+    "BoundsStore",
     "BudgetExhaustedError",
     "BudgetManager",
     "Escrow",
--- a/galenashed/budget/_account.py
+++ b/galenashed/budget/_account.py
@@ -14,8 +14,10 @@
     ``unsettled`` counts bills that control has not acknowledged.
     ``limits`` maps each witness to the spending limit that it has
     acknowledged; ``sent_limit`` is the highest limit sent to the witnesses.
-    A ``borrowed`` grant holds tokens that another entry has billed as spent;
-    control does not know it.
+    ``stored_bound`` is the most that may be spent according to the disk of
+    this entry, None if the disk does not bound it.  A ``borrowed`` grant
+    holds tokens that another entry has billed as spent; control does not know
+    it.
     """
 
     __slots__ = (
@@ -28,6 +30,7 @@
         "limits",
         "reserved",
         "sent_limit",
+        "stored_bound",
         "unsettled",
         "used",
     )
@@ -46,6 +49,7 @@
         self.amount = amount
         self.limits = dict.fromkeys(witnesses, 0)
         self.sent_limit = 0
+        self.stored_bound: int | None = None
         self.reserved = 0
         self.used = 0
         self.unsettled = 0
@@ -58,10 +62,22 @@
         """Spending limit that every witness has acknowledged, in tokens."""
         return min([self.amount, *self.limits.values()])
 
+    @property
+    def in_use(self) -> int:
+        """Tokens that are reserved or spent."""
+        return self.reserved + self.used
+
+    @property
+    def announced(self) -> int:
+        """Tokens that can be reserved as far as the limit allows."""
+        return 0 if self.closing else self.limit - self.in_use
+
     @property
     def free(self) -> int:
         """Tokens that can be reserved now."""
-        return 0 if self.closing else self.limit - self.reserved - self.used
+        if self.closing or self.stored_bound is None:
+            return self.announced
+        return min(self.limit, self.stored_bound) - self.in_use
 
     @property
     def unspent(self) -> int:
@@ -110,6 +126,10 @@
     def free(self) -> int:
         return sum(grant.free for grant in self.grants.values())
 
+    @property
+    def announced(self) -> int:
+        return sum(grant.announced for grant in self.grants.values())
+
     @property
     def unspent(self) -> int:
         return sum(grant.unspent for grant in self.grants.values())
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -2,7 +2,8 @@
 
 A grant may have witnesses: other entries that acknowledge a spending limit
 before this entry spends up to it, and that report the limit to control if
-this entry fails.
+this entry fails.  A grant may also be bounded by a record on the disk of this
+entry, from which its successor there learns how much cannot have been spent.
 
 Within a grant, ``reserved + used <= amount`` holds at all times, and control
 keeps the sum of the open grants of a budget within its prepaid tokens.
@@ -21,6 +22,8 @@
 # An entry keeps this many seconds of its own demand when it lends tokens.
 LENDING_RESERVE_SECONDS = 1.0
 MIN_LIMIT_STEP_TOKENS = 500
+# How long the bounds on the disk should last at the current demand.
+BOUND_HORIZON_SECONDS = 0.5
 
 
 class WitnessMessage(typing.NamedTuple):
@@ -167,8 +170,7 @@
         account = self.accounts.get(budget)
         if account is None:
             return 0
-        own_demand = int(account.demand(now) * LENDING_RESERVE_SECONDS)
-        lendable = min(tokens, account.free - own_demand)
+        lendable = min(self.lendable(budget, tokens, now), account.free)
         if lendable <= 0:
             return 0
         rate, rate_updated_at = account.rate, account.rate_updated_at
@@ -195,6 +197,14 @@
         )
         return lendable
 
+    def lendable(self, budget: str, tokens: int, now: float) -> int:
+        """Returns how many of ``tokens`` can be lent, as far as limits go."""
+        account = self.accounts.get(budget)
+        if account is None:
+            return 0
+        own_demand = int(account.demand(now) * LENDING_RESERVE_SECONDS)
+        return max(0, min(tokens, account.announced - own_demand))
+
     def on_borrowed(self, budget: str, tokens: int, now: float) -> None:
         """Adds tokens that another entry has lent and already billed."""
         account = self._get_account(budget, now)
@@ -222,6 +232,11 @@
         account = self.accounts.get(budget)
         return 0 if account is None else account.free
 
+    def announced(self, budget: str) -> int:
+        """Returns the tokens that can be reserved once the disk allows."""
+        account = self.accounts.get(budget)
+        return 0 if account is None else account.announced
+
     def unspent(self, budget: str) -> int:
         """Returns the unspent tokens, including those above the limits."""
         account = self.accounts.get(budget)
@@ -278,7 +293,7 @@
         """Returns notes that raise limits to free ``missing`` tokens."""
         account = self._get_account(budget, now)
         wanted = max(
-            missing, self._limit_headroom(account, now) - account.free
+            missing, self._limit_headroom(account, now) - account.announced
         )
         notes: list[WitnessMessage] = []
         for grant in account.grants.values():
@@ -301,14 +316,14 @@
     def raise_all_limits(self, now: float) -> None:
         """Raises the limits that the next announcement to control names."""
         for budget, account in self.accounts.items():
-            if account.free < account.unspent:
+            if account.announced < account.unspent:
                 self.raise_limits(budget, 0, now)
 
     def needs_higher_limits(self, budget: str, now: float) -> bool:
         """Whether the acknowledged limits will soon be used up."""
         account = self._get_account(budget, now)
         threshold = self._limit_headroom(account, now) / 2
-        return account.free < threshold and account.free < account.unspent
+        return account.announced < min(threshold, account.unspent)
 
     def _limit_headroom(self, account: _account.Account, now: float) -> int:
         """Returns the tokens that limits should allow beyond those in use.
@@ -527,6 +542,55 @@
             if grant is not None:
                 grant.close_sent = False
 
+    # Bounds on the disk of this entry
+
+    def plan_bounds(
+        self, needs: dict[str, int], now: float, *, add: bool
+    ) -> dict[str, int]:
+        """Returns the bounds to store, by grant, in tokens.
+
+        ``needs`` are the tokens of waiting requests, by budget.  Grants that
+        the disk does not bound yet are included if ``add`` is set.
+        """
+        bounds = {}
+        for budget, account in self.accounts.items():
+            expected = int(account.demand(now) * BOUND_HORIZON_SECONDS)
+            ahead = max(needs.get(budget, 0), expected)
+            for grant in sorted(account.grants.values(), key=_spending_order):
+                if grant.borrowed or (grant.stored_bound is None and not add):
+                    continue
+                step = 0 if grant.closing else min(ahead, grant.unspent)
+                bounds[grant.id] = grant.in_use + step
+                ahead -= step
+        return bounds
+
+    def on_bounds_sent(self, bounds: dict[str, int]) -> None:
+        """Obeys bounds that the disk may have from now on."""
+        for name, bound in bounds.items():
+            grant = self._by_id[name]
+            if grant.stored_bound is None:
+                grant.stored_bound = bound
+            grant.stored_bound = min(grant.stored_bound, bound)
+
+    def on_bounds_stored(self, bounds: dict[str, int]) -> None:
+        """Allows to spend up to bounds that the disk has."""
+        for name, bound in bounds.items():
+            grant = self._by_id.get(name)
+            if grant is not None:
+                grant.stored_bound = bound
+
+    def needs_higher_bounds(self, budget: str, now: float) -> bool:
+        """Whether the stored bounds will soon be used up."""
+        account = self._get_account(budget, now)
+        threshold = account.demand(now) * BOUND_HORIZON_SECONDS / 2
+        return account.free < min(threshold, account.announced)
+
+    def retire_bounded(self) -> list[wire.ShrinkGrant]:
+        """Stops spending the grants that the disk bounds."""
+        return self._retire_grants(
+            [g for g in self._by_id.values() if g.stored_bound is not None]
+        )
+
     # Bills
 
     def settle(self) -> wire.SettleBills | None:
--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -8,6 +8,7 @@
 
 from galenashed.budget import _account
 from galenashed.budget import _announcer
+from galenashed.budget import _bounds_writer
 from galenashed.budget import _durability
 from galenashed.budget import _policy
 from galenashed.budget import _ports
@@ -25,6 +26,9 @@
 HOLDING_TIMEOUT_SECONDS = 1.0
 SETTLE_TIMEOUT_SECONDS = 5.0
 SHORT_RETRY_SECONDS = 0.1
+# How long a loan waits until the disk allows it; half of the time that the
+# borrower waits.
+LEND_WAIT_SECONDS = 0.05
 FUTILE_WAIT_TTL_SECONDS = 5.0
 
 
@@ -71,6 +75,8 @@
         Returns whether control can be reached.
     loan_client : LoanClient
         Borrows from other entries when control does not answer in time.
+    bounds_store : BoundsStore or None
+        Disk that bounds what may be spent; None for an entry without one.
     """
 
     def __init__(
@@ -82,6 +88,7 @@
         unavailable,
         control_reachable: typing.Callable[[], bool] = lambda: True,
         loan_client: _ports.LoanClient | None = None,
+        bounds_store: _ports.BoundsStore | None = None,
     ):
         self.loan_client = loan_client or _ports.NullLoanClient()
         self._borrowing: set[str] = set()
@@ -98,9 +105,20 @@
         self._settled = asyncio.Event()
         self._bill_added = asyncio.Event()
         self._durability = _durability.DurabilityTracker()
+        self._bounds_writer: _bounds_writer.BoundsWriter | None = None
+        if bounds_store is not None:
+            self._bounds_writer = _bounds_writer.BoundsWriter(
+                escrow=escrow,
+                store=bounds_store,
+                waiting=self._waiting_tokens,
+                on_stored=self._serve_all_waiters,
+                on_slow=self._on_slow_disk,
+            )
 
     async def start(self) -> None:
-        """Starts the task that settles bills and closes grants."""
+        """Starts the tasks that settle bills, and keep bounds on the disk."""
+        if self._bounds_writer is not None:
+            await self._bounds_writer.start()
         self._ticker = telemetry.start_task(
             self._tick_forever(), "budget manager"
         )
@@ -122,6 +140,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self._bounds_writer is not None:
+            await self._bounds_writer.close()
 
     async def reserve(self, budget: str, tokens: int) -> _account.Reservation:
         """Reserves tokens for a request.
@@ -137,6 +157,8 @@
                 self._open_grant(budget, 1, 1)
             if self.escrow.needs_higher_limits(budget, now):
                 self._raise_limits(budget, 0)
+            if self.escrow.needs_higher_bounds(budget, now):
+                self._request_bounds(budget)
             return reservation
         fut = asyncio.get_running_loop().create_future()
         waiter = _Waiter(
@@ -147,7 +169,11 @@
         )
         self._waiters.append(waiter)
         self._request_tokens(budget)
-        delay = BORROW_AFTER_SECONDS if self.control_reachable() else 0.0
+        is_answer_due = self.control_reachable()
+        if is_answer_due or self._waits_for_disk(waiter):
+            delay = BORROW_AFTER_SECONDS
+        else:
+            delay = 0.0
         timer = asyncio.get_running_loop().call_later(
             delay, self._borrow, waiter
         )
@@ -159,11 +185,17 @@
         finally:
             timer.cancel()
 
-    def lend(self, budget: str, tokens: int, borrower: str) -> int:
+    async def lend(self, budget: str, tokens: int, borrower: str) -> int:
         """Lends tokens to another entry and returns how many."""
         now = time.monotonic()
         if any(waiter.budget == budget for waiter in self._waiters):
             return 0
+        lendable = self.escrow.lendable(budget, tokens, now)
+        if self._bounds_writer is not None and (
+            self.escrow.free(budget) < lendable
+        ):
+            self._bounds_writer.request(budget, lendable)
+            await self._bounds_writer.wait(LEND_WAIT_SECONDS)
         lent = self.escrow.lend(budget, tokens, borrower, now)
         if lent:
             self._bill_added.set()
@@ -187,7 +219,7 @@
         if lent:
             self.escrow.on_borrowed(waiter.budget, lent, time.monotonic())
             self._serve_waiters(waiter.budget)
-        elif not self.control_reachable():
+        elif not self.control_reachable() and not self._waits_for_disk(waiter):
             # Neither control nor any reachable entry can provide tokens.
             held = self.escrow.unspent(waiter.budget)
             free = self.escrow.free(waiter.budget)
@@ -279,6 +311,25 @@
             self.announcer.expedite()
             self._announce()
 
+    # Bounds on the disk
+
+    def _request_bounds(self, budget: str) -> None:
+        """Has the disk allow what is needed next, if it bounds spending."""
+        if self._bounds_writer is not None:
+            self._bounds_writer.request(budget)
+
+    def _waits_for_disk(self, waiter: _Waiter) -> bool:
+        """Whether only the disk does not allow a request's tokens yet."""
+        return self.escrow.announced(waiter.budget) >= waiter.tokens
+
+    def _on_slow_disk(self) -> None:
+        """Replaces grants that the disk bounds, while control can.
+
+        Without control, requests have to wait for the disk.
+        """
+        if self.control_reachable():
+            self._on_grants_retired(self.escrow.retire_bounded())
+
     # Limits announced to control
 
     def _announce(self) -> None:
@@ -365,12 +416,26 @@
         control.
         """
         wanted = [w.tokens for w in self._waiters if w.budget == budget]
-        self._raise_limits(budget, sum(wanted) - self.escrow.free(budget))
+        self._raise_limits(budget, sum(wanted) - self.escrow.announced(budget))
+        self._request_bounds(budget)
         unspent = self.escrow.unspent(budget)
         if unspent < wanted[0]:
             need = max(1, wanted[0] - unspent)
             self._open_grant(budget, need, max(need, sum(wanted) - unspent))
 
+    def _waiting_tokens(self) -> dict[str, int]:
+        """Returns the tokens that waiting requests need, by budget."""
+        tokens: dict[str, int] = {}
+        for waiter in self._waiters:
+            tokens[waiter.budget] = (
+                tokens.get(waiter.budget, 0) + waiter.tokens
+            )
+        return tokens
+
+    def _serve_all_waiters(self) -> None:
+        for budget in {waiter.budget for waiter in self._waiters}:
+            self._serve_waiters(budget)
+
     def _serve_waiters(self, budget: str) -> None:
         """Reserves tokens for waiting requests in order of arrival."""
         now = time.monotonic()
@@ -412,6 +477,7 @@
             self._fail_waiters(command.budget, exc)
             return
         self.escrow.on_opened(command, reply, time.monotonic())
+        self._request_bounds(command.budget)
         self._serve_waiters(command.budget)
         if isinstance(reply, wire.Refused):
             self._fail_waiters(
--- a/galenashed/budget/_ports.py
+++ b/galenashed/budget/_ports.py
@@ -38,3 +38,14 @@
 
     def send(self, notes: list[_escrow.WitnessMessage]) -> None:
         """Sends notes; reports their outcome to the budget manager."""
+
+
+class BoundsStore(typing.Protocol):
+    """Stores how much of each grant may be spent, to outlive the process."""
+
+    def write(self, bounds: dict[str, int]) -> None:
+        """Replaces the bounds, by grant, durably.
+
+        Blocks while the disk works.  Raises OSError; the bounds before or
+        those of this call are then stored.
+        """
--- a/galenashed/node/_loans.py
+++ b/galenashed/node/_loans.py
@@ -110,7 +110,7 @@
     async def lend(self, loan: wire.LoanRequest, context) -> wire.LoanReply:
         """Handles a request for a loan: lends what this entry can spare."""
         assert self.budget_manager is not None
-        tokens = self.budget_manager.lend(
+        tokens = await self.budget_manager.lend(
             loan.budget, loan.need, loan.borrower
         )
         if tokens:
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -29,6 +29,7 @@
 from galenashed.node import _replica
 from galenashed.node import _replica_manager
 from galenashed.node import _settings
+from galenashed.node import _spending_file
 from galenashed.node import _token_holders
 from galenashed.node import _versions
 from galenashed.protocol import control as wire
@@ -253,6 +254,12 @@
             rng=self.rng,
             log=self.log,
         )
+        self._spending_file: _spending_file.SpendingFile | None = None
+        if self.cfg.data_directory is not None:
+            self._spending_file = _spending_file.SpendingFile(
+                path=self.cfg.data_directory / "spending", holder=self.holder
+            )
+            self._spending_file.open()
         self.budget_manager = budget.BudgetManager(
             escrow=budget.Escrow(
                 holder=self.holder,
@@ -263,6 +270,7 @@
             unavailable=control.ControlUnavailableError,
             control_reachable=lambda: not self.is_cut_off,
             loan_client=self._loan_exchange,
+            bounds_store=self._spending_file,
         )
         self._loan_exchange.attach(self.budget_manager)
 
@@ -745,28 +753,50 @@
 
         These are the processes that listened on the same callers' address.
         """
-        command = wire.SucceedHolder(
-            place=self.cfg.callers_address,
-            holder=self.holder,
-            started_at=self.place_held_since,
+        # Control applies what the disk knows before it counts the rest.
+        bounded = 0
+        file = self._spending_file
+        for item in [] if file is None else file.predecessors:
+            await asyncio.gather(
+                *[
+                    self._propose_until_committed(
+                        wire.ShrinkGrant(
+                            grant=grant, holder=item.holder, amount=bound
+                        )
+                    )
+                    for grant, bound in item.bounds.items()
+                ]
+            )
+            bounded += len(item.bounds)
+        reply = await self._propose_until_committed(
+            wire.SucceedHolder(
+                place=self.cfg.callers_address,
+                holder=self.holder,
+                started_at=self.place_held_since,
+            )
+        )
+        assert isinstance(reply, wire.Succession)
+        if file is not None:
+            file.forget_predecessors()
+        self.log.write(
+            "succession",
+            freed=reply.freed,
+            lost=reply.lost,
+            silent=reply.silent,
+            unannounced=reply.unannounced,
+            bounded=bounded,
         )
+
+    async def _propose_until_committed(
+        self, command: wire.Command
+    ) -> wire.Reply:
         while True:
             try:
-                reply = await self.control_client.propose(
+                return await self.control_client.propose(
                     command, timeout=COMMIT_TIMEOUT_SECONDS
                 )
             except control.ControlUnavailableError as exc:
                 LOG.warning("succession not committed, retrying: {}", exc)
-                continue
-            assert isinstance(reply, wire.Succession)
-            self.log.write(
-                "succession",
-                freed=reply.freed,
-                lost=reply.lost,
-                silent=reply.silent,
-                unannounced=reply.unannounced,
-            )
-            return
 
     async def _monitor(self) -> None:
         while True:
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -474,9 +474,9 @@
     Reply to :class:`SucceedHolder`.  Of the tokens not billed, ``freed`` were
     returned to the budgets and ``lost`` count as spent, as the holders may
     have spent them.  ``unannounced`` of those lost were beyond the limits that
-    the holders had announced, None if the replica does not tell.  ``silent`` is the longest time between a holder's last
-    :class:`Holding` and the start of the successor, in seconds, None if
-    unknown.
+    the holders had announced, None if the replica does not tell.  ``silent``
+    is the longest time between a holder's last :class:`Holding` and the start
+    of the successor, in seconds, None if unknown.
     """
 
     freed: int
