Free what a machine that is gone for good had not announced

Time alone proves nothing, as a holder that is cut off may exceed what it announced for as long as it likes.

It now needs a record at another entry for that. Each grant names two guards; one of them must have recorded it before a holder exceeds its limits, and the leader asks all of them about a holder that it has not heard for 8 s. If none has a record and none will accept one, the leader shrinks the grants to the announced limits. A holder without contact for 7 s does not use what is acknowledged later, but requests other grants.

An entry that reaches neither control nor a guard now spends no more than it announced; what that costs was not measured alone.

--- a/galenashed/budget/__init__.py
+++ b/galenashed/budget/__init__.py
@@ -9,6 +9,7 @@
 """
 
 from galenashed.budget._account import Reservation
+from galenashed.budget._announcer import CLOSE_AFTER_SILENCE_SECONDS
 from galenashed.budget._escrow import Escrow
 from galenashed.budget._escrow import WitnessMessage
 from galenashed.budget._manager import BudgetExhaustedError
@@ -16,14 +17,17 @@
 from galenashed.budget._policy import POLICIES
 from galenashed.budget._policy import Policy
 from galenashed.budget._ports import BoundsStore
+from galenashed.budget._ports import Guards
 from galenashed.budget._witness_records import WitnessRecords
 
 __all__ = [
+    "CLOSE_AFTER_SILENCE_SECONDS",
     "POLICIES",
     "BoundsStore",
     "BudgetExhaustedError",
     "BudgetManager",
     "Escrow",
+    "Guards",
     "Policy",
     "Reservation",
     "WitnessMessage",
--- a/galenashed/budget/_account.py
+++ b/galenashed/budget/_account.py
@@ -1,6 +1,7 @@
 """Grants, reservations and demand of one budget at an entry."""
 
 import math
+import typing
 
 from galenashed.protocol import control as wire
 
@@ -17,7 +18,9 @@
     ``stored_bound`` is the most that may be spent according to the disk of
     this entry, None if the disk does not bound it.  A ``borrowed`` grant
     holds tokens that another entry has billed as spent; control does not know
-    it.
+    it.  ``guards`` are the entries, one of which must record it before the
+    limit that control has acknowledged is exceeded; ``lifted`` is set while
+    it may be exceeded.
     """
 
     __slots__ = (
@@ -25,8 +28,10 @@
         "borrowed",
         "close_sent",
         "closing",
+        "guards",
         "id",
         "last_used",
+        "lifted",
         "limits",
         "reserved",
         "sent_limit",
@@ -43,8 +48,11 @@
         now: float,
         witnesses: list[str],
         borrowed: bool = False,
+        guards: typing.Sequence[str] = (),
     ):
         self.borrowed = borrowed
+        self.guards = guards
+        self.lifted = False
         self.id = id
         self.amount = amount
         self.limits = dict.fromkeys(witnesses, 0)
--- a/galenashed/budget/_announcer.py
+++ b/galenashed/budget/_announcer.py
@@ -10,6 +10,13 @@
 
 Time during which the process was suspended is not counted, which only makes
 the holder wait longer.
+
+A holder that is gone for good has no successor.  So the grants of a holder
+name *guards*: other entries, one of which has to record it before the holder
+exceeds its limits.  After a long silence control asks all guards of a holder.
+If none has such a record, and none will accept one any more, control frees
+what the holder has not announced.  The holder in turn ignores acknowledgements
+that come after a shorter silence.
 """
 
 # The corresponding bound of control, ``MAX_TRUSTED_SILENCE_SECONDS``, is
@@ -20,6 +27,13 @@
 # from the last attempt, so quick retries would date the start of a partition
 # too late.
 RETRY_SECONDS = 0.6
+# A holder that has had no contact with control for this long stops spending
+# beyond the limits that were acknowledged before, even if control acknowledges
+# higher ones later.  Suspended time counts.
+CONTACT_VALID_SECONDS = 7.0
+# Control asks the guards of a holder after this silence: longer by more than
+# clocks drift apart meanwhile.
+CLOSE_AFTER_SILENCE_SECONDS = 8.0
 # Key of control among the witnesses of a grant.
 CONTROL = "control"
 
@@ -37,6 +51,7 @@
     """
 
     __slots__ = (
+        "_contact_at",
         "_expedited",
         "_in_flight",
         "_last_sent",
@@ -45,6 +60,7 @@
     )
 
     def __init__(self) -> None:
+        self._contact_at: float | None = None
         self._last_sent: float | None = None
         self._next_at = 0.0
         self._in_flight = False
@@ -80,6 +96,17 @@
         else:
             self._next_at = now + PERIOD_SECONDS
 
+    def on_contact(self, *, sent: float, now: float) -> bool:
+        """Records that control has acknowledged a command sent at ``sent``.
+
+        Returns whether contact had been lost before for so long that control
+        may have closed the grants.  Times are of a clock that counts
+        suspended time.
+        """
+        previous = self._contact_at
+        self._contact_at = sent if previous is None else max(sent, previous)
+        return previous is not None and now - previous > CONTACT_VALID_SECONDS
+
     def may_lift_limits(self, *, now: float, control_reachable: bool) -> bool:
         """Whether all grants may be spent regardless of their limits."""
         if control_reachable or self.limits_lifted or self._last_sent is None:
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -254,6 +254,8 @@
     ) -> wire.OpenGrant | None:
         """Returns a command that requests another grant.
 
+        ``witnesses`` are its guards if the policy announces limits.
+
         ``need`` is the smallest useful amount, ``missing`` the shortfall of
         all waiting requests.  Tokens ahead of demand are added unless the
         grant is to be ``exact``.  Returns None while an earlier command for
@@ -360,22 +362,46 @@
                 acknowledged = grant.limits[_announcer.CONTROL]
                 grant.limits[_announcer.CONTROL] = max(acknowledged, limit)
 
-    def lift_limits(self) -> None:
-        """Raises limits to the full grants while control is unreachable."""
+    @property
+    def is_guarded(self) -> bool:
+        """Whether any open grant has guards."""
+        return any(
+            grant.guards and not grant.closing
+            for grant in self._by_id.values()
+        )
+
+    @property
+    def has_guarded_limits(self) -> bool:
+        """Whether limits hold that a guard would have to lift."""
+        return any(
+            grant.guards and not grant.closing and not grant.lifted
+            for grant in self._by_id.values()
+        )
+
+    def lift_limits(self, *, guarded: bool = True) -> None:
+        """Raises limits to the full grants while control is unreachable.
+
+        Those of grants with guards only if ``guarded``: a guard must have
+        recorded it before.
+        """
         for grant in self._by_id.values():
-            if _announcer.CONTROL in grant.limits:
+            if _announcer.CONTROL in grant.limits and (
+                guarded or not grant.guards
+            ):
                 grant.limits[_announcer.CONTROL] = grant.amount
+                grant.lifted = True
 
     def lower_limits(self, now: float) -> None:
         """Lowers lifted limits to current use plus expected demand."""
         for account in self.accounts.values():
             expected = self._limit_headroom(account, now)
             for grant in account.grants.values():
-                if _announcer.CONTROL not in grant.limits:
+                if not grant.lifted:
                     continue
                 in_use = grant.reserved + grant.used
                 grant.sent_limit = min(grant.amount, in_use + expected)
                 grant.limits[_announcer.CONTROL] = grant.sent_limit
+                grant.lifted = False
 
     def on_witness_lost(self, witness: str) -> list[wire.ShrinkGrant]:
         """Stops spending the grants that have a lost witness."""
@@ -384,7 +410,7 @@
         )
 
     def on_term_closed(self, term: int) -> list[wire.ShrinkGrant]:
-        """Stops spending the grants of a term closed by a witness."""
+        """Stops spending the grants of a term closed by a witness or guard."""
         if term < self.term:
             return []
         self.term = term + 1
@@ -439,11 +465,13 @@
             account.pending_open = None
             account.shortage = None
         if isinstance(reply, wire.Granted):
+            announces = command.limit is not None
             grant = _account.Grant(
                 id=reply.grant,
                 amount=reply.amount,
                 now=now,
-                witnesses=command.witnesses,
+                witnesses=[] if announces else command.witnesses,
+                guards=command.witnesses if announces else [],
             )
             if command.limit is not None:
                 grant.limits[_announcer.CONTROL] = command.limit
--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -48,6 +48,11 @@
         self.held_elsewhere = held_elsewhere
 
 
+def _boot_time() -> float:
+    """Returns the seconds of a clock that counts suspended time."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class _Waiter:
     __slots__ = ("budget", "deadline", "fut", "tokens")
 
@@ -75,6 +80,8 @@
         Returns whether control can be reached.
     loan_client : LoanClient
         Borrows from other entries when control does not answer in time.
+    guards : Guards
+        Entries that record when announced limits are exceeded.
     bounds_store : BoundsStore or None
         Disk that bounds what may be spent; None for an entry without one.
     """
@@ -88,9 +95,14 @@
         unavailable,
         control_reachable: typing.Callable[[], bool] = lambda: True,
         loan_client: _ports.LoanClient | None = None,
+        guards: _ports.Guards | None = None,
         bounds_store: _ports.BoundsStore | None = None,
     ):
         self.loan_client = loan_client or _ports.NullLoanClient()
+        self.guards = guards or _ports.NullGuards()
+        # The guards of the grants of this term.
+        self._term_guards: list[str] = []
+        self._is_lifting = False
         self._borrowing: set[str] = set()
         self.control_reachable = control_reachable
         self.announcer = _announcer.Announcer()
@@ -340,8 +352,10 @@
             now=now, control_reachable=control_reachable
         ):
             self.announcer.limits_lifted = True
-            self.escrow.lift_limits()
+            self.escrow.lift_limits(guarded=False)
             LOG.warning("control is unreachable: spending limits are lifted")
+        if self.announcer.limits_lifted and not control_reachable:
+            self._lift_guarded()
         if not self.escrow.limits():
             return
         if not self.announcer.is_due(
@@ -359,7 +373,66 @@
         self.announcer.on_sent(now=now)
         self._spawn(self._send_holding(command))
 
+    def _lift_guarded(self) -> None:
+        """Lifts the limits of grants with guards once one has recorded it."""
+        if not self._is_lifting and self.escrow.has_guarded_limits:
+            self._is_lifting = True
+            self._spawn(self._ask_guards())
+
+    async def _ask_guards(self) -> None:
+        term = self.escrow.term
+        try:
+            recorded = await self.guards.lift(self._term_guards, term)
+        finally:
+            self._is_lifting = False
+        if (
+            recorded
+            and self.announcer.limits_lifted
+            and term == self.escrow.term
+        ):
+            self.escrow.lift_limits()
+            self._serve_all_waiters()
+
+    def _on_contact(self, sent: float) -> None:
+        """Closes the term if contact with control had been lost for long.
+
+        Control may then have freed what was not announced, and must not be
+        taken at its word if it acknowledges higher limits.
+        """
+        if not self.announcer.on_contact(sent=sent, now=_boot_time()):
+            return
+        if self.escrow.is_guarded and not self._is_lifted:
+            self._close_term()
+
+    def _renew_guards(self) -> None:
+        """Replaces grants whose guards are gone by others."""
+        if (
+            self.guards.names != self._term_guards
+            and self.control_reachable()
+            and not self.announcer.limits_lifted
+            and not self._is_lifted
+        ):
+            self._close_term()
+
+    @property
+    def _is_lifted(self) -> bool:
+        """Whether a guard has recorded that this term may exceed limits."""
+        return self.guards.is_lifted(self.escrow.term)
+
+    def _close_term(self) -> None:
+        """Returns all grants, and requests others with the present guards."""
+        unspent = {
+            budget: account.unspent
+            for budget, account in self.escrow.accounts.items()
+        }
+        self._term_guards = list(self.guards.names)
+        self._on_grants_retired(self.escrow.on_term_closed(self.escrow.term))
+        for budget, tokens in unspent.items():
+            if tokens:
+                self._open_grant(budget, 1, tokens, exact=True)
+
     async def _send_holding(self, command: wire.Holding) -> None:
+        sent = _boot_time()
         try:
             await self.control.propose(
                 command, timeout=HOLDING_TIMEOUT_SECONDS
@@ -368,6 +441,9 @@
             self.announcer.on_result(now=time.monotonic(), acknowledged=False)
             return
         self.announcer.on_result(now=time.monotonic(), acknowledged=True)
+        self._on_contact(sent)
+        if not self.announcer.limits_lifted:
+            self.guards.lower()
         self.escrow.on_limits_announced(command.limits)
         for budget in {waiter.budget for waiter in self._waiters}:
             self._serve_waiters(budget)
@@ -460,12 +536,17 @@
             missing=missing,
             exact=exact,
             now=time.monotonic(),
-            witnesses=self.witnesses.choose(),
+            witnesses=(
+                self._term_guards
+                if self.escrow.policy.announces_limits
+                else self.witnesses.choose()
+            ),
         )
         if command is not None:
             self._spawn(self._send_open(command))
 
     async def _send_open(self, command: wire.OpenGrant) -> None:
+        sent = _boot_time()
         try:
             reply = await self._commit_open(command)
         except self.unavailable as exc:
@@ -476,6 +557,7 @@
             self._spawn(self._resolve_open(command))
             self._fail_waiters(command.budget, exc)
             return
+        self._on_contact(sent)
         self.escrow.on_opened(command, reply, time.monotonic())
         self._request_bounds(command.budget)
         self._serve_waiters(command.budget)
@@ -498,10 +580,12 @@
     async def _resolve_open(self, command: wire.OpenGrant) -> None:
         """Repeats an unanswered grant request until its outcome is known."""
         while True:
+            sent = _boot_time()
             try:
                 reply = await self._commit_open(command)
             except self.unavailable:
                 continue
+            self._on_contact(sent)
             if isinstance(reply, wire.Granted):
                 self.escrow.on_opened(command, reply, time.monotonic())
                 self._request_tokens_if_waiting(command.budget)
@@ -579,6 +663,7 @@
         if self.escrow.needs_witnesses and self.witnesses.choose():
             self._on_grants_retired(self.escrow.on_witnesses_available())
         self._close_grants()
+        self._renew_guards()
         self._announce()
 
     def _close_grants(self) -> None:
--- a/galenashed/budget/_ports.py
+++ b/galenashed/budget/_ports.py
@@ -40,6 +40,42 @@
         """Sends notes; reports their outcome to the budget manager."""
 
 
+class Guards(typing.Protocol):
+    """The entries that guard the announced limits of this one.
+
+    ``names`` are those of grants from now on, none while there are none.
+    """
+
+    names: list[str]
+
+    def is_lifted(self, term: int) -> bool:
+        """Whether a guard has recorded that limits may be exceeded."""
+
+    async def lift(self, names: list[str], term: int) -> bool:
+        """Has guards record it; returns whether one of them has."""
+
+    def lower(self) -> None:
+        """Tells the guards that limits are not exceeded any more."""
+
+
+class NullGuards:
+    """No guards: limits may be exceeded without a record."""
+
+    def __init__(self) -> None:
+        self.names: list[str] = []
+
+    def is_lifted(self, term: int) -> bool:
+        """See :class:`Guards`."""
+        return False
+
+    async def lift(self, names: list[str], term: int) -> bool:
+        """See :class:`Guards`."""
+        return False
+
+    def lower(self) -> None:
+        """See :class:`Guards`."""
+
+
 class BoundsStore(typing.Protocol):
     """Stores how much of each grant may be spent, to outlive the process."""
 
--- a/galenashed/budget/tests/test_stored_bounds.py
+++ b/galenashed/budget/tests/test_stored_bounds.py
@@ -9,12 +9,12 @@
 import threading
 import time
 
-import msgspec
 import testtools
 
 from galenashed import budget
 from galenashed.budget import _announcer
 from galenashed.budget import _bounds_writer
+from galenashed.budget.tests import _control
 from galenashed.budget.tests import test_announcer
 from galenashed.budget.tests import test_manager
 from galenashed import control
@@ -206,40 +206,6 @@
         self.bounds = bounds
 
 
-class Control:
-    """Control that applies commands at once."""
-
-    def __init__(self):
-        self.state_machine = control.ControlStateMachine()
-        self.index = 0
-        note = wire.Note(
-            number=1,
-            author="ops",
-            teams=[wire.Team(name=TEAM, key_hash="0" * 64)],
-            budgets=[
-                wire.Budget(
-                    name=TEAM,
-                    team=TEAM,
-                    top_ups=[wire.TopUp(id="a", tokens=PREPAID)],
-                )
-            ],
-        )
-        self.apply(
-            wire.PublishNote(note=note, digest=control.compute_digest(note))
-        )
-
-    def apply(self, command):
-        self.index += 1
-        stamped = wire.TimestampedCommand(at=0.0, command=command)
-        return self.state_machine.apply(
-            self.index, msgspec.msgpack.encode(stamped)
-        )
-
-    async def propose(self, command, *, timeout):
-        await asyncio.sleep(0.01)
-        return self.apply(command)
-
-
 class TestBoundsWriter(testtools.TestCase):
     """Requests of an entry whose disk bounds its spending."""
 
@@ -251,7 +217,7 @@
                 escrow=budget.Escrow(
                     holder="node-1/a", policy=budget.POLICIES["cut-tolerant"]
                 ),
-                control=Control(),
+                control=_control.Control(team=TEAM, tokens=PREPAID),
                 witnesses=test_manager.NoWitnesses(),
                 unavailable=control.ControlUnavailableError,
                 control_reachable=lambda: self.is_reachable,
--- a/galenashed/control/__init__.py
+++ b/galenashed/control/__init__.py
@@ -7,6 +7,7 @@
 callers' requests, and operators reach the replicas by :class:`ControlClient`.
 """
 
+from galenashed.control._budgets import UnannouncedGrant
 from galenashed.control._client import ControlClient
 from galenashed.control._client import ControlUnavailableError
 from galenashed.control._client import FeedClient
@@ -23,6 +24,7 @@
     "ControlStateMachine",
     "ControlUnavailableError",
     "FeedClient",
+    "UnannouncedGrant",
     "VersionRecords",
     "compute_digest",
     "make_members",
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -45,6 +45,17 @@
     silent: float | None
 
 
+class UnannouncedGrant(typing.NamedTuple):
+    """A grant of which ``tokens`` are beyond the announced ``limit``."""
+
+    grant: str
+    holder: str
+    term: int
+    guards: list[str]
+    limit: int
+    tokens: int
+
+
 class WrittenOff(msgspec.Struct, frozen=True, kw_only=True):
     """Tokens of a grant that were counted as spent without a bill."""
 
@@ -481,6 +492,24 @@
     ]
 
 
+def list_unannounced(state: _state.ControlState) -> list[UnannouncedGrant]:
+    """Returns the grants with tokens beyond their announced limits."""
+    return [
+        UnannouncedGrant(
+            name,
+            grant.holder,
+            grant.term,
+            grant.witnesses,
+            grant.limit,
+            grant.amount - max(grant.limit, grant.settled),
+        )
+        for budget_state in state.budgets.values()
+        for name, grant in budget_state.grants.items()
+        if grant.limit is not None
+        and grant.amount > max(grant.limit, grant.settled)
+    ]
+
+
 def make_balance(budget_state: _state.BudgetState) -> wire.Balance:
     """Returns the balance of a budget."""
     return wire.Balance(
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -220,6 +220,10 @@
             return wire.Outcome(leader=exc.leader)
         return wire.Outcome(reply=typing.cast(wire.Reply, reply))
 
+    async def commit(self, command: wire.Command) -> wire.Reply | None:
+        """Commits a command; returns None if this is not the leader."""
+        return (await self._commit(command)).reply
+
     async def _query(self, query, context) -> wire.QueryReply:
         # Committing the barrier proves that there is no later leader.
         outcome = await self._commit(wire.Barrier())
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -57,6 +57,9 @@
         self.state = _state.ControlState()
         self.applied = 0
         self.listener: Listener | None = None
+        # By holder, the log index of its last announcement or request for a
+        # grant since this replica started.  Not part of the state.
+        self.heard: dict[str, int] = {}
         self._budget_of_grant: dict[str, str] = {}
         self._handlers: dict[type, typing.Callable] = {
             wire.PublishNote: self._publish_note,
@@ -169,6 +172,14 @@
         """Returns the sums over all budgets, in tokens."""
         return _budgets.compute_totals(self.state)
 
+    def holders(self) -> list[str]:
+        """Returns the names of all holders, those without grants included."""
+        return list(self.state.holders)
+
+    def unannounced_grants(self) -> list[_budgets.UnannouncedGrant]:
+        """Returns the grants with tokens beyond their announced limits."""
+        return _budgets.list_unannounced(self.state)
+
     def largest_holders(self, count: int) -> list[_budgets.HeldTokens]:
         """Returns the instances that hold the most unbilled tokens."""
         return _budgets.list_largest_holders(self.state, count)
@@ -299,6 +310,7 @@
 
     def _open_grant(self, index: int, cmd: wire.OpenGrant) -> wire.Reply:
         reply = _budgets.open_grant(self.state, cmd)
+        self.heard[cmd.holder] = index
         if isinstance(reply, wire.Granted):
             self._budget_of_grant[cmd.grant] = cmd.budget
         elif (
@@ -351,6 +363,7 @@
 
     def _record_holding(self, index: int, cmd: wire.Holding) -> wire.Reply:
         _budgets.record_holding(self.state, cmd, self._budget_of_grant)
+        self.heard[cmd.holder] = index
         return wire.Done(index=index)
 
     def _succeed_holder(
@@ -469,6 +482,11 @@
             return
         self.state.next_expiry = self.state.now + EXPIRY_INTERVAL_SECONDS
         _budgets.expire(self.state)
+        self.heard = {
+            name: index
+            for name, index in self.heard.items()
+            if name in self.state.holders
+        }
         for item in _budgets.write_off(self.state, self._budget_of_grant):
             del self._budget_of_grant[item.grant]
             self._audit(
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -24,11 +24,13 @@
 from galenashed import gossip
 from galenashed import membership
 from galenashed.node import _entries
+from galenashed.node import _guards
 from galenashed.node import _loans
 from galenashed.node import _origins
 from galenashed.node import _replica
 from galenashed.node import _replica_manager
 from galenashed.node import _settings
+from galenashed.node import _silent_holders
 from galenashed.node import _spending_file
 from galenashed.node import _token_holders
 from galenashed.node import _versions
@@ -161,6 +163,7 @@
         self._replica_manager = self._make_replica_manager()
         self._make_control_client()
         self._make_budget_manager()
+        self._silent_holders = self._make_silent_holders()
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
@@ -246,7 +249,15 @@
         )
 
     def _make_budget_manager(self) -> None:
-        """Creates the budget manager and the exchange it borrows through."""
+        """Creates the budget manager and what it uses of other entries."""
+        self._guard_exchange = _guards.GuardExchange(
+            name=self.cfg.name,
+            domain=self.cfg.failure_domain,
+            holder=self.holder,
+            directory=self.instance_directory,
+            key=self.cfg.peer_key,
+            rng=self.rng,
+        )
         self._loan_exchange = _loans.LoanExchange(
             name=self.cfg.name,
             directory=self.instance_directory,
@@ -270,6 +281,7 @@
             unavailable=control.ControlUnavailableError,
             control_reachable=lambda: not self.is_cut_off,
             loan_client=self._loan_exchange,
+            guards=self._guard_exchange,
             bounds_store=self._spending_file,
         )
         self._loan_exchange.attach(self.budget_manager)
@@ -295,6 +307,8 @@
                 (methods.SPREAD, self._receive_gossip),
                 (methods.SPREAD_COMPACT, self._receive_gossip),
                 (methods.LEND, self._loan_exchange.lend),
+                (methods.SET_LIFTED, self._guard_exchange.receive),
+                (methods.CLOSE_TERM, self._guard_exchange.answer),
                 (methods.RECORD_ORIGINS, self._origin_exchange.receive),
                 (methods.REACH_TARGET, self._reach_exchange.answer),
                 (methods.FIND_ORIGIN, self._origin_exchange.answer),
@@ -311,6 +325,17 @@
             log=self.log,
         )
 
+    def _make_silent_holders(self) -> _silent_holders.SilentHolders | None:
+        if self.replica is None:
+            return None
+        return _silent_holders.SilentHolders(
+            server=self.replica,
+            directory=self.instance_directory,
+            records=self._guard_exchange.records,
+            key=self.cfg.peer_key,
+            log=self.log,
+        )
+
     async def start(self) -> None:
         """Starts all tasks; callers can be served once :attr:`ready`."""
         if self.replica is not None:
@@ -318,11 +343,14 @@
         await self._peer_server.start()
         await self.control_client.start()
         await self._feed_client.start()
+        await self._guard_exchange.start()
         await self.budget_manager.start()
         await self._gossiper.start()
         await self._version_recorder.start()
         await self._origin_exchange.start()
         await self.paths.start()
+        if self._silent_holders is not None:
+            await self._silent_holders.start()
         if self._replica_manager is not None:
             await self._replica_manager.start()
             self._tasks.append(
@@ -366,6 +394,8 @@
             self.replica = await self._restart_replica()
             if self._replica_manager is not None:
                 self._replica_manager.server = self.replica
+            if self._silent_holders is not None:
+                self._silent_holders.server = self.replica
             self.log.write("replica started again", replica=self.replica.name)
 
     async def _restart_replica(self) -> control.ControlServer:
@@ -399,6 +429,8 @@
             await self.budget_manager.abort()
         if self._replica_manager is not None:
             await self._replica_manager.close()
+        if self._silent_holders is not None:
+            await self._silent_holders.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -410,6 +442,7 @@
         await self.control_client.close()
         await self._pool.close()
         await self._loan_exchange.close()
+        await self._guard_exchange.close()
         await self._origin_exchange.close()
         await self._version_recorder.close()
         await self._reach_exchange.close()
--- a/galenashed/platform/tests/test_lost_tokens.py
+++ b/galenashed/platform/tests/test_lost_tokens.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from galenashed.budget import _announcer
 from galenashed.control import _budgets
 from galenashed.platform.tests import _site
 from galenashed.tests import _fleet
@@ -16,6 +17,8 @@
 # From the loss of a machine until its tokens serve others: ``recoverS`` of
 # the platform.
 RECOVER_SECONDS = 12.0
+# Until an entry that is cut off may exceed its limits, and slack for a tick.
+LIFT_SECONDS = _announcer.LIFT_LIMITS_AFTER_SECONDS + 2.0
 
 
 def events(process, name):
@@ -28,7 +31,7 @@
     """A fleet whose entries hold tokens ahead of demand."""
 
     def start(self, **options):
-        site = _site.Site(prepaid=PREPAID, **options)
+        site = _site.Site(**{"prepaid": PREPAID, **options})
         site.__enter__()
         self.addCleanup(site.close)
         site.add_target("engines")
@@ -91,3 +94,27 @@
             "tokens of the lost machine",
             timeout=RECOVER_SECONDS + 2.0,
         )
+
+
+class TestLossOfControl(LostTokens):
+    """All replicas are lost; the other entries guard each other's limits."""
+
+    def test_entries_spend_beyond_their_limits(self):
+        site = self.start(nodes=5, prepaid=4 * PREPAID)
+        for node in range(3):
+            site.processes[node].kill()
+        lost_at = time.monotonic()
+        while time.monotonic() - lost_at < LIFT_SECONDS + 2.0:
+            is_lifted = time.monotonic() - lost_at > LIFT_SECONDS
+            for node in (3, 4):
+                status = site.generate(node=node).status
+                if is_lifted:
+                    self.assertEqual(200, status)
+            time.sleep(0.2)
+        # Before that, they refused what was beyond their limits.
+        for node in (3, 4):
+            reasons = [
+                line["reason"]
+                for line in events(site.processes[node], "refused")
+            ]
+            self.assertIn("control is out of reach", " ".join(reasons))
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -3,6 +3,7 @@
 from galenashed.protocol import consensus
 from galenashed.protocol import control
 from galenashed.protocol import gossip
+from galenashed.protocol import guards
 from galenashed.protocol import lending
 from galenashed.protocol import rpc
 from galenashed.protocol import streams
@@ -72,6 +73,18 @@
     request=witness.WitnessRequest,
     reply=witness.WitnessReply,
 )
+SET_LIFTED = rpc.Method(
+    path="/galenashed.Entry/SetLifted",
+    kind="unary",
+    request=guards.SetLifted,
+    reply=bool,
+)
+CLOSE_TERM = rpc.Method(
+    path="/galenashed.Entry/CloseTerm",
+    kind="unary",
+    request=guards.CloseTerm,
+    reply=bool,
+)
 LEND = rpc.Method(
     path="/galenashed.Entry/Lend",
     kind="unary",
