Refuse requests at once for tokens that only silent holders have

Requests waited 0.2 to 0.5 s for tokens of a machine that nobody had heard of for half a minute, 150 of them in two seconds, and were refused then: control told how many tokens are elsewhere, but not that nobody can return them. They also waited if all that others hold would not have covered them.

The reply to a holder that needs more than is free now tells how many tokens are with holders that have not announced their limits for 3 s. Requests that the rest does not cover are refused at once, with a longer Retry-After if they would be by the tokens of silent holders.

--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -36,16 +36,25 @@
     """Raised when the budget does not cover a request.
 
     ``held_elsewhere`` is the number of tokens of the budget that other entries
-    hold.
+    hold, ``held_by_silent`` that of those with entries which control does not
+    hear.
     """
 
-    def __init__(self, *, needed: int, available: int, held_elsewhere: int):
+    def __init__(
+        self,
+        *,
+        needed: int,
+        available: int,
+        held_elsewhere: int,
+        held_by_silent: int = 0,
+    ):
         super().__init__(
             f"the request may take {needed} tokens; {available} are left"
         )
         self.needed = needed
         self.available = available
         self.held_elsewhere = held_elsewhere
+        self.held_by_silent = held_by_silent
 
 
 def _boot_time() -> float:
@@ -594,39 +603,42 @@
     async def _on_short(self, budget: str, reply: wire.Short) -> None:
         """Refuses waiting requests, unless other entries may return tokens."""
         now = time.monotonic()
-        account = self.escrow.accounts[budget]
-        waiting_helps = self._is_waiting_useful(budget, reply, now)
+        spare = reply.available + self.escrow.accounts[budget].unspent
+        returnable = reply.elsewhere - reply.silent
+        waiting_helps = self._is_waiting_useful(budget, returnable, now)
         for waiter in list(self._waiters):
             if waiter.budget != budget or waiter.fut.done():
                 continue
-            covered = reply.available + account.unspent >= waiter.tokens
-            if covered or (waiting_helps and now < waiter.deadline):
+            if spare >= waiter.tokens:
                 continue
-            if waiting_helps:
+            if waiting_helps and spare + returnable >= waiter.tokens:
+                if now < waiter.deadline:
+                    continue
                 until = now + FUTILE_WAIT_TTL_SECONDS
-                self._futile_waits[budget] = (until, reply.elsewhere)
+                self._futile_waits[budget] = (until, returnable)
             self._waiters.remove(waiter)
             error = BudgetExhaustedError(
                 needed=waiter.tokens,
-                available=reply.available + account.unspent,
+                available=spare,
                 held_elsewhere=reply.elsewhere,
+                held_by_silent=reply.silent,
             )
             waiter.fut.set_exception(error)
         await asyncio.sleep(SHORT_RETRY_SECONDS)
         self.escrow.clear_shortage(budget)
 
     def _is_waiting_useful(
-        self, budget: str, reply: wire.Short, now: float
+        self, budget: str, returnable: int, now: float
     ) -> bool:
         """Whether other entries are likely to return tokens.
 
         They are not if a recent wait was in vain and they still hold at least
         as many tokens, as when an entry has crashed or is partitioned.
         """
-        until, elsewhere = self._futile_waits.get(budget, (0.0, 0))
-        if now < until and reply.elsewhere >= elsewhere:
+        until, tokens = self._futile_waits.get(budget, (0.0, 0))
+        if now < until and returnable >= tokens:
             return False
-        return reply.elsewhere > 0
+        return returnable > 0
 
     def _fail_waiters(self, budget: str, exc: Exception) -> None:
         for waiter in list(self._waiters):
--- a/galenashed/budget/tests/_control.py
+++ b/galenashed/budget/tests/_control.py
@@ -14,6 +14,7 @@
     def __init__(self, *, team, tokens):
         self.state_machine = control.ControlStateMachine()
         self.index = 0
+        self.now = 0.0
         note = wire.Note(
             number=1,
             author="ops",
@@ -32,7 +33,7 @@
 
     def apply(self, command):
         self.index += 1
-        stamped = wire.TimestampedCommand(at=0.0, command=command)
+        stamped = wire.TimestampedCommand(at=self.now, command=command)
         return self.state_machine.apply(
             self.index, msgspec.msgpack.encode(stamped)
         )
--- a/galenashed/budget/tests/test_manager.py
+++ b/galenashed/budget/tests/test_manager.py
@@ -1,10 +1,12 @@
 """Budget manager without control, with entries that may lend tokens."""
 
 import asyncio
+import time
 
 import testtools
 
 from galenashed import budget
+from galenashed.budget.tests import _control
 from galenashed import control
 from galenashed.protocol import control as wire
 
@@ -108,3 +110,56 @@
         self.assertEqual(700, escrow.free("rounds"))
         bill = escrow.settle().bills[0]
         self.assertEqual(300, bill.tokens)
+
+
+class TestTokensElsewhere(testtools.TestCase):
+    """Requests for tokens that other entries hold."""
+
+    def seconds_until_refused(self, *, silent):
+        """Returns how long a request waits for 1,900 of 2,000 tokens.
+
+        Another entry holds 1,500 of them.
+        """
+
+        async def run():
+            fleet = _control.Control(team="rounds", tokens=2_000)
+            fleet.apply(
+                wire.OpenGrant(
+                    grant="node-2/b/1",
+                    budget="rounds",
+                    holder="node-2/b",
+                    number=1,
+                    sequence=0,
+                    need=1_500,
+                    want=1_500,
+                    limit=100,
+                )
+            )
+            if silent:
+                fleet.now = 10.0
+            manager = budget.BudgetManager(
+                escrow=budget.Escrow(
+                    holder="node-1/a", policy=budget.POLICIES["cut-tolerant"]
+                ),
+                control=fleet,
+                witnesses=NoWitnesses(),
+                unavailable=control.ControlUnavailableError,
+            )
+            started = time.monotonic()
+            try:
+                await manager.reserve("rounds", 1_900)
+            except budget.BudgetExhaustedError as exc:
+                self.assertEqual(1_500, exc.held_elsewhere)
+                self.assertEqual(1_500 if silent else 0, exc.held_by_silent)
+            finally:
+                await manager.abort()
+            return time.monotonic() - started
+
+        return asyncio.run(run())
+
+    def test_refused_at_once_if_the_holder_is_silent(self):
+        self.assertLess(self.seconds_until_refused(silent=True), 0.1)
+
+    def test_waits_for_a_holder_that_may_return_them(self):
+        wait = budget.POLICIES["cut-tolerant"].recall_wait
+        self.assertGreater(self.seconds_until_refused(silent=False), wait / 2)
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -25,6 +25,8 @@
 HOLDER_RETENTION_SECONDS = 7 * 24 * 3600.0
 WRITE_OFF_SECONDS = 3600.0
 MAX_RECENT_BILLS = 10_000
+# Ten times the period of announcements.
+SILENT_HOLDER_SECONDS = 3.0
 # The announced limits of a dead holder are trusted only up to this silence.
 # A holder exceeds them only after ``budget.LIFT_LIMITS_AFTER_SECONDS``, which
 # is longer; the difference allows for clock jumps.
@@ -133,10 +135,7 @@
     holder.opened = cmd.number
     holder.at = state.now
     if cmd.need > budget_state.free:
-        return wire.Short(
-            available=budget_state.free,
-            elsewhere=_granted_elsewhere(budget_state, cmd.holder),
-        )
+        return _make_short(state, budget_state, cmd.holder)
     share = max(cmd.need, budget_state.free // GRANT_SHARE_DIVISOR)
     amount = min(max(cmd.want, cmd.need), share)
     budget_state.grants[cmd.grant] = _state.GrantState(
@@ -171,12 +170,32 @@
     return holder
 
 
-def _granted_elsewhere(budget_state: _state.BudgetState, holder: str) -> int:
-    elsewhere = 0
+def _make_short(
+    state: _state.ControlState, budget_state: _state.BudgetState, holder: str
+) -> wire.Short:
+    """Returns the reply to a holder that needs more than is free."""
+    elsewhere = silent = 0
     for grant in budget_state.grants.values():
-        if grant.holder != holder:
-            elsewhere += grant.amount - grant.settled
-    return elsewhere
+        if grant.holder == holder:
+            continue
+        tokens = grant.amount - grant.settled
+        elsewhere += tokens
+        if _is_silent(state, grant):
+            silent += tokens
+    return wire.Short(
+        available=budget_state.free, elsewhere=elsewhere, silent=silent
+    )
+
+
+def _is_silent(state: _state.ControlState, grant: _state.GrantState) -> bool:
+    """Whether a holder that should announce its limits does not.
+
+    Such a holder doesn't hear either that others need its tokens.
+    """
+    holder = state.holders.get(grant.holder)
+    if holder is None or grant.limit is None:
+        return False
+    return state.now - holder.at > SILENT_HOLDER_SECONDS
 
 
 def close_grant(
--- a/galenashed/control/tests/test_state_machine.py
+++ b/galenashed/control/tests/test_state_machine.py
@@ -42,7 +42,7 @@
         digest = control.compute_digest(note)
         return self.apply(wire.PublishNote(note=note, digest=digest))
 
-    def open(self, number, need, want=0, holder="e/1"):
+    def open(self, number, need, want=0, holder="e/1", limit=None):
         return self.apply(
             wire.OpenGrant(
                 grant=f"{holder}/{number}",
@@ -52,6 +52,7 @@
                 sequence=0,
                 need=need,
                 want=want,
+                limit=limit,
             )
         )
 
@@ -131,6 +132,18 @@
         ((_, _, _, silent),) = self.state_machine.largest_holders(1)
         self.assertEqual(2.0, silent)
 
+    def test_refusal_names_tokens_of_silent_holders(self):
+        self.open(1, 600, holder="e1/x", limit=600)
+        self.open(1, 300, holder="e2/x", limit=300)
+        # Holders without announced limits need not be heard.
+        self.open(1, 50, holder="e3/x")
+        self.now = 5.0
+        self.apply(wire.Holding(holder="e2/x", sent_at=5.0, limits={}))
+        reply = self.open(1, 100, holder="e4/x")
+        self.assertEqual(
+            wire.Short(available=50, elsewhere=950, silent=600), reply
+        )
+
     def test_duplicate_open_returns_the_same_grant(self):
         first = self.open(1, need=100)
         again = self.open(1, need=100)
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -19,6 +19,9 @@
 # enough for a recall to finish.
 RETRY_OTHER_ENTRY_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.5
+# The same if instances hold the tokens that control does not hear: they come
+# back once such an instance has started again, or has been silent for long.
+RETRY_SILENT_SECONDS = 2.0
 
 
 class PrepaidReservation:
@@ -119,11 +122,16 @@
                 str(exc), RETRY_OTHER_ENTRY_SECONDS
             ) from None
         except budget.BudgetExhaustedError as exc:
-            if exc.available + exc.held_elsewhere >= needed:
+            remaining = exc.available + exc.held_elsewhere
+            if remaining - exc.held_by_silent >= needed:
                 raise self._unavailable_error(
                     "other instances hold the tokens", RETRY_AFTER_SECONDS
                 ) from None
-            remaining = exc.available + exc.held_elsewhere
+            if remaining >= needed:
+                raise self._unavailable_error(
+                    "instances that are silent hold the tokens",
+                    RETRY_SILENT_SECONDS,
+                ) from None
             raise _exhausted_error(team, needed, remaining) from None
         return PrepaidReservation(
             budget_manager=self.budget_manager,
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -440,11 +440,13 @@
 class Short(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Too few free tokens for a grant.
 
-    ``available`` tokens are free, ``elsewhere`` are granted to other holders.
+    ``available`` tokens are free, ``elsewhere`` are granted to other holders,
+    ``silent`` of them to holders that control has not heard for seconds.
     """
 
     available: int
     elsewhere: int
+    silent: int = 0
 
 
 class Settled(msgspec.Struct, tag=True, frozen=True, kw_only=True):
