Ask the guards of a dead holder before its successor writes off its tokens

The successor of a holder without a disk that starts more than 2.8 s after the last announcement made control count all that the holder had as spent, as it might have exceeded its limits. Its guards know whether it did. The leader now asks them first, and shrinks the grants to the announced limits if they agree, by the command that replicas of the last landing know.

--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -22,6 +22,8 @@
 from galenashed.protocol import streams
 
 
+Succeeding = typing.Callable[[wire.SucceedHolder], typing.Awaitable[None]]
+
 OPERATOR_COMMANDS = (wire.PublishNote, wire.ChangeReplicas)
 
 
@@ -71,6 +73,8 @@
         self.replicas = replicas
         self.storage = storage
         self.versions = versions
+        # Called on the leader before a holder succeeds those at its place.
+        self.before_succession: Succeeding | None = None
         self.state_machine = _state_machine.ControlStateMachine()
         self.failed: asyncio.Future = (
             asyncio.get_running_loop().create_future()
@@ -172,9 +176,19 @@
                     grpc.StatusCode.PERMISSION_DENIED,
                     "only operators may send this",
                 )
-        tasks = [self._commit(command) for command in commands]
+        tasks = [
+            self._succeed(command)
+            if isinstance(command, wire.SucceedHolder)
+            else self._commit(command)
+            for command in commands
+        ]
         return await asyncio.gather(*tasks)
 
+    async def _succeed(self, command: wire.SucceedHolder) -> wire.Outcome:
+        if self.before_succession is not None and self.node.is_leader:
+            await self.before_succession(command)
+        return await self._commit(command)
+
     async def _publish(self, command, context) -> wire.Outcome:
         if command.digest != _notes.compute_digest(command.note):
             findings = ["the digest does not match the note"]
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -336,6 +336,14 @@
             log=self.log,
         )
 
+    def _attach_silent_holders(self) -> None:
+        """Connects the task of the leader to the present replica."""
+        if self.replica is not None and self._silent_holders is not None:
+            self._silent_holders.server = self.replica
+            self.replica.before_succession = (
+                self._silent_holders.free_predecessors
+            )
+
     async def start(self) -> None:
         """Starts all tasks; callers can be served once :attr:`ready`."""
         if self.replica is not None:
@@ -351,6 +359,7 @@
         await self.paths.start()
         if self._silent_holders is not None:
             await self._silent_holders.start()
+            self._attach_silent_holders()
         if self._replica_manager is not None:
             await self._replica_manager.start()
             self._tasks.append(
@@ -394,8 +403,7 @@
             self.replica = await self._restart_replica()
             if self._replica_manager is not None:
                 self._replica_manager.server = self.replica
-            if self._silent_holders is not None:
-                self._silent_holders.server = self.replica
+            self._attach_silent_holders()
             self.log.write("replica started again", replica=self.replica.name)
 
     async def _restart_replica(self) -> control.ControlServer:
--- a/galenashed/node/_silent_holders.py
+++ b/galenashed/node/_silent_holders.py
@@ -1,7 +1,8 @@
 """The task of the leader that frees tokens of holders that are silent.
 
-A holder that is gone for good has no successor that proves it dead.  Its
-guards know whether it may have exceeded the limits that it announced.
+A holder that is gone for good has no successor that proves it dead, and that
+of another one may come too late for control to trust the announced limits.
+The guards know whether a holder may have exceeded them.
 """
 
 import asyncio
@@ -162,6 +163,27 @@
             self._tracker.ignore(holder)
         return grants
 
+    async def free_predecessors(
+        self, command: control_wire.SucceedHolder
+    ) -> None:
+        """Frees what dead holders at a place had not announced.
+
+        Their successor proves that they are dead, however short the silence.
+        """
+        if self.server.node.contact_age() > 0.0:
+            return
+        grants: dict[str, list[control.UnannouncedGrant]] = {}
+        for grant in self.server.state_machine.unannounced_grants():
+            place = grant.holder.rpartition("/")[0]
+            if (
+                place == command.place
+                and grant.holder != command.holder
+                and grant.guards
+            ):
+                grants.setdefault(grant.holder, []).append(grant)
+        for holder, held in grants.items():
+            await self._free(holder, held)
+
     async def _free(
         self, holder: str, grants: list[control.UnannouncedGrant]
     ) -> None:
--- a/galenashed/platform/tests/test_lost_tokens.py
+++ b/galenashed/platform/tests/test_lost_tokens.py
@@ -41,7 +41,8 @@
                 "the target",
             )
             for _ in range(REQUESTS):
-                self.assertEqual(200, site.generate(node=node).status)
+                response = site.generate(node=node)
+                self.assertEqual(200, response.status, response.body)
         return site
 
 
@@ -96,6 +97,44 @@
         )
 
 
+class TestSlowRestart(LostTokens):
+    """A node without a disk is back later than control trusts its limits."""
+
+    def test_tokens_beyond_its_limits_come_back(self):
+        site = self.start(nodes=5, prepaid=4 * PREPAID)
+        address = site.front_address(4)
+
+        def held():
+            leader = site.leader()
+            if leader is None:
+                return None
+            lines = events(site.processes[leader], "budgets")
+            return next(
+                (
+                    item
+                    for item in lines[-1]["holders"]
+                    if item[0] == address and item[2] > item[1] / 2
+                ),
+                None,
+            )
+
+        _, tokens, _, _ = _fleet.wait_for(held, "tokens held ahead of demand")
+        process = site.processes[4]
+        before = len(events(process, "succession"))
+        process.kill()
+        time.sleep(POWERLESS_SECONDS)
+        site.write_settings(4, bootstrap=False)
+        process.start()
+        succession = _fleet.wait_for(
+            lambda: events(process, "succession")[before:], "succession"
+        )[0]
+        self.assertGreater(
+            succession["silent"], _budgets.MAX_TRUSTED_SILENCE_SECONDS
+        )
+        self.assertEqual(0, succession["unannounced"])
+        self.assertLess(succession["lost"], tokens / 2)
+
+
 class TestLossOfControl(LostTokens):
     """All replicas are lost; the other entries guard each other's limits."""
 
