--- a/galenashed/node/tests/test_guarded_limits.py
+++ b/galenashed/node/tests/test_guarded_limits.py
@@ -16,8 +16,8 @@
 from galenashed.protocol import guards as guards_wire
 
 SEEDS = test_announcer.SEEDS
-# The fault of the guards needs a cut from them that ends long before that from
-# control, and then a lack of tokens: 3 of 800 histories expose it.
+# Few histories expose forgetful guards: a holder must reach them again long
+# before control, after its term was closed, and then run out of tokens.
 FORGETFUL_SEEDS = range(120, 120 + SEEDS)
 PREPAID = test_announcer.PREPAID
 TEAM = test_announcer.TEAM
