Let the test of trickling streams wait for a request that may run

It took any outcome of its first request for a try, also a 503 "targets of versions that are not on record are left out", which is true and means not run; then it waited 60 s for a target that nobody asked again. The test now asks again until a request may have run; what it checks then is as before.

--- a/galenashed/platform/tests/test_reported_faults.py
+++ b/galenashed/platform/tests/test_reported_faults.py
@@ -134,7 +134,10 @@
 
     def test_stream_that_sends_a_byte_now_and_then_ends(self):
         target = self.site.add_target("engines", target_class=TricklingTarget)
-        _fleet.wait_for(lambda: self.send_trickling() is not None, "a try")
+        # A request is refused before the version of the target is on record.
+        _fleet.wait_for(
+            lambda: self.send_trickling() != NOT_RUN, "a request that may run"
+        )
         _fleet.wait_for(lambda: target.executions, "the target")
         begun_at = time.monotonic()
         self.send_trickling()
