--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -8,7 +8,6 @@
 
 from galenashed.gateway._forwarding import PeerFinder
 from galenashed.gateway._handler import Gateway
-from galenashed.gateway._handler import PlannedStop
 from galenashed.gateway._origins import MAX_ORIGIN_RECORDS
 from galenashed.gateway._origins import OriginFinder
 from galenashed.gateway._origins import OriginRecords
@@ -20,6 +19,7 @@
 from galenashed.gateway._request import TargetCodec
 from galenashed.gateway._request import TargetResponse
 from galenashed.gateway._request import TokenUsage
+from galenashed.gateway._stop import PlannedStop
 from galenashed.gateway._table import hash_key
 from galenashed.gateway._table import RouteIndex
 from galenashed.gateway._targets import Targets
--- a/galenashed/gateway/_forwarding.py
+++ b/galenashed/gateway/_forwarding.py
@@ -11,6 +11,7 @@
 import typing
 
 from galenashed import engines
+from galenashed.gateway import _refusals
 from galenashed.gateway import _request
 from galenashed.protocol import routes as wire
 from galenashed import telemetry
@@ -99,10 +100,11 @@
         request fails before a response has started; aborts it after that and
         returns 0.
         """
-        started = False
+        sent = started = False
         try:
             async with asyncio.timeout(deadline - time.monotonic()):
                 conn = await self._connect(request, route, service)
+                sent = True
                 try:
                     conn.send(
                         self.codec.encode_forwarded(
@@ -128,7 +130,7 @@
             if started:
                 writer.abort()
                 return 0
-            raise _lost_error(exc) from None
+            raise _lost_error(exc, sent=sent) from None
         self.log.write(
             "forwarded",
             request=request.id,
@@ -174,14 +176,9 @@
         )
 
 
-def _lost_error(exc: Exception) -> web.ApiError:
+def _lost_error(exc: Exception, *, sent: bool) -> web.ApiError:
     if isinstance(exc, TimeoutError):
-        return web.ApiError(
-            status=504,
-            code="time_limit",
-            message="the time limit passed before a response arrived",
-            execution_status=web.ExecutionStatus.UNKNOWN,
-        )
+        return _refusals.timeout_error(may_have_run=sent)
     return web.ApiError(
         status=502,
         code="peer_lost",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -7,119 +7,30 @@
 
 from galenashed import engines
 from galenashed.gateway import _attempts
+from galenashed.gateway import _context
 from galenashed.gateway import _continuations
 from galenashed.gateway import _forwarding
 from galenashed.gateway import _origins
 from galenashed.gateway import _prepaid
+from galenashed.gateway import _refusals
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
+from galenashed.gateway import _stop
 from galenashed.gateway import _table
 from galenashed.gateway import _targets
 from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import routes as wire
-from galenashed.protocol import streams
 from galenashed import quarantine
 from galenashed import routing
 from galenashed import telemetry
 from galenashed import web
 
-RETRY_AFTER_SECONDS = 0.5
 MIN_RETRY_AFTER_SECONDS = 0.05
 # The time over which requests a second are averaged.
 RATE_SECONDS = 5.0
 CLIENT_ERROR = 400
 # A process that ends closes its sockets one after the other.
 CRASH_PROBE_SECONDS = 0.05
-# Retry-After if any other instance can serve the request at once.
-RETRY_OTHER_INSTANCE_SECONDS = 0.1
-
-
-class RequestContext:
-    """State of one request while it is served.
-
-    ``deadline`` is the earlier of the route's and the caller's time limit, on
-    the monotonic clock.  ``attempted_targets`` names the targets in the order
-    of the attempts; ``last_error`` says why the last attempt failed.
-    ``crashed_target`` is set if a target crashed and most likely because of
-    the request: the target had begun the answer, without a complete event, or
-    the request was suspected before.  ``version`` is that of the software
-    which wrote the first event of the stream, None before one is known;
-    ``begun`` tells where that was, if it was in this request.
-    """
-
-    __slots__ = (
-        "attempted_targets",
-        "attempts",
-        "begun",
-        "crashed_target",
-        "deadline",
-        "in_trial",
-        "last_error",
-        "request",
-        "reservation",
-        "retry_after",
-        "route",
-        "service",
-        "team",
-        "tokens_per_event",
-        "version",
-    )
-
-    def __init__(
-        self,
-        *,
-        request,
-        route,
-        team,
-        service,
-        tokens_per_event,
-        reservation,
-        in_trial,
-        version,
-    ):
-        self.request: _request.Request = request
-        self.route: wire.Route = route
-        self.team: wire.RoutedTeam | None = team
-        self.service: str = service
-        self.tokens_per_event: int = tokens_per_event
-        self.reservation: _prepaid.PrepaidReservation = reservation
-        self.deadline = _deadline(request, route)
-        self.attempts = _attempts.AttemptCounts()
-        # Whether the request is the trial of a quarantined suspect, which is
-        # sent to one target.
-        self.in_trial: bool = in_trial
-        self.version: str | None = version
-        self.begun: streams.StreamOrigin | None = None
-        self.attempted_targets: list[str] = []
-        self.crashed_target = False
-        self.last_error = ""
-        # Retry-After, if the request is refused before a target ran it.
-        self.retry_after: float | None = RETRY_AFTER_SECONDS
-
-    @property
-    def priority(self) -> int:
-        if self.team is not None and self.team.priority is not None:
-            return self.team.priority
-        return self.route.priority
-
-    def time_left(self) -> float:
-        """Returns the seconds until the deadline."""
-        return self.deadline - time.monotonic()
-
-
-class PlannedStop(typing.NamedTuple):
-    """When an instance stops, in seconds on the monotonic clock.
-
-    Requests in progress are cut at ``stop_at``.  From ``short_only_from`` on,
-    a request is accepted only if its time limit passes before that.
-    """
-
-    short_only_from: float
-    stop_at: float
-
-    def may_accept(self, deadline: float, now: float) -> bool:
-        """Returns whether a request with this time limit is accepted."""
-        return now < self.short_only_from or deadline <= self.stop_at
 
 
 class Gateway:
@@ -194,7 +105,7 @@
         self.on_leaving: typing.Callable[[gossip_wire.Target], object] = (
             lambda target: None
         )
-        self._stop: PlannedStop | None = None
+        self._stop: _stop.PlannedStop | None = None
         self._timers: set[asyncio.Timeout] = set()
         # When the requests that targets have now were sent, oldest first.
         self._sent_at: dict[engines.Connection, float] = {}
@@ -207,7 +118,7 @@
         """Returns when the oldest request at a target was sent there."""
         return next(iter(self._sent_at.values()), None)
 
-    def begin_drain(self, stop: PlannedStop) -> None:
+    def begin_drain(self, stop: _stop.PlannedStop) -> None:
         """Refuses what can't be served before the stop; cuts the rest then.
 
         A request that is cut gets an error response, or an incomplete one if
@@ -221,11 +132,11 @@
             if when is not None and when > loop_deadline:
                 timer.reschedule(loop_deadline)
 
-    def _cuts_before_deadline(self, context: RequestContext) -> bool:
+    def _cuts_before_deadline(self, context: _context.RequestContext) -> bool:
         """Whether the stop ends a request before its time limit does."""
         return self._stop is not None and self._stop.stop_at < context.deadline
 
-    def _time_left(self, context: RequestContext) -> float:
+    def _time_left(self, context: _context.RequestContext) -> float:
         """Returns the seconds until the time limit or the stop."""
         if self._stop is not None and self._cuts_before_deadline(context):
             return self._stop.stop_at - time.monotonic()
@@ -259,7 +170,7 @@
                 status=503,
                 code="no_configuration",
                 message="this instance has no routes yet; use another one",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=_refusals.RETRY_AFTER_SECONDS,
             )
         route = self.route_index.match(host, path)
         if route is None:
@@ -303,7 +214,7 @@
                 code=exc.code,
                 run=exc.execution_status.value,
                 reason=exc.message,
-                after=_elapsed_seconds(request),
+                after=_context.elapsed_seconds(request),
             )
             raise
         except asyncio.CancelledError:
@@ -311,7 +222,7 @@
             self.log.write(
                 "caller left",
                 request=request.id,
-                after=_elapsed_seconds(request),
+                after=_context.elapsed_seconds(request),
             )
             raise
         finally:
@@ -319,9 +230,9 @@
 
     async def _handle(self, request, route, team, writer) -> None:
         if self._stop is not None and not self._stop.may_accept(
-            _deadline(request, route), time.monotonic()
+            _context.find_deadline(request, route), time.monotonic()
         ):
-            raise _stopping_error()
+            raise _refusals.stopping_error()
         service = _table.select_service(
             route, request.resumed_request or request.id
         )
@@ -332,7 +243,7 @@
 
     async def _forward_to_peer(self, request, route, service, writer) -> int:
         """Has another entry serve a request; see :class:`PeerForwarder`."""
-        deadline = _deadline(request, route)
+        deadline = _context.find_deadline(request, route)
         if self._stop is not None:
             deadline = min(deadline, self._stop.stop_at)
         return await self._forwarder.forward(
@@ -359,7 +270,7 @@
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
         reservation = await self.prepaid.open(request, team, route.objective)
-        context = RequestContext(
+        context = _context.RequestContext(
             request=request,
             route=route,
             team=team,
@@ -397,19 +308,23 @@
                     "cut at the stop" if stopped else "cut at the time limit",
                     request=request.id,
                     events=relay.event_count,
-                    after=_elapsed_seconds(request),
+                    after=_context.elapsed_seconds(request),
                 )
                 relay.abort()
                 return
             if stopped:
-                raise self._stopped_error(context) from None
-            raise self._timeout_error(context) from None
+                raise _refusals.stopped_error(
+                    may_have_run=reservation.may_have_run
+                ) from None
+            raise _refusals.timeout_error(
+                may_have_run=reservation.may_have_run
+            ) from None
         finally:
             reservation.event_count = relay.event_count
             reservation.close(request, context.tokens_per_event)
 
     async def _lost_path(
-        self, context: RequestContext, relay: _relay.Relay
+        self, context: _context.RequestContext, relay: _relay.Relay
     ) -> bool:
         """Whether another entry may serve a request that failed here.
 
@@ -432,7 +347,7 @@
         return not attempts.runs or self.retries.try_acquire()
 
     def _record_origin(
-        self, context: RequestContext, target: gossip_wire.Target
+        self, context: _context.RequestContext, target: gossip_wire.Target
     ) -> None:
         """Records which software writes the stream of a request."""
         context.version = target.version
@@ -442,7 +357,7 @@
             )
 
     async def _run_attempts(
-        self, context: RequestContext, relay: _relay.Relay
+        self, context: _context.RequestContext, relay: _relay.Relay
     ) -> None:
         """Tries targets until one answers or no retry is allowed."""
         while True:
@@ -450,7 +365,7 @@
                 context.request, context.service
             ):
                 if not await relay.finish_after_failure():
-                    raise self._attempts_failed_error(context)
+                    raise _attempts_failed_error(context)
                 return
             suspect = self.quarantine.find_quarantined(context.request)
             starts_trial = context.in_trial and not context.attempted_targets
@@ -463,7 +378,7 @@
             target = self._choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
-                    raise self._attempts_failed_error(context)
+                    raise _attempts_failed_error(context)
                 return
             outcome = await self._send(context, target, relay)
             if outcome is None:
@@ -503,14 +418,14 @@
                 continue
             if await relay.finish_after_failure():
                 return
-            raise self._attempts_failed_error(context)
+            raise _attempts_failed_error(context)
 
     def _record_answer(
-        self, context: RequestContext, relay: _relay.Relay
+        self, context: _context.RequestContext, relay: _relay.Relay
     ) -> None:
         self.metrics.duration(
             f"gateway.{context.route.kind.value}",
-            _elapsed_seconds(context.request),
+            _context.elapsed_seconds(context.request),
         )
         first = None
         if relay.first_event_at is not None:
@@ -526,11 +441,11 @@
             framing=relay.framing,
             unfinished=relay.unfinished_bytes,
             reserved=context.reservation.tokens,
-            after=_elapsed_seconds(context.request),
+            after=_context.elapsed_seconds(context.request),
         )
 
     def _choose_target(
-        self, context: RequestContext
+        self, context: _context.RequestContext
     ) -> _targets.TargetState | None:
         now = time.monotonic()
         other_versions: set[str] = set()
@@ -565,7 +480,10 @@
         return target
 
     def _explain_refusal(
-        self, context: RequestContext, other_versions: set[str], now: float
+        self,
+        context: _context.RequestContext,
+        other_versions: set[str],
+        now: float,
     ) -> None:
         """Sets why no target takes a request, and when one may."""
         wait = self.targets.seconds_until_allowed(
@@ -593,7 +511,7 @@
 
     async def _send(
         self,
-        context: RequestContext,
+        context: _context.RequestContext,
         target: _targets.TargetState,
         relay: _relay.Relay,
     ) -> _attempts.AttemptOutcome | None:
@@ -620,7 +538,7 @@
             missing=target.uncached_tokens(context.request.prompt),
             sending=len(context.attempted_targets),
             version=self.route_index.version if self.route_index else 0,
-            after=_elapsed_seconds(context.request),
+            after=_context.elapsed_seconds(context.request),
         )
         self.targets.on_request_start(
             target,
@@ -660,7 +578,7 @@
 
     async def _check_crashed(
         self,
-        context: RequestContext,
+        context: _context.RequestContext,
         target: _targets.TargetState,
         relay: _relay.Relay,
         known: int,
@@ -830,71 +748,14 @@
                 most_per_second=rejections,
             )
 
-    def _timeout_error(self, context: RequestContext) -> web.ApiError:
-        if not context.attempted_targets:
-            return _unavailable_error(
-                "the time limit passed before a target was found"
-            )
-        return web.ApiError(
-            status=504,
-            code="time_limit",
-            message="the time limit passed before a response arrived",
-            execution_status=web.ExecutionStatus.UNKNOWN,
-        )
-
-    def _stopped_error(self, context: RequestContext) -> web.ApiError:
-        if not context.reservation.may_have_run:
-            return _stopping_error()
-        return web.ApiError(
-            status=502,
-            code="instance_stopped",
-            message="this instance stopped before a response arrived",
-            execution_status=web.ExecutionStatus.UNKNOWN,
-        )
-
-    def _attempts_failed_error(self, context: RequestContext) -> web.ApiError:
-        if not context.attempts.runs:
-            return _unavailable_error(
-                context.last_error, retry_after=context.retry_after
-            )
-        return web.ApiError(
-            status=502,
-            code="target_lost",
-            message=f"no response after {len(context.attempted_targets)}"
-            f" attempts: {context.last_error}",
-            execution_status=web.ExecutionStatus.UNKNOWN,
-        )
 
-
-def _stopping_error() -> web.ApiError:
-    return web.ApiError(
-        status=503,
-        code="instance_stopping",
-        message="this instance stops before the time limit of the request;"
-        " use another one",
-        retry_after=RETRY_OTHER_INSTANCE_SECONDS,
-    )
-
-
-def _unavailable_error(
-    reason: str, *, retry_after: float | None = RETRY_AFTER_SECONDS
+def _attempts_failed_error(
+    context: _context.RequestContext,
 ) -> web.ApiError:
-    return web.ApiError(
-        status=503,
-        code="targets_unavailable",
-        message=f"no target accepted the request: {reason}",
-        retry_after=retry_after,
+    if context.attempts.runs:
+        return _refusals.target_lost_error(
+            len(context.attempted_targets), context.last_error
+        )
+    return _refusals.unavailable_error(
+        context.last_error, retry_after=context.retry_after
     )
-
-
-def _deadline(request: _request.Request, route: wire.Route) -> float:
-    """Returns the earlier of the route's and the caller's time limit."""
-    time_limit = route.time_limit
-    if request.caller_timeout is not None:
-        time_limit = min(time_limit, request.caller_timeout)
-    return request.arrived_at + time_limit
-
-
-def _elapsed_seconds(request: _request.Request) -> float:
-    """Returns the seconds since a request arrived."""
-    return round(time.monotonic() - request.arrived_at, 4)
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -43,6 +43,12 @@
         attempts.
     retry_burst : float
         Retries that all nodes together may make in a burst beyond that share.
+    regions_by_domain : dict of str to str or None
+        The region of each failure domain, as far as the settings name it.
+    link_bytes_per_second : float
+        What the machine's link carries each way; 0 if unknown.
+    memory_bytes, max_descriptors : int
+        Limits of the process; 0 if unknown.
     """
 
     __slots__ = (
@@ -54,10 +60,14 @@
         "desired_voters",
         "discovery_max_age",
         "failure_domain",
+        "link_bytes_per_second",
+        "max_descriptors",
+        "memory_bytes",
         "name",
         "peer_key",
         "peers_address",
         "region",
+        "regions_by_domain",
         "relay_address",
         "replicas",
         "retry_burst",
@@ -89,6 +99,10 @@
         shutdown_timeout: float,
         retry_share: float,
         retry_burst: float,
+        regions_by_domain: dict[str, str] | None = None,
+        link_bytes_per_second: float = 0.0,
+        memory_bytes: int = 0,
+        max_descriptors: int = 0,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -109,3 +123,7 @@
         self.shutdown_timeout = shutdown_timeout
         self.retry_share = retry_share
         self.retry_burst = retry_burst
+        self.regions_by_domain = regions_by_domain or {}
+        self.link_bytes_per_second = link_bytes_per_second
+        self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -32,6 +32,8 @@
 DISCOVERY_MAX_AGE_SECONDS = 1.0
 # The share of the platform's common retry budget that the nodes use.
 RETRY_BUDGET_SHARE = 0.5
+BYTES_PER_MEGABIT = 125_000
+BYTES_PER_MEGABYTE = 1_000_000
 MIN_VOTERS = 3
 MAX_VOTERS = 7
 
@@ -73,10 +75,15 @@
 
     ``cpu_share`` is a fraction of one core of the machine.  Such a core is
     ``cores`` times as fast as the platform's unit of processor time.
+    ``link_mbps`` is the bandwidth of the machine's link in Mbit/s; the last
+    three are 0 if unknown.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    memory_mb: int = 0
+    max_fds: int = 0
+    link_mbps: float = 0.0
 
 
 class Settings(msgspec.Struct, frozen=True, rename="camel"):
@@ -85,7 +92,8 @@
     ``counts_as_loss`` marks the machines whose simultaneous failures are
     limited by ``tolerance``; those of them with a ``data_dir`` run a control
     replica.  ``seeds`` are the ``control`` addresses of three machines.
-    ``bootstrap`` is set at the first start of the whole system.
+    ``bootstrap`` is set at the first start of the whole system.  ``zones``
+    maps each failure domain to its region.
     """
 
     node_name: str
@@ -102,6 +110,7 @@
     limits: Limits = Limits()
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
+    zones: dict[str, str] = {}
 
 
 class SettingsError(Exception):
@@ -169,6 +178,10 @@
         shutdown_timeout=cfg.bounds.grace_s,
         retry_share=RETRY_BUDGET_SHARE * cfg.bounds.retry_ratio,
         retry_burst=RETRY_BUDGET_SHARE * cfg.bounds.retry_slack,
+        regions_by_domain=cfg.zones,
+        link_bytes_per_second=cfg.limits.link_mbps * BYTES_PER_MEGABIT,
+        memory_bytes=cfg.limits.memory_mb * BYTES_PER_MEGABYTE,
+        max_descriptors=cfg.limits.max_fds,
     )
 
 
