Spread refused callers over the time that targets need to serve them

Nearly every refusal had a Retry-After of 0.5 s, so those who were refused together came back together, urgent callers beside the others. The delay now follows from the mean time of the service's answers, what its targets have queued and how many callers that are as urgent were refused lately.

--- a/galenashed/gateway/_context.py
+++ b/galenashed/gateway/_context.py
@@ -4,7 +4,6 @@
 
 from galenashed.gateway import _attempts
 from galenashed.gateway import _prepaid
-from galenashed.gateway import _refusals
 from galenashed.gateway import _request
 from galenashed.protocol import routes as wire
 from galenashed.protocol import streams
@@ -31,10 +30,12 @@
         "deadline",
         "in_trial",
         "last_error",
+        "may_return",
         "request",
         "reservation",
         "retry_after",
         "route",
+        "sent_at",
         "service",
         "team",
         "tokens_per_event",
@@ -69,8 +70,12 @@
         self.attempted_targets: list[str] = []
         self.crashed_target = False
         self.last_error = ""
-        # Retry-After, if the request is refused before a target ran it.
-        self.retry_after: float | None = _refusals.RETRY_AFTER_SECONDS
+        # Retry-After, if the targets name when they take it again.
+        self.retry_after: float | None = None
+        # Whether a caller that is refused may be served later.
+        self.may_return = True
+        # When it was sent to a target last.
+        self.sent_at = request.arrived_at
 
     @property
     def priority(self) -> int:
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -95,6 +95,7 @@
             targets=targets, origins=origins, log=log
         )
         self.retries = retries
+        self.retry_times = routing.RetryTimes(rng=rng)
         self.log = log
         self.metrics = metrics
         self.rng = rng
@@ -365,7 +366,7 @@
                 context.request, context.service
             ):
                 if not await relay.finish_after_failure():
-                    raise _attempts_failed_error(context)
+                    raise self._attempts_failed_error(context)
                 return
             suspect = self.quarantine.find_quarantined(context.request)
             starts_trial = context.in_trial and not context.attempted_targets
@@ -378,7 +379,7 @@
             target = self._choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
-                    raise _attempts_failed_error(context)
+                    raise self._attempts_failed_error(context)
                 return
             outcome = await self._send(context, target, relay)
             if outcome is None:
@@ -418,11 +419,13 @@
                 continue
             if await relay.finish_after_failure():
                 return
-            raise _attempts_failed_error(context)
+            raise self._attempts_failed_error(context)
 
     def _record_answer(
         self, context: _context.RequestContext, relay: _relay.Relay
     ) -> None:
+        now = time.monotonic()
+        self.retry_times.on_answer(context.service, now - context.sent_at, now)
         self.metrics.duration(
             f"gateway.{context.route.kind.value}",
             _context.elapsed_seconds(context.request),
@@ -503,7 +506,7 @@
                 f" {context.version!r} that began the stream"
             )
             # Targets are replaced by newer versions.
-            context.retry_after = None
+            context.may_return = False
         elif self.targets.is_brittle(context.service, now):
             context.last_error = "brittle targets have no room"
         elif not context.last_error:
@@ -521,7 +524,7 @@
         """
         context.attempted_targets.append(target.name)
         relay.begin_attempt()
-        now = time.monotonic()
+        now = context.sent_at = time.monotonic()
         self.log.write(
             "sent",
             request=context.request.id,
@@ -724,6 +727,27 @@
         on_answer()
         return outcome
 
+    def _attempts_failed_error(
+        self, context: _context.RequestContext
+    ) -> web.ApiError:
+        if context.attempts.runs:
+            return _refusals.target_lost_error(
+                len(context.attempted_targets), context.last_error
+            )
+        retry_after = context.retry_after
+        if retry_after is None and context.may_return:
+            now = time.monotonic()
+            retry_after = self.retry_times.choose(
+                context.service,
+                self.targets.room(context.service, now),
+                priority=context.priority,
+                time_left=context.time_left(),
+                now=now,
+            )
+        return _refusals.unavailable_error(
+            context.last_error, retry_after=retry_after
+        )
+
     async def _is_down(self, announced: gossip_wire.Target) -> bool:
         """Whether the process that has just closed a connection has ended."""
         return await self.pool.refuses_connections(
@@ -747,15 +771,3 @@
                 target=target.name,
                 most_per_second=rejections,
             )
-
-
-def _attempts_failed_error(
-    context: _context.RequestContext,
-) -> web.ApiError:
-    if context.attempts.runs:
-        return _refusals.target_lost_error(
-            len(context.attempted_targets), context.last_error
-        )
-    return _refusals.unavailable_error(
-        context.last_error, retry_after=context.retry_after
-    )
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -37,6 +37,9 @@
 # memory of the emulated engines, the rest is for running requests.
 MAX_CACHED_TOKENS = 120_000
 
+# How long the places of a service are not counted again.
+ROOM_TTL_SECONDS = 0.1
+
 
 class TargetState:
     """The announcement, reported load and local requests of a target."""
@@ -138,6 +141,8 @@
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.HashRing] = {}
         self._ejected: set[str] = set()
+        # By service: its places, and until when they are not counted again.
+        self._rooms: dict[str, tuple[float, routing.Room]] = {}
         # By service and software version: the monotonic time at which a
         # target of them was last alive, infinite until :meth:`set_alive`.
         self._version_seen_at: dict[tuple[str, str], float] = {}
@@ -430,6 +435,25 @@
             default=None,
         )
 
+    def room(self, service: str, now: float) -> routing.Room:
+        """Returns the places of the usable targets of a service.
+
+        Refusals come in crowds, so the sums over all targets are kept for
+        ``ROOM_TTL_SECONDS``.
+        """
+        known = self._rooms.get(service)
+        if known is None or now >= known[0]:
+            candidates = self._ring_for(service, now).candidates
+            room = routing.Room(
+                slots=sum(
+                    target.slots or DEFAULT_SLOTS for target in candidates
+                ),
+                queued=sum(target.waiting for target in candidates),
+                entries=self.limits.sender_count,
+            )
+            known = self._rooms[service] = (now + ROOM_TTL_SECONDS, room)
+        return known[1]
+
     def on_max_rejections(
         self, target: TargetState, rejections: float | None, now: float
     ) -> bool:
--- a/galenashed/routing/__init__.py
+++ b/galenashed/routing/__init__.py
@@ -17,6 +17,8 @@
 from galenashed.routing._queue import FairQueue
 from galenashed.routing._queue import QueueFullError
 from galenashed.routing._retries import RetryBudget
+from galenashed.routing._retry_times import RetryTimes
+from galenashed.routing._retry_times import Room
 from galenashed.routing._router import make_router
 from galenashed.routing._router import Router
 from galenashed.routing._router import TargetRequirements
@@ -31,6 +33,8 @@
     "QueueFullError",
     "RandomBalancer",
     "RetryBudget",
+    "RetryTimes",
+    "Room",
     "RoundRobinBalancer",
     "Router",
     "StrictAffinityBalancer",
