--- a/galenashed/budget/__init__.py
+++ b/galenashed/budget/__init__.py
@@ -12,12 +12,12 @@
 from galenashed.budget._announcer import CLOSE_AFTER_SILENCE_SECONDS
 from galenashed.budget._escrow import Escrow
 from galenashed.budget._escrow import WitnessMessage
-from galenashed.budget._manager import BudgetExhaustedError
 from galenashed.budget._manager import BudgetManager
 from galenashed.budget._policy import POLICIES
 from galenashed.budget._policy import Policy
 from galenashed.budget._ports import BoundsStore
 from galenashed.budget._ports import Guards
+from galenashed.budget._waiters import BudgetExhaustedError
 from galenashed.budget._witness_records import WitnessRecords
 
 __all__ = [
--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -12,6 +12,7 @@
 from galenashed.budget import _durability
 from galenashed.budget import _policy
 from galenashed.budget import _ports
+from galenashed.budget import _waiters
 from galenashed.protocol import control as wire
 from galenashed.protocol import witness as witness_wire
 from galenashed import telemetry
@@ -29,32 +30,6 @@
 # How long a loan waits until the disk allows it; half of the time that the
 # borrower waits.
 LEND_WAIT_SECONDS = 0.05
-FUTILE_WAIT_TTL_SECONDS = 5.0
-
-
-class BudgetExhaustedError(Exception):
-    """Raised when the budget does not cover a request.
-
-    ``held_elsewhere`` is the number of tokens of the budget that other entries
-    hold, ``held_by_silent`` that of those with entries which control does not
-    hear.
-    """
-
-    def __init__(
-        self,
-        *,
-        needed: int,
-        available: int,
-        held_elsewhere: int,
-        held_by_silent: int = 0,
-    ):
-        super().__init__(
-            f"the request may take {needed} tokens; {available} are left"
-        )
-        self.needed = needed
-        self.available = available
-        self.held_elsewhere = held_elsewhere
-        self.held_by_silent = held_by_silent
 
 
 def _boot_time() -> float:
@@ -62,16 +37,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class _Waiter:
-    __slots__ = ("budget", "deadline", "fut", "tokens")
-
-    def __init__(self, *, budget, tokens, deadline, fut):
-        self.budget = budget
-        self.tokens = tokens
-        self.deadline = deadline
-        self.fut = fut
-
-
 class BudgetManager:
     """Reserves and bills tokens for the requests of one entry.
 
@@ -119,8 +84,7 @@
         self.control = control
         self.witnesses = witnesses
         self.unavailable = unavailable
-        self._waiters: list[_Waiter] = []
-        self._futile_waits: dict[str, tuple[float, int]] = {}
+        self._waiters = _waiters.WaitQueue(escrow=escrow)
         self._tasks: set[asyncio.Task] = set()
         self._ticker: asyncio.Task | None = None
         self._settled = asyncio.Event()
@@ -131,7 +95,7 @@
             self._bounds_writer = _bounds_writer.BoundsWriter(
                 escrow=escrow,
                 store=bounds_store,
-                waiting=self._waiting_tokens,
+                waiting=self._waiters.sum_needs,
                 on_stored=self._serve_all_waiters,
                 on_slow=self._on_slow_disk,
                 on_stalled=self._on_stalled_disk,
@@ -182,14 +146,9 @@
             if self.escrow.needs_higher_bounds(budget, now):
                 self._request_bounds(budget)
             return reservation
-        fut = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(
-            budget=budget,
-            tokens=tokens,
-            deadline=now + self.escrow.policy.recall_wait,
-            fut=fut,
+        waiter = self._waiters.add(
+            budget, tokens, deadline=now + self.escrow.policy.recall_wait
         )
-        self._waiters.append(waiter)
         self._request_tokens(budget)
         is_answer_due = self.control_reachable()
         if is_answer_due or self._waits_for_disk(waiter):
@@ -200,9 +159,9 @@
             delay, self._borrow, waiter
         )
         try:
-            return await fut
+            return await waiter.fut
         except asyncio.CancelledError:
-            self._remove_waiter(waiter)
+            self._waiters.discard(waiter, time.monotonic())
             raise
         finally:
             timer.cancel()
@@ -210,7 +169,7 @@
     async def lend(self, budget: str, tokens: int, borrower: str) -> int:
         """Lends tokens to another entry and returns how many."""
         now = time.monotonic()
-        if any(waiter.budget == budget for waiter in self._waiters):
+        if budget in self._waiters.budgets:
             return 0
         lendable = self.escrow.lendable(budget, tokens, now)
         if self._bounds_writer is not None and (
@@ -225,14 +184,14 @@
                 self._raise_limits(budget, 0)
         return lent
 
-    def _borrow(self, waiter: _Waiter) -> None:
+    def _borrow(self, waiter: _waiters.Waiter) -> None:
         """Asks other entries for the tokens that a waiting request lacks."""
         if waiter.fut.done() or waiter.budget in self._borrowing:
             return
         self._borrowing.add(waiter.budget)
         self._spawn(self._request_loan(waiter))
 
-    async def _request_loan(self, waiter: _Waiter) -> None:
+    async def _request_loan(self, waiter: _waiters.Waiter) -> None:
         need = max(1, waiter.tokens - self.escrow.free(waiter.budget))
         try:
             lent = await self.loan_client.borrow(waiter.budget, need)
@@ -245,7 +204,7 @@
             # Neither control nor any reachable entry can provide tokens.
             held = self.escrow.unspent(waiter.budget)
             free = self.escrow.free(waiter.budget)
-            self._fail_waiters(
+            self._waiters.fail(
                 waiter.budget,
                 self.unavailable(
                     f"control is out of reach; of {held} tokens held,"
@@ -271,13 +230,6 @@
         """Limits the tokens of a budget that are requested beyond demand."""
         self.escrow.set_max_spare(budget, tokens, time.monotonic())
 
-    def _remove_waiter(self, waiter: _Waiter) -> None:
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
-        fut = waiter.fut
-        if fut.done() and not fut.cancelled() and fut.exception() is None:
-            self.escrow.release(fut.result(), time.monotonic())
-
     def release(self, reservation: _account.Reservation) -> None:
         """Releases a reservation unused."""
         self.escrow.release(reservation, time.monotonic())
@@ -310,7 +262,7 @@
 
     def recall(self, budget: str) -> None:
         """Returns idle tokens because another entry needs them."""
-        if any(waiter.budget == budget for waiter in self._waiters):
+        if budget in self._waiters.budgets:
             return
         for command in self.escrow.recall(budget):
             self._spawn(self._send_shrink(command))
@@ -340,13 +292,13 @@
         if self._bounds_writer is not None:
             self._bounds_writer.request(budget)
 
-    def _waits_for_disk(self, waiter: _Waiter) -> bool:
+    def _waits_for_disk(self, waiter: _waiters.Waiter) -> bool:
         """Whether only the disk does not allow a request's tokens yet."""
         return self.escrow.announced(waiter.budget) >= waiter.tokens
 
     def _on_slow_disk(self) -> None:
         """Requests tokens that the disk does not bound."""
-        for budget in self._waiting_tokens():
+        for budget in self._waiters.budgets:
             self._request_tokens(budget)
 
     def _on_stalled_disk(self) -> None:
@@ -461,7 +413,7 @@
             self.guards.lower()
         scarce = reply.scarce if isinstance(reply, wire.Done) else []
         self.escrow.on_limits_announced(command.limits, scarce)
-        for budget in {waiter.budget for waiter in self._waiters}:
+        for budget in self._waiters.budgets:
             self._serve_waiters(budget)
             self._request_tokens_if_waiting(budget)
         self._announce()
@@ -475,7 +427,7 @@
                 self.escrow.on_limit_acknowledged(witness, note)
             elif isinstance(note, wire.BillCopy):
                 self._durability.mark_durable(note.number)
-        for budget in {waiter.budget for waiter in self._waiters}:
+        for budget in self._waiters.budgets:
             self._serve_waiters(budget)
             self._request_tokens_if_waiting(budget)
 
@@ -491,13 +443,13 @@
         for command in commands:
             self._spawn(self._send_shrink(command))
         self._close_grants()
-        for budget in {waiter.budget for waiter in self._waiters}:
+        for budget in self._waiters.budgets:
             self._request_tokens_if_waiting(budget)
 
     # Waiters
 
     def _request_tokens_if_waiting(self, budget: str) -> None:
-        if any(waiter.budget == budget for waiter in self._waiters):
+        if budget in self._waiters.budgets:
             self._request_tokens(budget)
 
     def _request_tokens(self, budget: str) -> None:
@@ -507,7 +459,7 @@
         witnesses are raised first because witnesses answer sooner than
         control.
         """
-        wanted = [w.tokens for w in self._waiters if w.budget == budget]
+        wanted = self._waiters.list_needs(budget)
         self._raise_limits(budget, sum(wanted) - self.escrow.announced(budget))
         self._request_bounds(budget)
         held = self.escrow.unspent(budget)
@@ -517,33 +469,12 @@
             need = max(1, wanted[0] - held)
             self._open_grant(budget, need, max(need, sum(wanted) - held))
 
-    def _waiting_tokens(self) -> dict[str, int]:
-        """Returns the tokens that waiting requests need, by budget."""
-        tokens: dict[str, int] = {}
-        for waiter in self._waiters:
-            tokens[waiter.budget] = (
-                tokens.get(waiter.budget, 0) + waiter.tokens
-            )
-        return tokens
-
     def _serve_all_waiters(self) -> None:
-        for budget in {waiter.budget for waiter in self._waiters}:
+        for budget in self._waiters.budgets:
             self._serve_waiters(budget)
 
     def _serve_waiters(self, budget: str) -> None:
-        """Reserves tokens for waiting requests in order of arrival."""
-        now = time.monotonic()
-        for waiter in list(self._waiters):
-            if waiter.budget != budget:
-                continue
-            if waiter.fut.done():
-                self._waiters.remove(waiter)
-                continue
-            reservation = self.escrow.reserve(budget, waiter.tokens, now)
-            if reservation is None:
-                break
-            self._waiters.remove(waiter)
-            waiter.fut.set_result(reservation)
+        self._waiters.serve(budget, time.monotonic())
 
     def _open_grant(
         self, budget: str, need: int, missing: int, *, exact: bool = False
@@ -573,16 +504,16 @@
             # The grant may still be committed, and only its holder can
             # return it.
             self._spawn(self._resolve_open(command))
-            self._fail_waiters(command.budget, exc)
+            self._waiters.fail(command.budget, exc)
             return
         self._on_contact(sent)
         self.escrow.on_opened(command, reply, time.monotonic())
         self._request_bounds(command.budget)
         self._serve_waiters(command.budget)
         if isinstance(reply, wire.Refused):
-            self._fail_waiters(
+            self._waiters.fail(
                 command.budget,
-                BudgetExhaustedError(
+                _waiters.BudgetExhaustedError(
                     needed=command.need, available=0, held_elsewhere=0
                 ),
             )
@@ -611,51 +542,10 @@
 
     async def _on_short(self, budget: str, reply: wire.Short) -> None:
         """Refuses waiting requests, unless other entries may return tokens."""
-        now = time.monotonic()
-        spare = reply.available + self.escrow.accounts[budget].unspent
-        returnable = reply.elsewhere - reply.silent
-        waiting_helps = self._is_waiting_useful(budget, returnable, now)
-        for waiter in list(self._waiters):
-            if waiter.budget != budget or waiter.fut.done():
-                continue
-            if spare >= waiter.tokens:
-                continue
-            if waiting_helps and spare + returnable >= waiter.tokens:
-                if now < waiter.deadline:
-                    continue
-                until = now + FUTILE_WAIT_TTL_SECONDS
-                self._futile_waits[budget] = (until, returnable)
-            self._waiters.remove(waiter)
-            error = BudgetExhaustedError(
-                needed=waiter.tokens,
-                available=spare,
-                held_elsewhere=reply.elsewhere,
-                held_by_silent=reply.silent,
-            )
-            waiter.fut.set_exception(error)
+        self._waiters.on_short(budget, reply, time.monotonic())
         await asyncio.sleep(SHORT_RETRY_SECONDS)
         self.escrow.clear_shortage(budget)
 
-    def _is_waiting_useful(
-        self, budget: str, returnable: int, now: float
-    ) -> bool:
-        """Whether other entries are likely to return tokens.
-
-        They are not if a recent wait was in vain and they still hold at least
-        as many tokens, as when an entry has crashed or is partitioned.
-        """
-        until, tokens = self._futile_waits.get(budget, (0.0, 0))
-        if now < until and returnable >= tokens:
-            return False
-        return returnable > 0
-
-    def _fail_waiters(self, budget: str, exc: Exception) -> None:
-        for waiter in list(self._waiters):
-            if waiter.budget == budget:
-                self._waiters.remove(waiter)
-                if not waiter.fut.done():
-                    waiter.fut.set_exception(exc)
-
     # Bills and grants
 
     @property
