Wait for prepaid tokens as long as they can come in time

Cause: a request waited for tokens for 0.4 of its latency objective.

Ruled out: waiting until the time limit, which leaves a refused caller no time for another entry.

Change: gateway/_token_wait.py decides by objective, what is left of the time limit (half of it at most) and the expected time of a grant, which budget/_round_trips.py derives from measured round trips to control.

--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -10,8 +10,10 @@
 from galenashed.budget import _announcer
 from galenashed.budget import _bounds_writer
 from galenashed.budget import _durability
+from galenashed.budget import _measured_control
 from galenashed.budget import _policy
 from galenashed.budget import _ports
+from galenashed.budget import _round_trips
 from galenashed.budget import _waiters
 from galenashed.protocol import control as wire
 from galenashed.protocol import witness as witness_wire
@@ -81,7 +83,10 @@
         self.control_reachable = control_reachable
         self.announcer = _announcer.Announcer()
         self.escrow = escrow
-        self.control = control
+        self.round_trips = _round_trips.RoundTrips()
+        self.control = _measured_control.MeasuredControl(
+            control=control, round_trips=self.round_trips
+        )
         self.witnesses = witnesses
         self.unavailable = unavailable
         self._waiters = _waiters.WaitQueue(escrow=escrow)
--- a/galenashed/gateway/_context.py
+++ b/galenashed/gateway/_context.py
@@ -85,10 +85,7 @@
 
 def find_deadline(request: _request.Request, route: wire.Route) -> float:
     """Returns the earlier of the route's and the caller's time limit."""
-    time_limit = route.time_limit
-    if request.caller_timeout is not None:
-        time_limit = min(time_limit, request.caller_timeout)
-    return request.arrived_at + time_limit
+    return request.deadline(route.time_limit)
 
 
 def elapsed_seconds(request: _request.Request) -> float:
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -269,7 +269,7 @@
             service = origin.service
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
-        reservation = await self.prepaid.open(request, team, route.objective)
+        reservation = await self.prepaid.open(request, team, route)
         context = _context.RequestContext(
             request=request,
             route=route,
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -6,14 +6,11 @@
 from galenashed import budget
 from galenashed import control
 from galenashed.gateway import _request
+from galenashed.gateway import _token_wait
 from galenashed.protocol import control as wire
 from galenashed.protocol import routes as routes_wire
 from galenashed import web
 
-# Share of the route's latency objective that a request may wait for tokens
-# which other entries return.  A recall and a grant take 150 to 200 ms, the
-# shortest documented objectives are 400 to 600 ms.
-MAX_WAIT_SHARE = 0.4
 # Retry-After of refusals: almost at once if only this entry cannot reach the
 # control service, since another entry can serve the request; otherwise long
 # enough for a recall to finish.
@@ -95,7 +92,7 @@
         self,
         request: _request.Request,
         team: routes_wire.RoutedTeam | None,
-        objective: float,
+        route: routes_wire.Route,
     ) -> PrepaidReservation:
         """Reserves the most tokens that a request may use.
 
@@ -108,8 +105,14 @@
         needed = request.usage.prompt + request.usage.max_output
         if needed > team.prepaid:
             raise _exhausted_error(team, needed, team.prepaid)
+        now = time.monotonic()
+        wait = _token_wait.longest_wait(
+            objective=route.objective,
+            time_left=request.deadline(route.time_limit) - now,
+            expected=self.budget_manager.round_trips.seconds_until_tokens(now),
+        )
         try:
-            async with asyncio.timeout(objective * MAX_WAIT_SHARE):
+            async with asyncio.timeout(wait):
                 reservation = await self.budget_manager.reserve(
                     team.name, needed
                 )
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -122,6 +122,15 @@
             self._digest = state.hexdigest()
         return self._digest
 
+    def deadline(self, time_limit: float) -> float:
+        """Returns the earlier of a time limit and the caller's, as a time.
+
+        It is on the monotonic clock.
+        """
+        if self.caller_timeout is not None:
+            time_limit = min(time_limit, self.caller_timeout)
+        return self.arrived_at + time_limit
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """The parts of the prompt that other requests may have too."""
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -84,7 +84,7 @@
 
 
 class PrepaidReserver:
-    async def open(self, request, team, objective):
+    async def open(self, request, team, route):
         return PrepaidReservation()
 
 
