Derive Retry-After of refusals for tokens from when they are expected

Cause: requests refused for tokens were told to come back after 0.5 s, all at the same moment, whether control takes 0.02 s or 2 s.

Change: gateway/_token_retry.py derives the time from the measured round trips to control, from when limits may be exceeded, and from whom the tokens have to come back; up to as much is added at random (random source passed in).

The new test fails before: all 40 requests had the same time.

--- a/galenashed/budget/_announcer.py
+++ b/galenashed/budget/_announcer.py
@@ -112,3 +112,12 @@
         if control_reachable or self.limits_lifted or self._last_sent is None:
             return False
         return now - self._last_sent > LIFT_LIMITS_AFTER_SECONDS
+
+    def seconds_until_lifted(self, now: float) -> float | None:
+        """Returns when limits may be lifted if control stays unreachable.
+
+        Returns None before the first announcement.
+        """
+        if self._last_sent is None:
+            return None
+        return max(0.0, self._last_sent + LIFT_LIMITS_AFTER_SECONDS - now)
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -1,25 +1,18 @@
 """Prepaid tokens of one request: reserved before it runs, billed after."""
 
 import asyncio
+import random
 import time
 
 from galenashed import budget
 from galenashed import control
 from galenashed.gateway import _request
+from galenashed.gateway import _token_retry
 from galenashed.gateway import _token_wait
 from galenashed.protocol import control as wire
 from galenashed.protocol import routes as routes_wire
 from galenashed import web
 
-# Retry-After of refusals: almost at once if only this entry cannot reach the
-# control service, since another entry can serve the request; otherwise long
-# enough for a recall to finish.
-RETRY_OTHER_ENTRY_SECONDS = 0.1
-RETRY_AFTER_SECONDS = 0.5
-# The same if instances hold the tokens that control does not hear: they come
-# back once such an instance has started again, or has been silent for long.
-RETRY_SILENT_SECONDS = 2.0
-
 
 class PrepaidReservation:
     """The tokens reserved for one request; billed or released exactly once.
@@ -81,10 +74,15 @@
     ----------
     budget_manager : BudgetManager
         Holds the token grants of this entry.
+    rng : random.Random
+        Spreads the times at which refused requests come back.
     """
 
-    def __init__(self, *, budget_manager: budget.BudgetManager):
+    def __init__(
+        self, *, budget_manager: budget.BudgetManager, rng: random.Random
+    ):
         self.budget_manager = budget_manager
+        self.rng = rng
         # Monotonic time of the last refusal for a temporary lack of tokens.
         self.last_refused_at = float("-inf")
 
@@ -118,39 +116,67 @@
                 )
         except TimeoutError:
             raise self._unavailable_error(
-                "tokens did not come in time", RETRY_AFTER_SECONDS
+                "tokens did not come in time",
+                _token_retry.until_granted(self._grant_seconds()),
             ) from None
         except control.ControlUnavailableError as exc:
             raise self._unavailable_error(
-                str(exc), RETRY_OTHER_ENTRY_SECONDS
+                str(exc), self._until_control_answers(team.name, needed)
             ) from None
         except budget.BudgetExhaustedError as exc:
-            remaining = exc.available + exc.held_elsewhere
-            if remaining - exc.held_by_silent >= needed:
-                raise self._unavailable_error(
-                    "other instances hold the tokens", RETRY_AFTER_SECONDS
-                ) from None
-            if remaining >= needed:
-                raise self._unavailable_error(
-                    "instances that are silent hold the tokens",
-                    RETRY_SILENT_SECONDS,
-                ) from None
-            raise _exhausted_error(team, needed, remaining) from None
+            raise self._shortage_error(team, exc) from None
         return PrepaidReservation(
             budget_manager=self.budget_manager,
             reservation=reservation,
             team=team.name,
         )
 
-    def _unavailable_error(
-        self, reason: str, retry_after: float
+    def _grant_seconds(self) -> float:
+        """Returns how long a grant that is requested now may take."""
+        return self.budget_manager.round_trips.seconds_until_tokens(
+            time.monotonic()
+        )
+
+    def _until_control_answers(self, team: str, needed: int) -> float:
+        """Returns when tokens are expected although control is silent."""
+        manager = self.budget_manager
+        if manager.control_reachable():
+            return _token_retry.until_granted(self._grant_seconds())
+        until_lifted = None
+        if manager.escrow.unspent(team) >= needed:
+            until_lifted = manager.announcer.seconds_until_lifted(
+                time.monotonic()
+            )
+        return _token_retry.until_usable_while_cut_off(until_lifted)
+
+    def _shortage_error(
+        self, team: routes_wire.RoutedTeam, exc: budget.BudgetExhaustedError
     ) -> web.ApiError:
+        """Returns the error of a request that too few tokens are free for."""
+        remaining = exc.available + exc.held_elsewhere
+        if remaining - exc.held_by_silent >= exc.needed:
+            return self._unavailable_error(
+                "other instances hold the tokens",
+                _token_retry.until_recalled(self._grant_seconds()),
+            )
+        if remaining >= exc.needed:
+            return self._unavailable_error(
+                "instances that are silent hold the tokens",
+                _token_retry.SILENT_SECONDS,
+            )
+        return _exhausted_error(team, exc.needed, remaining)
+
+    def _unavailable_error(self, reason: str, expected: float) -> web.ApiError:
+        """Returns the error of a request that has to come back later.
+
+        Tokens are expected in ``expected`` seconds.
+        """
         self.last_refused_at = time.monotonic()
         return web.ApiError(
             status=503,
             code="tokens_unavailable",
             message=f"tokens cannot be reserved now: {reason}",
-            retry_after=retry_after,
+            retry_after=_token_retry.spread(expected, self.rng),
         )
 
 
--- a/galenashed/gateway/tests/test_token_wait.py
+++ b/galenashed/gateway/tests/test_token_wait.py
@@ -51,7 +51,7 @@
 class TestTokenWait(testtools.TestCase):
     """First requests of a team at an entry that holds none of its tokens."""
 
-    async def run_request(self, fleet, *, objective, time_limit):
+    async def run_request(self, fleet, *, seed=1, objective, time_limit):
         """Returns the error, or None if tokens came, and the seconds."""
         manager = budget.BudgetManager(
             escrow=budget.Escrow(
@@ -64,7 +64,9 @@
         fixture = _fixture.Fixture(
             kind=routes.RouteKind.IDEMPOTENT, time_limit=time_limit
         )
-        reserver = gateway.PrepaidReserver(budget_manager=manager)
+        reserver = gateway.PrepaidReserver(
+            budget_manager=manager, rng=random.Random(seed)
+        )
         fixture.gateway.prepaid = reserver
         request = gateway.Request(
             id="r",
@@ -130,3 +132,24 @@
         )
         self.assertEqual("tokens_unavailable", error.code)
         self.assertLess(seconds, 0.5)
+
+    def test_refused_requests_come_back_at_different_times(self):
+        """Guards against callers who return at once and before the tokens."""
+
+        async def run():
+            fleet = FrozenControl(team=TEAM, tokens=1_000_000)
+            return await asyncio.gather(
+                *[
+                    self.run_request(
+                        fleet, seed=seed, objective=0.25, time_limit=1.1
+                    )
+                    for seed in range(40)
+                ]
+            )
+
+        results = asyncio.run(run())
+        times = sorted(error.retry_after for error, _ in results)
+        # The grant has not come for about half a second.
+        self.assertGreater(times[0], 0.4)
+        self.assertGreater(times[-1] - times[0], 0.3)
+        self.assertGreater(len({round(seconds, 2) for seconds in times}), 20)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -192,7 +192,7 @@
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=gateway.PrepaidReserver(
-                budget_manager=self.budget_manager
+                budget_manager=self.budget_manager, rng=rng
             ),
             pool=self._pool,
             codec=codec,
