Raise limits of new grants after a recall

Cause: a grant that is shrunk by a recall while a request uses it kept the limit that was sent before. raise_limits took the difference for a limit that is still to be acknowledged, up to all that the entry had announced, and so raised those of new grants by too little or not at all until the shrunk grant was closed, that is while a stream used it. Requests waited in vain: 'tokens did not come in time', at an entry that held granted tokens. Found by reading.

Ruled out: announcing more; nothing beyond the usual headroom is announced.

Change: Grant.shrink lowers the limit that was sent with the amount.

--- a/galenashed/budget/_account.py
+++ b/galenashed/budget/_account.py
@@ -91,6 +91,15 @@
         """Tokens that can be reserved once limits are raised to the amount."""
         return 0 if self.closing else self.amount - self.reserved - self.used
 
+    def shrink(self, kept: int) -> None:
+        """Gives up all but ``kept`` tokens and those in use.
+
+        A limit sent before that exceeds the new amount raises nothing any
+        more, and must not be taken for one that will.
+        """
+        self.amount = min(self.amount, self.in_use + kept)
+        self.sent_limit = min(self.sent_limit, self.amount)
+
 
 class Reservation:
     """Tokens reserved for one request from one or more grants."""
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -560,7 +560,7 @@
 
     def _shrink(self, grant: _account.Grant) -> wire.ShrinkGrant:
         """Shrinks a grant to its used and reserved tokens."""
-        grant.amount = grant.reserved + grant.used
+        grant.shrink(0)
         return wire.ShrinkGrant(
             grant=grant.id, holder=self.holder, amount=grant.amount
         )
