Share out what cold targets take without exceeding a hard bound

Every entry sends a target that has just started what a warm one would get, and it fails. A limit as TargetLimits shares it out does not do: both sides of a partition, or entries that have just started, would each use all of it.

Ruled out: leases from control (a message for each target, none without control), and letting the receiver of a heartbeat use the target (it may have no callers).

ColdLimits selects users by the hash of TargetLimits, which moved to _users. All users of one view send at most half of the bound; entries that hear too few others, or have just started, send nothing.

--- a/galenashed/routing/__init__.py
+++ b/galenashed/routing/__init__.py
@@ -13,6 +13,7 @@
 from galenashed.routing._balancers import RandomBalancer
 from galenashed.routing._balancers import RoundRobinBalancer
 from galenashed.routing._balancers import StrictAffinityBalancer
+from galenashed.routing._cold_limits import ColdLimits
 from galenashed.routing._group import TargetStats
 from galenashed.routing._queue import FairQueue
 from galenashed.routing._queue import QueueFullError
@@ -26,6 +27,7 @@
     "BALANCERS",
     "AffinityBalancer",
     "Balancer",
+    "ColdLimits",
     "FairQueue",
     "LeastLoadedBalancer",
     "QueueFullError",
--- a/galenashed/routing/_target_limits.py
+++ b/galenashed/routing/_target_limits.py
@@ -17,9 +17,8 @@
 import heapq
 import typing
 
-import xxhash
-
 from galenashed.protocol import gossip as wire
+from galenashed.routing import _users
 
 # A limit below this is raised to it, so that a target that has named 0 is
 # asked now and then whether it still does.
@@ -189,17 +188,12 @@
     ) -> list[str]:
         """Returns the entries that use a limit of ``rate`` a second."""
         if limit.candidates is None:
-            limit.candidates = heapq.nsmallest(
-                int(rate) + MAX_EXTRA_USERS,
-                self._senders,
-                key=lambda name: _hash(target, name),
+            limit.candidates = _users.find_candidates(
+                target, self._senders, int(rate) + MAX_EXTRA_USERS
             )
-        demand = 0.0
-        for count, name in enumerate(limit.candidates, start=1):
-            demand += self._senders[name]
-            if demand >= DEMAND_FACTOR * rate:
-                return limit.candidates[:count]
-        return limit.candidates
+        return _users.select(
+            limit.candidates, self._senders, DEMAND_FACTOR * rate
+        )
 
     @property
     def sender_count(self) -> int:
@@ -217,8 +211,10 @@
         part, rest = divmod(total, len(self._senders))
         if not rest:
             return part
-        own = _hash(target, self.name)
-        before = sum(_hash(target, name) < own for name in self._senders)
+        own = _users.order(target, self.name)
+        before = sum(
+            _users.order(target, name) < own for name in self._senders
+        )
         return part + (before < rest)
 
     # Requests
@@ -290,8 +286,3 @@
                 observed_at=observed_at,
                 now=now,
             )
-
-
-def _hash(target: str, name: str) -> int:
-    """Orders the entries that may use a target, differently for each."""
-    return xxhash.xxh64_intdigest(f"{target}#{name}".encode())
