Treat targets that say they are cold as limited, and warm them up

Requests were spread over a target that had just started as over any other.

Ruled out: a condition in the comparison of placement (a preference bounds nothing), and a remaining time in gossip (it changes with every heartbeat).

Heartbeats carry coldLeftMs and gossip Target.cold_until, which is part of an announcement's identity only while a target is cold, so that a change reaches all entries and warm targets have the identity that older builds give them. Targets excludes cold targets at their limit; a share that is free goes to the next request. Targets whose address refused a connection, and those of a domain whose evacuation has ended (set_presumed_cold), count as cold. Negative values are refused where the configuration is read and not in find_errors, which replicas of older builds apply too.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -150,11 +150,7 @@
         ):
             return False
         self.route_index = _table.RouteIndex(table=table)
-        self.targets.memory = {
-            service.name: service.engine.memory
-            for service in table.services
-            if service.engine is not None
-        }
+        self.targets.apply_services(table.services)
         return True
 
     def admit(
@@ -490,7 +486,10 @@
             context.service, other_versions, now
         )
         if wait is not None:
-            context.last_error = "the targets take no requests for a time"
+            context.last_error = (
+                self.targets.cold.explain_refusal(context.service, wait, now)
+                or "the targets take no requests for a time"
+            )
             # Spreads the callers that come back.
             context.retry_after = max(
                 MIN_RETRY_AFTER_SECONDS, wait * (1.0 + self.rng.random())
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -4,10 +4,13 @@
 
 import msgspec
 
+from galenashed.gateway import _cold
 from galenashed.gateway import _placement
 from galenashed.gateway import _prompts
 from galenashed.gateway import _request
+from galenashed.gateway import _warmth
 from galenashed.protocol import gossip as wire
+from galenashed.protocol import routes as routes_wire
 from galenashed.protocol import streams
 from galenashed import routing
 
@@ -134,6 +137,9 @@
     def __init__(self, *, domain: str, limits: routing.TargetLimits):
         self.domain = domain
         self.limits = limits
+        self.cold = _cold.ColdTargets(
+            limits=routing.ColdLimits(name=limits.name)
+        )
         self._known: dict[str, TargetState] = {}
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.HashRing] = {}
@@ -149,8 +155,36 @@
         # Tokens that an engine of a service holds, where that is known.
         self.memory: dict[str, int] = {}
 
+    def apply_services(
+        self, services: typing.Iterable[routes_wire.RoutedService]
+    ) -> None:
+        """Applies what a routing table says of the targets of services."""
+        services = list(services)
+        self.memory = {
+            service.name: service.engine.memory
+            for service in services
+            if service.engine is not None
+        }
+        self.cold.apply_services(services)
+
+    def set_presumed_cold(self, domain: str, now: float) -> None:
+        """Has the targets of a failure domain count as cold.
+
+        For use at the end of its evacuation.  They do for the time for which
+        they are cold after a start, unless a later heartbeat says otherwise.
+        """
+        self.cold.presume(
+            (
+                target
+                for target in self._known.values()
+                if target.announced.failure_domain == domain
+            ),
+            now,
+        )
+
     def update(self, announced: wire.Target) -> None:
         """Applies a newer announcement, which also marks the target alive."""
+        self.cold.on_announced(announced)
         if announced.name not in self._alive:
             self._alive |= {announced.name}
             self._rings.clear()
@@ -214,6 +248,7 @@
         """
         target.seen_down_at = now
         target.seen_down_sequence = target.announced.sequence
+        self.cold.on_refused(target, now)
 
     def _check_reported_since_down(
         self, target: TargetState, now: float
@@ -385,7 +420,7 @@
         ``tokens`` are those that the request may take.
         """
         ring = self._ring_for(service, now)
-        barred = self._barred(ring, now)
+        barred = self._barred(service, ring, now)
         if self.is_brittle(service, now):
             barred += [
                 target
@@ -394,16 +429,22 @@
             ]
         if barred:
             excluded = {*excluded, *(target.name for target in barred)}
-        return _placement.choose(ring, prompt, excluded, rng)
+        cold = self.cold.cold(service, now)
+        return _warmth.choose(ring, prompt, excluded, rng, cold)
 
     def _barred(
-        self, ring: _placement.HashRing[TargetState], now: float
+        self,
+        service: str,
+        ring: _placement.HashRing[TargetState],
+        now: float,
     ) -> list[TargetState]:
         """Returns the targets that take no more requests of this entry now.
 
-        These are at the limits that they named, or have asked for a pause.
+        These are at the limits that they named or that cold ones have, or
+        have asked for a pause.
         """
         exhausted = self.limits.exhausted(now)
+        exhausted.update(self.cold.exhausted(service, now))
         return [
             target
             for target in ring.candidates
@@ -423,8 +464,11 @@
                 max(
                     target.paused_until - now,
                     self.limits.wait_seconds(target.incarnation_name, now),
+                    self.cold.wait_seconds(target.incarnation_name, now),
+                )
+                for target in self._barred(
+                    service, self._ring_for(service, now), now
                 )
-                for target in self._barred(self._ring_for(service, now), now)
                 if target.name not in excluded
             ),
             default=None,
@@ -515,6 +559,7 @@
         """Records a request that is being sent."""
         target.in_flight_tokens += tokens
         self.limits.on_send(target.incarnation_name, now)
+        self.cold.on_send(target.incarnation_name, now)
         target.in_flight += 1
         target.sent_since_report += 1
         target.pending_prompts.begin(request, target.uncached_tokens(prompt))
--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from galenashed.gossip import _cold
 from galenashed.gossip import _compact_rounds
 from galenashed.gossip import _full_rounds
 from galenashed.gossip import _identities
@@ -143,6 +144,9 @@
 
     def announce(self, target: wire.Target, now: float) -> None:
         """Merges an announcement received from the target itself."""
+        known = self.targets.get(target.name)
+        if isinstance(known, wire.Target):
+            target = _cold.keep_cold_until(target, known)
         self._merge_target(target, now, from_announcer=True, local=True)
 
     def receive(
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -90,6 +90,18 @@
     return [entry.relay_address for entry in usable]
 
 
+def longest_silence(
+    directory: membership.Directory, addresses: list[str], now: float
+) -> float:
+    """Returns the seconds since the least recently heard was heard."""
+    ages = [
+        directory.age(entry.name, now)
+        for entry in directory.all()
+        if entry.address in addresses
+    ]
+    return round(max(ages, default=0.0), 1)
+
+
 class NamedEntries:
     """Chooses the entries that callers of each failure domain use.
 
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -80,8 +80,6 @@
 # A node that has just started knows too few other entries to answer discovery
 # requests.
 DISCOVERY_WARMUP_SECONDS = 2.0
-# Entries that are asked whether they reach a target, enough to find one on the
-# other side if most entries of a failure domain are cut off from targets.
 # Part of the shutdown timeout that is reserved for returning grants.
 GRANT_RETURN_TIMEOUT_SECONDS = 0.5
 
@@ -209,6 +207,7 @@
         )
         self._make_peer_services()
         self.gateway.on_leaving = self._on_target_leaving
+        self.targets.cold.attach(log, metrics)
         self.paths.on_change = self._gossiper.trigger_round
 
     def _make_stream_records(self) -> None:
@@ -693,19 +692,12 @@
                 domain=domain,
                 entries=sorted(selected),
                 cut_off=self.is_cut_off,
-                silent=self._longest_silence(selected, now),
+                silent=_entries.longest_silence(
+                    self.instance_directory, selected, now
+                ),
             )
         return selected
 
-    def _longest_silence(self, addresses: list[str], now: float) -> float:
-        """Returns the seconds since the least recently heard was heard."""
-        ages = [
-            self.instance_directory.age(entry.name, now)
-            for entry in self.instance_directory.all()
-            if entry.address in addresses
-        ]
-        return round(max(ages, default=0.0), 1)
-
     def _choose_entries(self, domain: str, region: str) -> list[str]:
         if self._is_warming_up:
             return []
@@ -853,13 +845,16 @@
             )
             self.paths.check_silence(self.gateway.waiting_since(), now)
             alive = self.instance_directory.alive(now)
-            self.target_limits.set_senders(
-                _entries.serving([*alive, self.describe()]), now
-            )
-            node_count = max(1, len(alive))
-            self.gateway.retries.max_saved = max(
-                MIN_SAVED_RETRIES, self.cfg.retry_burst / node_count
+            everyone = self._known_alive(now)
+            self.target_limits.set_senders(_entries.serving(everyone), now)
+            self.targets.cold.set_entries(
+                everyone,
+                in_contact=not self.is_cut_off,
+                now=now,
+                unix_now=time.time(),
             )
+            burst = self.cfg.retry_burst / max(1, len(alive))
+            self.gateway.retries.max_saved = max(MIN_SAVED_RETRIES, burst)
             self._check_control_contact()
             self._update_named(now)
             self._log_budget_totals(now)
--- a/galenashed/platform/_announcements.py
+++ b/galenashed/platform/_announcements.py
@@ -1,5 +1,8 @@
 """Heartbeats and deregistrations of targets, decoded."""
 
+import math
+import time
+
 import msgspec
 
 from galenashed.platform import _headers
@@ -7,6 +10,8 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_ID_LENGTH = 200
+# A longer time for which a target says that it is cold is not believed.
+MAX_COLD_SECONDS = 3600.0
 
 # Maps the platform's states of a target to those of the protocol.
 TARGET_STATES = {"ready": "ready", "draining": "leaving"}
@@ -18,6 +23,7 @@
     ``seq`` counts the reports since the target's process was started,
     ``born`` is the Unix time of that start in milliseconds.  ``version`` is
     that of the target's software, not of the weights of its models.
+    ``coldLeftMs`` is the time in milliseconds for which it is still cold.
     """
 
     service: str
@@ -28,6 +34,7 @@
     born: int = 0
     slots: int = 0
     version: str = ""
+    cold_left_ms: float | None = msgspec.field(name="coldLeftMs", default=None)
 
 
 class Deregistration(msgspec.Struct, frozen=True):
@@ -44,10 +51,13 @@
 _DEREGISTRATION_DECODER = msgspec.json.Decoder(Deregistration)
 
 
-def decode_heartbeat(target_id: str, body: bytes) -> wire.Target:
+def decode_heartbeat(
+    target_id: str, body: bytes, *, received_at: float | None = None
+) -> wire.Target:
     """Returns a target's announcement.
 
-    Raises AnnouncementError if the heartbeat is invalid.
+    ``received_at`` is the Unix time of its receipt, None for now.  Raises
+    AnnouncementError if the heartbeat is invalid.
     """
     if not 0 < len(target_id) <= MAX_ID_LENGTH:
         raise AnnouncementError("id must have 1 to 200 characters")
@@ -77,9 +87,23 @@
         state=state,
         slots=heartbeat.slots,
         version=heartbeat.version,
+        cold_until=_find_cold_end(
+            heartbeat.cold_left_ms,
+            time.time() if received_at is None else received_at,
+        ),
     )
 
 
+def _find_cold_end(left_ms: float | None, received_at: float) -> int | None:
+    """Returns when a target ceases to be cold; 0 if it isn't cold now."""
+    if left_ms is None:
+        return None
+    if left_ms <= 0:
+        return 0
+    left = min(MAX_COLD_SECONDS, left_ms / MILLISECONDS_PER_SECOND)
+    return math.ceil(received_at + left)
+
+
 def decode_deregistration(body: bytes) -> float | None:
     """Returns the Unix time of the target's start, None if not given.
 
--- a/galenashed/platform/_configuration.py
+++ b/galenashed/platform/_configuration.py
@@ -21,7 +21,8 @@
     """A route from a host and a path prefix to services.
 
     ``service`` is short for a ``split`` with a single service.  ``anonymous``
-    routes require no API key.
+    routes require no API key.  ``homeRegions`` are the only regions whose
+    targets run its requests, any if empty.
     """
 
     name: str
@@ -37,6 +38,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_gap_ms: float = 0.0
+    home_regions: list[str] = []
 
 
 class Engine(msgspec.Struct, frozen=True, rename="camel"):
@@ -55,13 +57,16 @@
     """A service that runs on one or more targets.
 
     ``max_conns`` limits the connections to each target, from all callers
-    together.
+    together.  A target is cold for ``coldS`` seconds after its start, and
+    then sustains ``coldPerS`` requests a second.
     """
 
     name: str
     health_path: str = "/"
     max_conns: int = 0
     engine: Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -74,12 +79,16 @@
 
 
 class Tenant(msgspec.Struct, frozen=True, rename="camel"):
-    """A team; ``prepaid`` is the total of tokens that it may use."""
+    """A team; ``prepaid`` is the total of tokens that it may use.
+
+    ``homeRegions`` are as those of a route; both apply.
+    """
 
     name: str
     api_keys: list[str] = []
     priority: int | None = None
     prepaid: int | None = None
+    home_regions: list[str] = []
 
 
 class Configuration(msgspec.Struct, frozen=True, rename="camel"):
@@ -121,14 +130,25 @@
         cfg = _CONFIGURATION_DECODER.decode(document)
     except (msgspec.DecodeError, ValueError) as exc:
         raise ConfigurationError([f"configuration: {exc}"]) from None
-    unknown = [
+    errors = [
         f"route {route.name!r}: kind {route.route_kind!r}; allowed:"
         f" {', '.join(ROUTE_KINDS)}"
         for route in cfg.routes
         if route.route_kind not in ROUTE_KINDS
     ]
-    if unknown:
-        raise ConfigurationError(unknown)
+    # Not in ``find_errors``: replicas apply it, and those of older builds
+    # would accept what this one refuses.
+    errors += [
+        f"service {service.name!r}: {name} {value}; allowed: 0 and more"
+        for service in cfg.services
+        for name, value in (
+            ("coldS", service.cold_s),
+            ("coldPerS", service.cold_per_s),
+        )
+        if value < 0
+    ]
+    if errors:
+        raise ConfigurationError(errors)
     table = wire.RoutingTable(
         version=cfg.version,
         routes=[_convert_route(route) for route in cfg.routes],
@@ -162,6 +182,7 @@
         max_targets=max(1, route.max_attempts),
         keyless=route.anonymous,
         resumable=route.resumable,
+        home_regions=route.home_regions,
     )
 
 
@@ -178,6 +199,8 @@
             memory=engine.kv_capacity,
             tokens_per_event=max(1, engine.stride),
         ),
+        cold_seconds=service.cold_s,
+        cold_rate=service.cold_per_s,
     )
 
 
@@ -196,4 +219,5 @@
         key_hashes=[gateway.hash_key(key) for key in tenant.api_keys],
         priority=tenant.priority,
         prepaid=tenant.prepaid,
+        home_regions=tenant.home_regions,
     )
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -19,6 +19,8 @@
     that run at once, 0 if unknown.  ``resumes`` tells whether the target can
     continue a stream that another target of the same ``version`` began;
     ``version`` is that of its software, empty if it names none.
+    ``cold_until`` is the Unix time in seconds until which the target is cold,
+    0 if it says that it is warm, None if it says nothing.
     """
 
     name: str
@@ -34,6 +36,7 @@
     load: Load = Load()
     slots: int = 0
     version: str = ""
+    cold_until: int | None = None
 
 
 class Instance(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/protocol/heartbeats.py
+++ b/galenashed/protocol/heartbeats.py
@@ -94,7 +94,13 @@
 
 
 def identify_target(target: gossip.Target) -> int:
-    """Returns the identity of a target's announcement; see above."""
+    """Returns the identity of a target's announcement; see above.
+
+    The end of a cold period belongs to it only while there is one, so that
+    the announcement of a warm target has the identity that versions without
+    such ends give it.
+    """
+    cold = (target.cold_until,) if target.cold_until else ()
     return _hash(
         target.name,
         target.incarnation,
@@ -107,6 +113,7 @@
         target.resumes,
         target.slots,
         target.version,
+        *cold,
     )
 
 
--- a/galenashed/protocol/routes.py
+++ b/galenashed/protocol/routes.py
@@ -32,7 +32,8 @@
     ``max_pause`` the longest pause allowed between two events.  A request
     is run by at most ``max_targets`` targets.  Requests with a lower
     ``priority`` are served first.  A ``keyless`` route needs no API key.  A
-    ``resumable`` stream may continue at another target.
+    ``resumable`` stream may continue at another target.  If there are
+    ``home_regions``, only targets there run its requests.
     """
 
     name: str
@@ -47,6 +48,7 @@
     max_targets: int = 1
     keyless: bool = False
     resumable: bool = False
+    home_regions: list[str] = []
 
     @property
     def repeatable(self) -> bool:
@@ -70,12 +72,19 @@
 
 
 class RoutedService(msgspec.Struct, frozen=True, kw_only=True):
-    """A group of equivalent targets; ``engine`` is set for model engines."""
+    """A group of equivalent targets; ``engine`` is set for model engines.
+
+    A target is cold for ``cold_seconds`` after its start.  It then takes
+    ``cold_rate`` requests a second from all entries together.  If one of both
+    is 0, targets are never cold.
+    """
 
     name: str
     health_path: str = "/"
     max_connections: int = 0
     engine: Engine | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,12 +101,14 @@
 
     ``priority`` takes precedence over that of the route.  ``prepaid`` is the
     total number of tokens that the team may use, None if there is no limit.
+    ``home_regions`` are as those of a route; both apply.
     """
 
     name: str
     key_hashes: list[str]
     priority: int | None = None
     prepaid: int | None = None
+    home_regions: list[str] = []
 
 
 class RoutingTable(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/routing/_cold_limits.py
+++ b/galenashed/routing/_cold_limits.py
@@ -45,6 +45,8 @@
 MEMORY_SECONDS = 20.0
 # Age from which knowledge of the other entries is not used.
 VIEW_SECONDS = 1.0
+# Time after which callers may find a share of an entry that uses the target.
+OTHER_ENTRY_SECONDS = 0.5
 SERVING_STATES = ("serving", "cut-off")
 
 
@@ -230,14 +232,14 @@
     def wait_seconds(self, target: str, rate: float, now: float) -> float:
         """Returns the time until a cold target takes another request.
 
-        If this entry is no user of it, that is the mean time between the
-        requests of those that are.
+        If this entry is no user of it, that is the time after which another
+        one is worth trying.
         """
         share = self._share(target, rate, now)
         if share.part:
             return max(0.0, (1.0 - share.tokens) / share.part)
         if self._settled:
-            return 1.0 / rate if self._may_use(now) else VIEW_SECONDS
+            return max(1.0 / rate, OTHER_ENTRY_SECONDS)
         since = now if self._contact_since is None else self._contact_since
         return max(1.0 / rate, since + SETTLE_SECONDS - now)
 
