--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -157,6 +157,28 @@
         self.assertEqual(500, table.teams[0].prepaid)
         self.assertNotIn("k1", repr(table))
 
+    def test_cold_targets_and_home_regions(self):
+        (route,) = self.read().routes
+        self.assertEqual([], route.home_regions)
+        table = self.read(
+            routes=[{**ROUTE, "homeRegions": ["north"]}],
+            services=[
+                {"name": "s1", "coldS": 3.0, "coldPerS": 12},
+                {"name": "s2"},
+            ],
+            tenants=[{"name": "a", "homeRegions": ["south"]}],
+        )
+        self.assertEqual(["north"], table.routes[0].home_regions)
+        self.assertEqual(["south"], table.teams[0].home_regions)
+        self.assertEqual(
+            [(3.0, 12.0), (0.0, 0.0)],
+            [(s.cold_seconds, s.cold_rate) for s in table.services],
+        )
+        for name in ("coldS", "coldPerS"):
+            services = [{"name": "s1", name: -1}, {"name": "s2"}]
+            (finding,) = self.read_invalid(services=services)
+            self.assertIn(f"{name} -1.0", finding)
+
     def test_single_service_instead_of_split(self):
         route = {**ROUTE, "service": "s2"}
         del route["split"]
@@ -212,6 +234,25 @@
         )
         self.assertEqual("leaving", self.read(state="draining").state)
 
+    def test_end_of_a_cold_period_is_rounded_up(self):
+        for left, end in (
+            (..., None),
+            (None, None),
+            (0, 0),
+            (-5, 0),
+            (1, 101),
+            (1900, 102),
+            (2000.5, 103),
+            (1e300, 3700),
+        ):
+            fields = {**HEARTBEAT, "coldLeftMs": left}
+            if left is ...:
+                del fields["coldLeftMs"]
+            target = _announcements.decode_heartbeat(
+                "i-1", json.dumps(fields).encode(), received_at=100.0
+            )
+            self.assertEqual(end, target.cold_until)
+
     def test_heartbeat_with_an_odd_address(self):
         for odd in ODD_NUMBERS:
             for address in (f"{odd}.0.0.1:80", f"10.0.0.1:{odd}"):
@@ -233,6 +274,7 @@
             {"address": 5},
             {"service": ...},
             {"slots": "many"},
+            {"coldLeftMs": "long"},
         ):
             self.assertRaises(
                 _announcements.AnnouncementError, self.read, **changes
