Order the entries of a cold target once, not whenever loads change

With 370 entries and 86 cold targets, selecting the users anew 4 times a second took 32 ms each time, as the entries with enough load change all the time. A cache of the hashes by pair was tried before and is removed.

--- a/galenashed/routing/_cold_limits.py
+++ b/galenashed/routing/_cold_limits.py
@@ -24,6 +24,7 @@
 - No user saves up requests: one that has been idle may send a single one.
 """
 
+import itertools
 import typing
 
 from galenashed.routing import _users
@@ -72,11 +73,12 @@
 class _Share:
     """This entry's part of a cold target's rate."""
 
-    __slots__ = ("candidates", "part", "rate", "refilled_at", "tokens", "view")
+    __slots__ = ("order", "part", "rate", "refilled_at", "tokens", "view")
 
     def __init__(self, *, rate: float, now: float):
         self.rate = rate
-        self.candidates: list[str] = []
+        # All entries by the hash: which of them may be users changes often.
+        self.order: list[str] = []
         self.part = 0.0
         self.tokens = 0.0
         self.refilled_at = now
@@ -118,13 +120,14 @@
     def __init__(self, *, name: str):
         self.name = name
         self._shares: dict[str, _Share] = {}
-        # Requests a second of the entries that may be users, by name.
-        self._rates: dict[str, float] = {}
-        # When each entry was last alive.
+        # Entries that may be users.
+        self._users: set[str] = set()
+        # When each entry was last alive, and the view since which these are
+        # the same entries.
         self._heard_at: dict[str, float] = {}
+        self._heard_view = 0
         self._hears_most = False
         self._view = 0
-        self._names_view = 0
         self._updated_at = float("-inf")
         self._contact_since: float | None = None
         self._settled = False
@@ -141,6 +144,7 @@
         ``in_contact`` tells whether this entry has contact with control.
         """
         known = list(entries)
+        before = set(self._heard_at)
         for entry in known:
             if entry.state == "draining":
                 # It stops as planned, so it isn't missed.
@@ -152,9 +156,11 @@
                 del self._heard_at[name]
         heard = sum(at == now for at in self._heard_at.values())
         self._hears_most = heard > len(self._heard_at) / 2
-        self._set_rates(known)
+        self._set_users(known)
         self._updated_at = now
         self._view += 1
+        if self._heard_at.keys() != before:
+            self._heard_view = self._view
         if not self._settled:
             if not in_contact:
                 self._contact_since = None
@@ -163,21 +169,18 @@
             elif now - self._contact_since >= SETTLE_SECONDS:
                 self._settled = True
 
-    def _set_rates(self, entries: list[Entry]) -> None:
+    def _set_users(self, entries: list[Entry]) -> None:
         usable = [
             entry
             for entry in entries
             if entry.state in SERVING_STATES and not entry.isolated
         ]
         most = max((entry.request_rate for entry in usable), default=0.0)
-        rates = {
-            entry.name: entry.request_rate
+        self._users = {
+            entry.name
             for entry in usable
             if entry.request_rate >= MIN_LOAD_SHARE * most
         }
-        if rates.keys() != self._rates.keys():
-            self._names_view = self._view + 1
-        self._rates = rates
 
     def _may_use(self, now: float) -> bool:
         return (
@@ -205,11 +208,12 @@
         """Returns the requests a second that this entry may send."""
         set_rate = (OVERAGE * rate + SLACK) / MAX_SETS
         count = max(1, int(set_rate / SET_RATE_PER_USER))
-        if share.view < self._names_view or share.rate != rate:
-            share.candidates = _users.find_candidates(
-                target, self._rates, count
+        if share.view < self._heard_view:
+            share.order = sorted(
+                self._heard_at, key=lambda name: _users.order(target, name)
             )
-        if self.name not in share.candidates:
+        users = (name for name in share.order if name in self._users)
+        if self.name not in itertools.islice(users, count):
             return 0.0
         # The same for users that take different entries for the others.
         count = min(count, len(self._heard_at))
--- a/galenashed/routing/_users.py
+++ b/galenashed/routing/_users.py
@@ -5,18 +5,12 @@
 select nearly the same users.
 """
 
-import functools
 import heapq
 import typing
 
 import xxhash
 
-# Pairs of a target and an entry whose order is kept: the entries that may use
-# a target change several times a second, and most of them stay.
-MAX_CACHED_PAIRS = 1 << 16
 
-
-@functools.lru_cache(maxsize=MAX_CACHED_PAIRS)
 def order(target: str, name: str) -> int:
     """Orders the entries that may use a target, differently for each."""
     return xxhash.xxh64_intdigest(f"{target}#{name}".encode())
