Evacuate failure domains by a replicated order

Cause: a failure domain could not be taken out of use; its targets got requests until each had left or failed by itself.

Ruled out: a new replicated command, which builds from before it can't decode; sending orders as ordinary proposals, which a leader of an old build would acknowledge as a no-op (they have an RPC method of their own, which it rejects); adding the new announcement field to gossip identities, on which builds side by side must agree (instances announce gossip version 2, which old builds keep).

Change: Barrier carries an optional evacuation order; control keeps the evacuated domains with an audit record for each change, answers a query for them and sends them to entries with the feed. An instance proposes an order only while all known live instances and all remembered replicas understand it. The gateway and the product's entries leave evacuated targets out of the choice, also where too few are usable, and check the domain again once a connection is open. Queued requests of the product's entries without another target are refused at once.

Changed tests: the fake slots of entry/tests/test_broken_calls.py and test_endless_responses.py get the method check_domain; nothing is eased.

Full suite not run.

--- a/galenashed/cli/_operator.py
+++ b/galenashed/cli/_operator.py
@@ -1,7 +1,6 @@
 """Operator commands that publish release notes and show the state."""
 
 import asyncio
-import datetime
 import pathlib
 import time
 
@@ -279,7 +278,7 @@
         rows = [
             [
                 str(record.index),
-                _format_time(record.at),
+                _output.format_time(record.at),
                 record.actor,
                 record.action,
                 record.subject,
@@ -305,11 +304,6 @@
     return _clients.run_with_client(config_path, show)
 
 
-def _format_time(timestamp: float) -> str:
-    date = datetime.datetime.fromtimestamp(timestamp, datetime.UTC)
-    return date.isoformat(timespec="seconds")
-
-
 def show_status(config_path: _clients.ConfigPath, json: bool = False) -> int:
     """Shows the status of the control replicas and their entries.
 
--- a/galenashed/cli/_output.py
+++ b/galenashed/cli/_output.py
@@ -1,5 +1,6 @@
 """Exit codes, error messages and output as JSON or as a table."""
 
+import datetime
 import sys
 
 import expression
@@ -36,6 +37,12 @@
             raise SystemExit(EXIT_BAD_INPUT)
 
 
+def format_time(timestamp: float) -> str:
+    """Returns a time since the epoch in ISO 8601, UTC, to the second."""
+    date = datetime.datetime.fromtimestamp(timestamp, datetime.UTC)
+    return date.isoformat(timespec="seconds")
+
+
 def print_json(value) -> None:
     """Prints a value as indented JSON, for scripts."""
     encoded = msgspec.json.encode(value)
--- a/galenashed/cli/main.py
+++ b/galenashed/cli/main.py
@@ -11,6 +11,7 @@
 
 import galenashed
 from galenashed.cli import _emulate
+from galenashed.cli import _evacuations
 from galenashed.cli import _operator
 from galenashed.cli import _output
 from galenashed.cli import _quickstart
@@ -42,6 +43,7 @@
 APP.command(_operator.NOTE)
 APP.command(_operator.BUDGET)
 APP.command(_replicas.REPLICA)
+APP.command(_evacuations.EVACUATION)
 APP.command(_operator.show_audit, name="audit")
 APP.command(_operator.show_status, name="status")
 APP.command(_standins.STANDIN)
--- a/galenashed/clients/_client.py
+++ b/galenashed/clients/_client.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextvars
 import socket
 import time
 import typing
@@ -27,6 +28,12 @@
 MAX_PROBE_ATTEMPTS = 5
 MAX_IDLE_PER_TARGET = 64
 
+# What is called before the request of the current task is sent.  aiohttp has
+# no argument for it, but connects in the task of the request.
+_BEFORE_SENDING: contextvars.ContextVar[typing.Callable[[], None]] = (
+    contextvars.ContextVar("before sending")
+)
+
 
 async def _prevent_retries(
     req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
@@ -142,6 +149,15 @@
             conn.close()
         return None
 
+    async def connect(self, req, traces, timeout):
+        conn = await super().connect(req, traces, timeout)
+        try:
+            _BEFORE_SENDING.get()()
+        except BaseException:
+            conn.close()
+            raise
+        return conn
+
 
 class TargetClient:
     """Sends requests to targets by their address.
@@ -199,12 +215,16 @@
         headers,
         body: bytes,
         reuse_connection: bool,
+        before_sending: typing.Callable[[], None] = lambda: None,
     ) -> aiohttp.ClientResponse:
         """Sends a request and returns when the response head has arrived.
 
         Raises NotSentError or TargetLostError.  A request without
         ``reuse_connection`` is sent on a new connection that is not reused.
+        ``before_sending`` is called once a connection is open, and may raise
+        NotSentError.
         """
+        _BEFORE_SENDING.set(before_sending)
         session = self._pooled if reuse_connection else self._unpooled
         url = f"http://{address}{path}"
         try:
--- a/galenashed/control/__init__.py
+++ b/galenashed/control/__init__.py
@@ -11,6 +11,7 @@
 from galenashed.control._client import ControlClient
 from galenashed.control._client import ControlUnavailableError
 from galenashed.control._client import FeedClient
+from galenashed.control._evacuations import find_old_build
 from galenashed.control._notes import compute_digest
 from galenashed.control._notes import merge as merge_release
 from galenashed.control._replicas import make_members
@@ -27,6 +28,7 @@
     "UnannouncedGrant",
     "VersionRecords",
     "compute_digest",
+    "find_old_build",
     "make_members",
     "merge_release",
 ]
--- a/galenashed/control/_client.py
+++ b/galenashed/control/_client.py
@@ -19,6 +19,9 @@
 RETRY_SECONDS = 0.05
 # Time after which another replica is asked for its feed as well.
 HEDGE_SECONDS = 0.3
+# An order is repeated, maybe at another replica, if it is not committed by
+# then: operators repeat their call for 5 s only.
+EVACUATION_CALL_TIMEOUT_SECONDS = 0.8
 MAX_BATCH_COMMANDS = 512
 MAX_BATCHES_IN_FLIGHT = 4
 
@@ -157,12 +160,31 @@
             methods.REPLICAS, command, timeout
         )
 
+    async def order_evacuation(
+        self, order: wire.EvacuationOrder, *, timeout: float
+    ) -> wire.Reply:
+        """Orders or ends an evacuation, retrying until an answer arrives.
+
+        A replica of a build that does not know evacuations rejects the call.
+        """
+        return await self._send_operator_command(
+            methods.EVACUATE,
+            order,
+            timeout,
+            call_timeout=EVACUATION_CALL_TIMEOUT_SECONDS,
+        )
+
     async def _send_operator_command(
-        self, method, command, timeout: float
+        self,
+        method,
+        command,
+        timeout: float,
+        *,
+        call_timeout: float = CALL_TIMEOUT_SECONDS,
     ) -> wire.Reply:
         async def attempt(name: str) -> wire.Outcome:
             return await self.channel(name).call(
-                method, command, timeout=CALL_TIMEOUT_SECONDS
+                method, command, timeout=call_timeout
             )
 
         outcome = await self._wait_with_timeout(
--- a/galenashed/control/_feed.py
+++ b/galenashed/control/_feed.py
@@ -16,6 +16,7 @@
 
     __slots__ = (
         "connected",
+        "evacuations",
         "index",
         "last_seen",
         "quarantine_due",
@@ -31,6 +32,8 @@
         self.report = report
         self.index = report.index
         self.routes_version = report.routes_version
+        # Log index of the evacuated domains that the entry has.
+        self.evacuations = report.evacuations or 0
         self.last_seen = time.monotonic()
         self.connected = True
         self.recalls: set[str] = set()
@@ -92,6 +95,11 @@
             stream.quarantine_due = True
             stream.wake.set()
 
+    def on_evacuations(self) -> None:
+        """Wakes every stream, so that it sends the evacuated domains."""
+        for stream in self._streams.values():
+            stream.wake.set()
+
     # Streams to entries
 
     async def serve(self, requests, context):
@@ -148,6 +156,10 @@
         if self.state_machine.state.routes.version > stream.routes_version:
             routes = self.state_machine.state.routes
             stream.routes_version = routes.version
+        evacuations = None
+        if self.state_machine.state.evacuations_index > stream.evacuations:
+            evacuations = self.state_machine.evacuated_domains()
+            stream.evacuations = evacuations.index
         suspects = None
         if stream.suspects_due:
             stream.suspects_due = False
@@ -166,6 +178,7 @@
             quarantine=quarantine,
             replicas=replicas,
             routes=routes,
+            evacuations=evacuations,
         )
 
     @property
@@ -191,6 +204,7 @@
                 suspects=stream.report.suspects,
                 seen_ago=now - stream.last_seen,
                 connected=stream.connected,
+                understands_evacuations=stream.report.evacuations is not None,
             )
             for stream in self._streams.values()
         ]
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from galenashed import consensus
+from galenashed.control import _evacuations
 from galenashed.control import _feed
 from galenashed.control import _links
 from galenashed.control import _notes
@@ -106,6 +107,7 @@
                 (methods.PROPOSE, self._propose),
                 (methods.PUBLISH, self._publish),
                 (methods.REPLICAS, self._change_replicas),
+                (methods.EVACUATE, self._evacuate),
                 (methods.FOLLOW, self._feed.serve),
                 (methods.QUERY, self._query),
                 (methods.STATUS, self._status),
@@ -198,6 +200,12 @@
     async def _change_replicas(self, command, context) -> wire.Outcome:
         return await self._apply_membership_change(command)
 
+    async def _evacuate(self, order, context) -> wire.Outcome:
+        error = _evacuations.find_error(order)
+        if error is not None:
+            return wire.Outcome(reply=wire.Refused(findings=[error]))
+        return await self._commit(wire.Barrier(evacuation=order))
+
     async def change_replicas(
         self, command: wire.ChangeReplicas
     ) -> wire.Reply | None:
@@ -292,4 +300,5 @@
             disk_bytes=self.storage.size(),
             members=self._member_statuses(),
             followers=self._feed.statuses(),
+            understands_evacuations=True,
         )
--- a/galenashed/control/_state.py
+++ b/galenashed/control/_state.py
@@ -139,6 +139,14 @@
     index: int
 
 
+class EvacuationRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The order by which a failure domain is evacuated."""
+
+    index: int
+    at: float
+    actor: str
+
+
 class ControlState(msgspec.Struct, kw_only=True):
     """The complete replicated state.
 
@@ -148,6 +156,8 @@
     index of the last change of ``crashes``, ``quarantine_index`` that of the
     last change of ``suspects``.  ``retired_replicas`` lists the
     names of removed replicas, which can't be used again.
+    ``evacuations`` holds the evacuated failure domains, and
+    ``evacuations_index`` is the log index of their last change.
     """
 
     now: float = 0.0
@@ -170,3 +180,5 @@
     routes: routes_wire.RoutingTable = routes_wire.RoutingTable()
     routes_source: bytes = b""
     audit: list[wire.AuditRecord] = []
+    evacuations: dict[str, EvacuationRecord] = {}
+    evacuations_index: int = 0
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -6,6 +6,7 @@
 
 from galenashed.control import _budgets
 from galenashed.control import _calls
+from galenashed.control import _evacuations
 from galenashed.control import _notes
 from galenashed.control import _quarantine
 from galenashed.control import _scarcity
@@ -40,6 +41,9 @@
     def on_quarantine(self) -> None:
         """Called when the quarantine or what is suspected changes."""
 
+    def on_evacuations(self) -> None:
+        """Called when a failure domain is evacuated or no longer is."""
+
 
 class ControlStateMachine:
     """Applies committed commands to the control state.
@@ -114,6 +118,7 @@
             self.listener.on_release()
             self.listener.on_suspects()
             self.listener.on_quarantine()
+            self.listener.on_evacuations()
 
     # Queries
 
@@ -128,6 +133,10 @@
                 routes_version=self.state.routes.version,
                 routes_source=self.state.routes_source,
             )
+        if query.kind == "evacuations":
+            return wire.QueryReply(
+                evacuations=_evacuations.list_records(self.state)
+            )
         audit = self.state.audit
         matches = [r for r in audit if query.subject in ("", r.subject)]
         return wire.QueryReply(audit=matches[-query.limit :])
@@ -171,6 +180,10 @@
         """Returns what is suspected of crashing targets."""
         return _quarantine.list_suspects(self.state)
 
+    def evacuated_domains(self) -> wire.EvacuatedDomains:
+        """Returns the failure domains whose targets get no requests."""
+        return _evacuations.list_domains(self.state)
+
     def budget_totals(self) -> dict[str, int]:
         """Returns the sums over all budgets, in tokens."""
         return _budgets.compute_totals(self.state)
@@ -487,6 +500,18 @@
         return wire.Done(index=index)
 
     def _barrier(self, index: int, cmd: wire.Barrier) -> wire.Reply:
+        order = cmd.evacuation
+        if order is not None and _evacuations.apply(self.state, order, index):
+            self._audit(
+                index,
+                actor=order.actor,
+                action=f"evacuation {'begin' if order.active else 'end'}",
+                subject=order.domain,
+                digest="",
+                result="done",
+            )
+            if self.listener is not None:
+                self.listener.on_evacuations()
         return wire.Done(index=index)
 
     def _expire(self, index: int) -> None:
--- a/galenashed/engines/_paths.py
+++ b/galenashed/engines/_paths.py
@@ -57,8 +57,14 @@
 class KnownTargets(typing.Protocol):
     """Lists the targets."""
 
-    def ready_addresses(self) -> dict[str, list[str]]:
-        """Returns the addresses of the ready targets of each service."""
+    def ready_addresses(
+        self, *, with_evacuated: bool = False
+    ) -> dict[str, list[str]]:
+        """Returns the addresses of the ready targets of each service.
+
+        Those of evacuated failure domains, which get no requests but may
+        still run some, are included only on demand.
+        """
 
 
 class Paths:
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -303,6 +303,7 @@
                 headers=headers,
                 body=call.body,
                 reuse_connection=call.idempotent,
+                before_sending=slot.check_domain,
             )
             body = await self._read_response(call, slot, resp)
         self.quarantine.on_answer_begun(call)
--- a/galenashed/entry/_configuration.py
+++ b/galenashed/entry/_configuration.py
@@ -13,7 +13,8 @@
     """Applies events of the configuration feed, newer versions only.
 
     ``release`` is the configuration in force; ``suspects`` is the latest list
-    of suspected requests from the feed.
+    of suspected requests from the feed, ``evacuated`` that of evacuated
+    failure domains.
 
     Parameters
     ----------
@@ -29,6 +30,7 @@
         self.serve_when_stale = serve_when_stale
         self.release = wire.Release()
         self.suspects = wire.Suspects(index=0, crashes={})
+        self.evacuated = wire.EvacuatedDomains(index=0, domains=[])
         self._own_reports: dict[str, wire.Crashes] = {}
         self._teams_by_key: dict[str, wire.Team] = {}
         self._budgets_by_team: dict[str, list[str]] = {}
@@ -49,6 +51,10 @@
                 changed = self._apply_release(merged) or changed
         if event.suspects is not None:
             changed = self._apply_suspects(event.suspects) or changed
+        evacuated = event.evacuations
+        if evacuated is not None and evacuated.index > self.evacuated.index:
+            self.evacuated = evacuated
+            changed = True
         if event.age < self.max_stale:
             self._caught_up = True
             self._current_as_of = time.monotonic() - event.age
--- a/galenashed/entry/_dispatcher.py
+++ b/galenashed/entry/_dispatcher.py
@@ -62,6 +62,18 @@
     def target(self) -> wire.Target:
         return self.stats.announced
 
+    def check_domain(self) -> None:
+        """Raises NotSentError if the target's domain has been evacuated.
+
+        Called right before a request is sent: an order may arrive while a
+        connection is being opened.
+        """
+        if self._dispatcher.router.is_evacuated(self.target):
+            raise engines.NotSentError(
+                f"{self.target.name}: the failure domain"
+                f" {self.target.failure_domain!r} was evacuated"
+            )
+
     def end(self, *, failed: bool = False) -> None:
         """Releases the slot; a second call does nothing."""
         if not self._done:
@@ -201,6 +213,15 @@
             if key[0] == target.service:
                 self._dispatch_queued(key)
 
+    def set_evacuated(self, domains: typing.Collection[str]) -> None:
+        """Sets the failure domains whose targets get no requests.
+
+        Queued requests that no other target can serve are refused.
+        """
+        self.router.set_evacuated(domains)
+        for key in list(self._queues):
+            self._dispatch_queued(key)
+
     def waiting_since(self) -> float | None:
         """Returns since when a target has had a request without a response."""
         return min(
@@ -212,11 +233,15 @@
             default=None,
         )
 
-    def ready_addresses(self) -> dict[str, list[str]]:
+    def ready_addresses(
+        self, *, with_evacuated: bool = False
+    ) -> dict[str, list[str]]:
         """See :class:`galenashed.engines.KnownTargets`."""
         found: dict[str, list[str]] = {}
         for target in self.targets.alive(time.monotonic()):
-            if target.state == "ready":
+            if target.state == "ready" and (
+                with_evacuated or not self.router.is_evacuated(target)
+            ):
                 found.setdefault(target.service, []).append(target.address)
         return found
 
@@ -256,13 +281,7 @@
 
     def _check_target_exists(self, request: SlotRequest) -> None:
         if not self.router.has_target(request.requirements):
-            service = request.requirements.service.name
-            raise web.ApiError(
-                status=503,
-                code="no_target",
-                message=f"service {service!r} has no ready target",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
+            raise _no_target(request)
 
     def _check_limits(self, request: SlotRequest) -> None:
         """Raises ApiError if every target is at the limit that it named."""
@@ -340,6 +359,12 @@
                 continue
             slot = self._try_acquire(waiter.request)
             if slot is None:
+                if self.router.has_evacuated and not self.router.has_target(
+                    waiter.request.requirements
+                ):
+                    queue.pop()
+                    waiter.fut.set_exception(_no_target(waiter.request))
+                    continue
                 break
             queue.pop()
             waiter.fut.set_result(slot)
@@ -361,6 +386,16 @@
                 self._dispatch_queued(key)
 
 
+def _no_target(request: SlotRequest) -> web.ApiError:
+    service = request.requirements.service.name
+    return web.ApiError(
+        status=503,
+        code="no_target",
+        message=f"service {service!r} has no ready target",
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
 def _overloaded(message: str) -> web.ApiError:
     return web.ApiError(
         status=503,
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -202,6 +202,7 @@
                 },
                 body=msgspec.json.encode(fields),
                 reuse_connection=True,
+                before_sending=run.slot.check_domain,
             )
         echoed = resp.headers.get("X-Request-Id", request.attempt)
         if echoed != request.attempt:
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -349,6 +349,7 @@
             ),
             unreachable=sorted(self.paths.lost),
             isolated=self.paths.isolated,
+            understands_evacuations=True,
         )
 
     async def _update_senders(self) -> None:
@@ -390,15 +391,22 @@
             index=release.index,
             suspects=self._crash_quarantine.informed_index,
             draining=self._state == "draining",
+            evacuations=self.configuration.evacuated.index,
         )
 
     def _on_event(self, event: control_wire.FollowEvent) -> None:
         previous = self.configuration.release.number
+        evacuated = self.configuration.evacuated
         if self.configuration.on_event(event):
             self._feed_client.notify()
         number = self.configuration.release.number
         if number != previous:
             LOG.info("release note {} is in force", number)
+        if self.configuration.evacuated is not evacuated:
+            domains = self.configuration.evacuated.domains
+            self.dispatcher.set_evacuated(domains)
+            self._metrics.count("evacuations.changes")
+            LOG.info("evacuated failure domains: {}", domains or "none")
         if event.quarantine is not None:
             self.quarantine.apply(event.quarantine)
         if event.replicas is not None:
--- a/galenashed/entry/tests/test_broken_calls.py
+++ b/galenashed/entry/tests/test_broken_calls.py
@@ -72,7 +72,9 @@
             name="service", incarnation="1", address=self.address
         )
         return types.SimpleNamespace(
-            target=target, end=lambda *, failed=False: None
+            target=target,
+            end=lambda *, failed=False: None,
+            check_domain=lambda: None,
         )
 
     def on_response(self, slot, status, headers):
--- a/galenashed/entry/tests/test_endless_responses.py
+++ b/galenashed/entry/tests/test_endless_responses.py
@@ -61,6 +61,9 @@
     def end(self, *, failed=False):
         pass
 
+    def check_domain(self):
+        pass
+
 
 class Dispatcher:
     """Knows one engine, and allows no request to be sent again."""
--- a/galenashed/gateway/_context.py
+++ b/galenashed/gateway/_context.py
@@ -8,6 +8,7 @@
 from galenashed.gateway import _request
 from galenashed.protocol import routes as wire
 from galenashed.protocol import streams
+from galenashed import web
 
 
 class RequestContext:
@@ -82,6 +83,16 @@
         """Returns the seconds until the deadline."""
         return self.deadline - time.monotonic()
 
+    def make_failure(self) -> web.ApiError:
+        """Returns the error of a request that no target has answered."""
+        if self.attempts.runs:
+            return _refusals.target_lost_error(
+                len(self.attempted_targets), self.last_error
+            )
+        return _refusals.unavailable_error(
+            self.last_error, retry_after=self.retry_after
+        )
+
 
 def find_deadline(request: _request.Request, route: wire.Route) -> float:
     """Returns the earlier of the route's and the caller's time limit."""
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -365,7 +365,7 @@
                 context.request, context.service
             ):
                 if not await relay.finish_after_failure():
-                    raise _attempts_failed_error(context)
+                    raise context.make_failure()
                 return
             suspect = self.quarantine.find_quarantined(context.request)
             starts_trial = context.in_trial and not context.attempted_targets
@@ -378,7 +378,7 @@
             target = self._choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
-                    raise _attempts_failed_error(context)
+                    raise context.make_failure()
                 return
             outcome = await self._send(context, target, relay)
             if outcome is None:
@@ -418,7 +418,7 @@
                 continue
             if await relay.finish_after_failure():
                 return
-            raise _attempts_failed_error(context)
+            raise context.make_failure()
 
     def _record_answer(
         self, context: _context.RequestContext, relay: _relay.Relay
@@ -507,7 +507,7 @@
         elif self.targets.is_brittle(context.service, now):
             context.last_error = "brittle targets have no room"
         elif not context.last_error:
-            context.last_error = f"service {context.service!r} has no target"
+            context.last_error = self.targets.explain_absence(context.service)
 
     async def _send(
         self,
@@ -647,6 +647,12 @@
             return _attempts.AttemptOutcome.NOT_SENT
         if not conn.used:
             self.paths.on_connected()
+        if self.targets.is_evacuated(target):
+            self.pool.release(conn)
+            self.metrics.count("gateway.evacuated")
+            context.last_error = "the failure domain of the target"
+            context.last_error += f" was evacuated: {announced.failure_domain}"
+            return _attempts.AttemptOutcome.REJECTED
         self._sent_at[conn] = time.monotonic()
         try:
             conn.send(
@@ -747,15 +753,3 @@
                 target=target.name,
                 most_per_second=rejections,
             )
-
-
-def _attempts_failed_error(
-    context: _context.RequestContext,
-) -> web.ApiError:
-    if context.attempts.runs:
-        return _refusals.target_lost_error(
-            len(context.attempted_targets), context.last_error
-        )
-    return _refusals.unavailable_error(
-        context.last_error, retry_after=context.retry_after
-    )
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -137,6 +137,7 @@
         self._known: dict[str, TargetState] = {}
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.HashRing] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._ejected: set[str] = set()
         # By service and software version: the monotonic time at which a
         # target of them was last alive, infinite until :meth:`set_alive`.
@@ -171,13 +172,51 @@
         else:
             before = current.announced
             current.announced = announced
-            if (before.state, before.service, before.address) != (
+            if (
+                before.state,
+                before.service,
+                before.address,
+                before.failure_domain,
+            ) != (
                 announced.state,
                 announced.service,
                 announced.address,
+                announced.failure_domain,
             ):
                 self._rings.clear()
 
+    def set_evacuated(self, domains: typing.Iterable[str]) -> None:
+        """Sets the failure domains whose targets get no requests."""
+        self._evacuated = frozenset(domains)
+        self._rings.clear()
+
+    def is_evacuated(self, target: TargetState) -> bool:
+        """Whether no request may be sent to a target, by its domain.
+
+        Checked again right before a request is sent, as an order may arrive
+        while a connection is being opened.
+        """
+        return target.announced.failure_domain in self._evacuated
+
+    def explain_absence(self, service: str) -> str:
+        """Returns why a service has no target that may get a request."""
+        evacuated = {
+            target.announced.failure_domain
+            for target in self._known.values()
+            if target.announced.service == service
+            and target.announced.state == "ready"
+            and self.is_evacuated(target)
+        }
+        if not evacuated or any(
+            not self.is_evacuated(target) for target in self.usable(service)
+        ):
+            return f"service {service!r} has no target"
+        domains = ", ".join(sorted(evacuated))
+        return (
+            f"service {service!r} has no target outside the evacuated failure"
+            f" domains: {domains}"
+        )
+
     def set_alive(
         self,
         alive: typing.Iterable[str],
@@ -345,6 +384,7 @@
             for target in by_address.values()
             if target.announced.service == service
             and target.announced.state == "ready"
+            and not self.is_evacuated(target)
         ]
         usable = [
             target
@@ -356,7 +396,9 @@
             return ready
         return usable
 
-    def ready_addresses(self) -> dict[str, list[str]]:
+    def ready_addresses(
+        self, *, with_evacuated: bool = False
+    ) -> dict[str, list[str]]:
         """Returns the addresses of the ready targets of each service.
 
         Targets whose announcements have expired are left out.
@@ -364,7 +406,11 @@
         found: dict[str, list[str]] = {}
         for target in self._known.values():
             announced = target.announced
-            if announced.state == "ready" and target.name in self._alive:
+            if (
+                announced.state == "ready"
+                and target.name in self._alive
+                and (with_evacuated or not self.is_evacuated(target))
+            ):
                 found.setdefault(announced.service, []).append(
                     announced.address
                 )
--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -21,7 +21,9 @@
 from galenashed.protocol import heartbeats
 from galenashed import routing
 
+# The least version that understands compact messages, and that of this build.
 GOSSIP_VERSION = 1
+OWN_GOSSIP_VERSION = 2
 # A sender that knows fewer names than this entry is sent what it lacks, at
 # most every SYNC_SECONDS.  Below this share of the names it is sent at most
 # every OUTDATED_SYNC_SECONDS: the sender may have just started, and messages
@@ -333,6 +335,11 @@
                 heartbeats.identify_instance(instance), now
             )
             return
+        if instance.gossip_version >= OWN_GOSSIP_VERSION:
+            # Builds of version 1 drop the field when they forward it.
+            instance = msgspec.structs.replace(
+                instance, understands_evacuations=True
+            )
         if not self.instances.merge(
             instance, now=now, from_announcer=False, age=age
         ):
@@ -378,7 +385,7 @@
     ) -> list[_rounds.Addressed]:
         """Returns the messages of one round, with their addresses."""
         self._domain = own.failure_domain
-        own = msgspec.structs.replace(own, gossip_version=GOSSIP_VERSION)
+        own = msgspec.structs.replace(own, gossip_version=OWN_GOSSIP_VERSION)
         self._rounds = self._choose_rounds(now)
         messages = self._rounds.next_messages(own, now)
         if self._rounds is self._compact:
--- a/galenashed/gossip/_reach.py
+++ b/galenashed/gossip/_reach.py
@@ -88,8 +88,8 @@
 
     async def answer(self, address: str, context) -> bool:
         """Answers another entry that can't reach a target."""
-        known = self.targets.ready_addresses().values()
-        if not any(address in addresses for addresses in known):
+        known = self.targets.ready_addresses(with_evacuated=True)
+        if not any(address in addresses for addresses in known.values()):
             return False
         try:
             async with asyncio.timeout(PROBE_SECONDS):
--- a/galenashed/gossip/tests/test_compact_rounds.py
+++ b/galenashed/gossip/tests/test_compact_rounds.py
@@ -79,6 +79,25 @@
         self.assertEqual("compact", entry.core.kind)
         self.assertEqual([], fleet.missed())
 
+    def test_field_that_an_older_version_drops_is_known(self):
+        """Guards against orders that wait for builds which are gone."""
+        fleet = _fleet.Fleet(2)
+        receiver, older = fleet.entries
+        for version, understands in ((1, False), (2, True)):
+            name = f"version-{version}"
+            forwarded = msgspec.structs.replace(
+                older.describe(),
+                name=name,
+                gossip_version=version,
+                understands_evacuations=False,
+            )
+            receiver.core.receive(
+                wire.CompactMessage(sender=older.name, instances=[forwarded]),
+                fleet.now,
+            )
+            known = receiver.instances.get(name)
+            self.assertEqual(understands, known.understands_evacuations)
+
 
 class TestFaults(testtools.TestCase):
     """All instances stay known, and changes arrive, despite faults."""
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -210,6 +210,18 @@
     return directory.heard_within(silence, now)
 
 
+def longest_silence(
+    directory: membership.Directory, addresses: list[str], now: float
+) -> float:
+    """Returns the seconds since the least recently heard was heard."""
+    ages = [
+        directory.age(entry.name, now)
+        for entry in directory.all()
+        if entry.address in addresses
+    ]
+    return round(max(ages, default=0.0), 1)
+
+
 def choose_while_cut_off(
     own: wire.Instance,
     known: list[wire.Instance],
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -24,6 +24,7 @@
 from galenashed import gossip
 from galenashed import membership
 from galenashed.node import _entries
+from galenashed.node import _evacuations
 from galenashed.node import _guards
 from galenashed.node import _loans
 from galenashed.node import _origins
@@ -80,23 +81,10 @@
 # A node that has just started knows too few other entries to answer discovery
 # requests.
 DISCOVERY_WARMUP_SECONDS = 2.0
-# Entries that are asked whether they reach a target, enough to find one on the
-# other side if most entries of a failure domain are cut off from targets.
 # Part of the shutdown timeout that is reserved for returning grants.
 GRANT_RETURN_TIMEOUT_SECONDS = 0.5
 
 
-class _NullWitnesses:
-    """Has no witnesses: no other entry records what this one may spend."""
-
-    def choose(self) -> list[str]:
-        """See :class:`galenashed.budget.Witnesses`."""
-        return []
-
-    def send(self, notes) -> None:
-        """See :class:`galenashed.budget.Witnesses`."""
-
-
 class Node:
     """The entry of this process and, optionally, a control replica.
 
@@ -166,6 +154,15 @@
         self._make_control_client()
         self._make_budget_manager()
         self._silent_holders = self._make_silent_holders()
+        self.evacuations = _evacuations.Evacuations(
+            client=self.control_client,
+            targets=self.targets,
+            directory=self.instance_directory,
+            domains={cfg.failure_domain, *cfg.regions_by_domain},
+            is_warming_up=lambda: self._is_warming_up,
+            log=log,
+            metrics=metrics,
+        )
         self._pool = engines.ConnectionPool(
             connect_timeout=CONNECT_TIMEOUT_SECONDS
         )
@@ -280,7 +277,7 @@
                 policy=_token_holders.policy(is_named=False),
             ),
             control=self.control_client,
-            witnesses=_NullWitnesses(),
+            witnesses=_token_holders.NullWitnesses(),
             unavailable=control.ControlUnavailableError,
             control_reachable=lambda: not self.is_cut_off,
             loan_client=self._loan_exchange,
@@ -531,6 +528,7 @@
             suspects=0,
             draining=self.draining,
             routes_version=self.routes_version,
+            evacuations=self.evacuations.index,
         )
 
     def _on_follow_event(self, event: wire.FollowEvent) -> None:
@@ -545,6 +543,9 @@
             self.budget_manager.recall(name)
         if event.quarantine is not None:
             self.quarantine.apply(event.quarantine)
+        # Before the first routing table, with which the entry begins to serve.
+        if self.evacuations.apply(event):
+            self._feed_client.notify()
         if event.routes is not None and self.gateway.apply_routing_table(
             event.routes
         ):
@@ -693,19 +694,12 @@
                 domain=domain,
                 entries=sorted(selected),
                 cut_off=self.is_cut_off,
-                silent=self._longest_silence(selected, now),
+                silent=_entries.longest_silence(
+                    self.instance_directory, selected, now
+                ),
             )
         return selected
 
-    def _longest_silence(self, addresses: list[str], now: float) -> float:
-        """Returns the seconds since the least recently heard was heard."""
-        ages = [
-            self.instance_directory.age(entry.name, now)
-            for entry in self.instance_directory.all()
-            if entry.address in addresses
-        ]
-        return round(max(ages, default=0.0), 1)
-
     def _choose_entries(self, domain: str, region: str) -> list[str]:
         if self._is_warming_up:
             return []
@@ -771,6 +765,7 @@
             relay_address=self.cfg.relay_address,
             unreachable=sorted(self.paths.lost),
             isolated=self.paths.isolated,
+            understands_evacuations=True,
         )
 
     def entries_with_path(self, service: str) -> list[str]:
--- a/galenashed/platform/_management.py
+++ b/galenashed/platform/_management.py
@@ -6,6 +6,8 @@
 from galenashed import node
 from galenashed.platform import _announcements
 from galenashed.platform import _configuration
+from galenashed.platform import _evacuations
+from galenashed.platform import _responses
 from galenashed.protocol import control as control_wire
 from galenashed import web
 
@@ -15,26 +17,12 @@
 REPLACE_PATH = "/Configuration.Replace"
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/Instances.Deregister/"
-RETRY_AFTER_SECONDS = 0.5
 
 
 class CallerDisconnectedError(Exception):
     """The caller disconnected before its request was complete."""
 
 
-class Response:
-    """A response with an encoded JSON body."""
-
-    __slots__ = ("body", "retry_after", "status")
-
-    def __init__(
-        self, *, status: int, body: bytes = b"{}", retry_after: float = 0.0
-    ):
-        self.status = status
-        self.body = body
-        self.retry_after = retry_after
-
-
 class ManagementApi:
     """ASGI application for all requests but those of callers.
 
@@ -62,9 +50,15 @@
             body = await _read_body(receive, limit)
         except CallerDisconnectedError:
             return
-        if body is None:
-            response = Response(
-                status=413, body=_encode_error("the request body is too large")
+        path = scope["path"]
+        if path.startswith(_evacuations.PREFIXES):
+            response = await _evacuations.handle(
+                self.node, scope["method"], path, has_body=body != b""
+            )
+        elif body is None:
+            response = _responses.Response(
+                status=413,
+                body=_responses.encode_error("the request body is too large"),
             )
         else:
             response = await self._handle(scope, body)
@@ -74,7 +68,9 @@
         ]
         if response.retry_after:
             headers.append((b"retry-after", b"%.2f" % response.retry_after))
-        if response.status in web.UNREAD_BODY_STATUSES:
+        if response.allow:
+            headers.append((b"allow", response.allow.encode()))
+        if body is None or response.status in web.UNREAD_BODY_STATUSES:
             headers.append((b"connection", b"close"))
         await send(
             {
@@ -85,14 +81,14 @@
         )
         await send({"type": "http.response.body", "body": response.body})
 
-    async def _handle(self, scope, body: bytes) -> Response:
+    async def _handle(self, scope, body: bytes) -> _responses.Response:
         method, path = scope["method"], scope["path"]
         if method == "GET" and path == "/readyz":
-            return Response(status=200 if self.node.ready else 503)
+            return _responses.Response(status=200 if self.node.ready else 503)
         if method == "GET" and path == "/resolve":
             return self._resolve(scope["query_string"].decode("latin-1"))
         if method == "GET" and path == "/metrics":
-            return Response(status=200, body=self.metrics())
+            return _responses.Response(status=200, body=self.metrics())
         if method == "GET" and path == "/Configuration.Read":
             return await self._read_configuration()
         if method == "POST" and path == REPLACE_PATH:
@@ -101,11 +97,12 @@
             return self._heartbeat(path.removeprefix(HEARTBEAT_PREFIX), body)
         if method == "POST" and path.startswith(DEREGISTER_PREFIX):
             return self._deregister(path.removeprefix(DEREGISTER_PREFIX), body)
-        return Response(
-            status=404, body=_encode_error(f"no such method or path: {path}")
+        return _responses.Response(
+            status=404,
+            body=_responses.encode_error(f"no such method or path: {path}"),
         )
 
-    def _resolve(self, query: str) -> Response:
+    def _resolve(self, query: str) -> _responses.Response:
         parameters = dict(
             item.partition("=")[::2] for item in query.split("&") if item
         )
@@ -113,56 +110,66 @@
             parameters.get("zone", ""), parameters.get("region", "")
         )
         if not addresses:
-            return _make_unavailable_response("no entry is ready")
+            return _responses.make_unavailable("no entry is ready")
         result = {"addresses": addresses, "ttlS": self.discovery_max_age}
-        return Response(status=200, body=msgspec.json.encode(result))
+        return _responses.Response(
+            status=200, body=msgspec.json.encode(result)
+        )
 
-    async def _replace_configuration(self, body: bytes) -> Response:
+    async def _replace_configuration(self, body: bytes) -> _responses.Response:
         try:
             table = _configuration.decode_routing_table(body)
         except _configuration.ConfigurationError as exc:
             self.node.log.write("routes refused", findings=exc.findings[:5])
-            return Response(status=400, body=_encode_error(*exc.findings))
+            return _responses.Response(
+                status=400, body=_responses.encode_error(*exc.findings)
+            )
         try:
             reply = await self.node.replace_routes(table, body)
         except control.ControlUnavailableError as exc:
-            return _make_unavailable_response(str(exc))
+            return _responses.make_unavailable(str(exc))
         if isinstance(reply, control_wire.Refused):
-            return Response(status=400, body=_encode_error(*reply.findings))
-        return Response(status=200)
+            return _responses.Response(
+                status=400, body=_responses.encode_error(*reply.findings)
+            )
+        return _responses.Response(status=200)
 
-    async def _read_configuration(self) -> Response:
+    async def _read_configuration(self) -> _responses.Response:
         try:
             reply = await self.node.read_routes()
         except control.ControlUnavailableError as exc:
-            return _make_unavailable_response(str(exc))
+            return _responses.make_unavailable(str(exc))
         if not reply.routes_version:
-            return _make_unavailable_response(
+            return _responses.make_unavailable(
                 "no configuration has been received yet"
             )
-        return Response(status=200, body=reply.routes_source)
+        return _responses.Response(status=200, body=reply.routes_source)
 
-    def _heartbeat(self, target_id: str, body: bytes) -> Response:
+    def _heartbeat(self, target_id: str, body: bytes) -> _responses.Response:
         try:
             target = _announcements.decode_heartbeat(target_id, body)
         except _announcements.AnnouncementError as exc:
             return self._refuse_announcement(target_id, str(exc))
         self.node.announce_target(target)
-        return Response(status=200)
+        return _responses.Response(status=200)
 
-    def _deregister(self, target_id: str, body: bytes) -> Response:
+    def _deregister(self, target_id: str, body: bytes) -> _responses.Response:
         try:
             started = _announcements.decode_deregistration(body)
         except _announcements.AnnouncementError as exc:
             return self._refuse_announcement(target_id, str(exc))
         self.node.deregister_target(target_id, started)
-        return Response(status=200)
+        return _responses.Response(status=200)
 
-    def _refuse_announcement(self, target_id: str, reason: str) -> Response:
+    def _refuse_announcement(
+        self, target_id: str, reason: str
+    ) -> _responses.Response:
         self.node.log.write(
             "announcement refused", target=target_id, reason=reason
         )
-        return Response(status=400, body=_encode_error(reason))
+        return _responses.Response(
+            status=400, body=_responses.encode_error(reason)
+        )
 
 
 async def _read_body(receive, limit: int) -> bytes | None:
@@ -180,13 +187,3 @@
             return None
         if not message.get("more_body", False):
             return bytes(parts)
-
-
-def _encode_error(*findings: str) -> bytes:
-    return msgspec.json.encode({"error": "; ".join(findings)})
-
-
-def _make_unavailable_response(reason: str) -> Response:
-    return Response(
-        status=503, body=_encode_error(reason), retry_after=RETRY_AFTER_SECONDS
-    )
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -375,8 +375,27 @@
     address: str = ""
 
 
-class Barrier(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """No-op whose commit confirms that the leader is still the leader."""
+class EvacuationOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Orders or revokes that no request is sent to a failure domain.
+
+    ``active`` tells whether the targets of ``domain`` are to get none.
+    """
+
+    domain: str
+    active: bool
+    actor: str
+
+
+class Barrier(
+    msgspec.Struct, tag=True, frozen=True, kw_only=True, omit_defaults=True
+):
+    """Confirms by its commit that the leader is still the leader.
+
+    Changes nothing without an ``evacuation``.  Builds from before that field
+    ignore it.
+    """
+
+    evacuation: EvacuationOrder | None = None
 
 
 Command = (
@@ -590,7 +609,10 @@
 
 
 class ReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """The state of one control replica; ``contact_age`` is in seconds."""
+    """The state of one control replica; ``contact_age`` is in seconds.
+
+    ``understands_evacuations`` is false for builds from before these.
+    """
 
     name: str
     role: str
@@ -603,13 +625,15 @@
     disk_bytes: int
     members: list[MemberStatus]
     followers: list["FollowerStatus"]
+    understands_evacuations: bool = False
 
 
 class FollowerStatus(msgspec.Struct, frozen=True, kw_only=True):
     """The configuration that an entry uses; ``seen_ago`` is in seconds.
 
     ``note`` is the number of its release note, ``suspects`` the index of its
-    list of suspected requests.
+    list of suspected requests.  ``understands_evacuations`` is false for
+    builds from before these.
     """
 
     name: str
@@ -618,13 +642,15 @@
     suspects: int
     seen_ago: float
     connected: bool
+    understands_evacuations: bool = False
 
 
 class Query(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Reads balances, bills, audit records or the routing table.
+    """Reads balances, bills, audit records, routes or evacuations.
 
-    ``kind`` is ``balance``, ``bill``, ``audit`` or ``routes``; ``subject``
-    filters by budget or by request, ``team`` by team.
+    ``kind`` is ``balance``, ``bill``, ``audit``, ``routes`` or
+    ``evacuations``; ``subject`` filters by budget or by request, ``team`` by
+    team.
     """
 
     kind: str
@@ -633,6 +659,26 @@
     limit: int = 100
 
 
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
+    """An evacuated failure domain.
+
+    ``index``, ``at`` and ``actor`` are log index, time and sender of the
+    order in force.
+    """
+
+    domain: str
+    index: int
+    at: float
+    actor: str
+
+
+class EvacuatedDomains(msgspec.Struct, frozen=True, kw_only=True):
+    """All evacuated failure domains as of log index ``index``."""
+
+    index: int
+    domains: list[str]
+
+
 class QueryReply(msgspec.Struct, frozen=True, kw_only=True):
     """The result of a :class:`Query`, or the ``leader`` to send it to."""
 
@@ -642,6 +688,7 @@
     audit: list[AuditRecord] = []
     routes_version: int = 0
     routes_source: bytes = b""
+    evacuations: list[Evacuation] = []
 
 
 class FollowReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -649,8 +696,9 @@
 
     ``number`` is that of its release note, ``index`` the log index at which
     that was accepted, ``suspects`` the index of its list of suspected
-    requests, and ``routes_version`` the version of its routing table.  Each
-    is 0 if the entry does not use it.
+    requests, ``routes_version`` the version of its routing table and
+    ``evacuations`` the index of its evacuated domains.  Each is 0 if the entry
+    does not use it; ``evacuations`` is None for builds from before these.
     """
 
     name: str
@@ -660,6 +708,7 @@
     suspects: int
     draining: bool = False
     routes_version: int = 0
+    evacuations: int | None = None
 
 
 class Suspects(msgspec.Struct, frozen=True, kw_only=True):
@@ -682,7 +731,8 @@
     of which the entry should return idle tokens.  ``quarantine`` is the whole
     list, sent when it changes.  ``replicas`` maps the names
     of the voting replicas to their addresses.  ``routes`` is the routing table
-    if it is newer than the entry's.
+    if it is newer than the entry's, ``evacuations`` lists the evacuated
+    domains if they have changed since the entry's index.
     """
 
     age: float
@@ -693,6 +743,7 @@
     quarantine: Quarantine | None = None
     replicas: dict[str, str] | None = None
     routes: routes_wire.RoutingTable | None = None
+    evacuations: EvacuatedDomains | None = None
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -48,7 +48,10 @@
     not a member yet.  ``relay_address`` is where the entry serves requests
     that other entries forward.  ``unreachable`` are the services to whose
     targets it has no path, ``isolated`` tells whether these are all services.
-    ``gossip_version`` is 1 if it understands :class:`CompactMessage`.
+    ``gossip_version`` is at least 1 if it understands
+    :class:`CompactMessage`, at least 2 if it also has
+    ``understands_evacuations``: whether its replica keeps, and it obeys,
+    orders to evacuate a failure domain.
     """
 
     name: str
@@ -70,6 +73,7 @@
     unreachable: list[str] = []
     isolated: bool = False
     gossip_version: int = 0
+    understands_evacuations: bool = False
 
 
 class TargetLimit(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,7 +123,7 @@
     omit_defaults=True,
     rename=_COMPACT_NAMES,
 ):
-    """What an entry sends to others while all have ``gossip_version`` 1.
+    """What an entry sends while all have ``gossip_version`` 1 or more.
 
     ``sender`` is its name.  ``instance_heartbeats``, ``target_heartbeats`` and
     ``loaded_target_heartbeats`` are packed by
--- a/galenashed/protocol/methods.py
+++ b/galenashed/protocol/methods.py
@@ -29,6 +29,13 @@
     reply=control.Outcome,
     roles=("operator",),
 )
+EVACUATE = rpc.Method(
+    path="/galenashed.Control/Evacuate",
+    kind="unary",
+    request=control.EvacuationOrder,
+    reply=control.Outcome,
+    roles=("peer", "operator"),
+)
 PROPOSE = rpc.Method(
     path="/galenashed.Control/Propose",
     kind="unary",
--- a/galenashed/routing/_router.py
+++ b/galenashed/routing/_router.py
@@ -87,6 +87,7 @@
         self._stats: dict[str, _group.TargetStats] = {}
         self._alive: frozenset[str] = frozenset()
         self._withdrawn: frozenset[str] = frozenset()
+        self._evacuated: frozenset[str] = frozenset()
         self._groups: dict[tuple[str, str, str | None], _group.Group] = {}
         self._ejected: set[str] = set()
 
@@ -127,6 +128,20 @@
             self._withdrawn = withdrawn
             self._groups.clear()
 
+    def set_evacuated(self, domains: typing.Iterable[str]) -> None:
+        """Sets the failure domains whose targets get no requests."""
+        self._evacuated = frozenset(domains)
+        self._groups.clear()
+
+    @property
+    def has_evacuated(self) -> bool:
+        """Whether any failure domain is evacuated."""
+        return bool(self._evacuated)
+
+    def is_evacuated(self, announced: wire.Target) -> bool:
+        """Returns whether no request may be sent to a target."""
+        return announced.failure_domain in self._evacuated
+
     def is_alive(self, name: str) -> bool:
         """Returns whether a target's lease has not expired."""
         return name in self._alive
@@ -162,6 +177,7 @@
             and requirements.version in (None, announced.version)
             and stats.name in self._alive
             and stats.name not in self._withdrawn
+            and not self.is_evacuated(announced)
             and (
                 not requirements.model
                 or requirements.model in announced.models
@@ -307,6 +323,7 @@
         or previous.models != latest.models
         or previous.service != latest.service
         or previous.version != latest.version
+        or previous.failure_domain != latest.failure_domain
     )
 
 
