--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -509,7 +509,7 @@
         elif self.targets.is_brittle(context.service, now):
             context.last_error = "brittle targets have no room"
         elif not context.last_error:
-            context.last_error = f"service {context.service!r} has no target"
+            context.last_error = self.targets.explain_absence(context.service)
 
     async def _send(
         self,
@@ -649,6 +649,12 @@
             return _attempts.AttemptOutcome.NOT_SENT
         if not conn.used:
             self.paths.on_connected()
+        if self.targets.is_evacuated(target):
+            self.pool.release(conn)
+            self.metrics.count("gateway.evacuated")
+            context.last_error = "the failure domain of the target"
+            context.last_error += f" was evacuated: {announced.failure_domain}"
+            return _attempts.AttemptOutcome.REJECTED
         self._sent_at[conn] = time.monotonic()
         try:
             conn.send(
