--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(BIN)/mypy
 
 check: .venv/ready
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not serial"
+	$(BIN)/python -m pytest -m serial -n 0
 
 test: lint check
 
