Count a response with an invalid status as lost

Cause: the connections to targets took any status under 200 for an interim response, and no other status for invalid; aiohttp gives 000, 099, 101 and 600 to its caller. Ruled out by the tests: truncated responses, which count as lost on all paths.

Change: a status that is neither 100 to 199 (without 101) nor 200 to 599 ends the parsing in engines, and the response in clients. Whether the request has run is then unknown, as after any lost response.

--- a/galenashed/clients/_client.py
+++ b/galenashed/clients/_client.py
@@ -229,6 +229,12 @@
             self.on_failed(address)
             raise
         self.received_at = time.monotonic()
+        if not engines.is_final_status(resp.status):
+            resp.close()
+            self.on_failed(address)
+            raise engines.TargetLostError(
+                f"{address}: invalid status {resp.status:03}"
+            )
         return resp
 
     async def accepts_connections(self, address: str) -> bool:
--- a/galenashed/engines/__init__.py
+++ b/galenashed/engines/__init__.py
@@ -12,6 +12,7 @@
 from galenashed.engines._rates import parse_decimal
 from galenashed.engines._sockets import accepts_connections
 from galenashed.engines._sockets import enable_keepalive
+from galenashed.engines._statuses import is_final_status
 
 __all__ = [
     "Connection",
@@ -25,5 +26,6 @@
     "TargetLostError",
     "accepts_connections",
     "enable_keepalive",
+    "is_final_status",
     "parse_decimal",
 ]
--- a/galenashed/engines/_connection.py
+++ b/galenashed/engines/_connection.py
@@ -19,6 +19,7 @@
 
 from galenashed.engines import _errors
 from galenashed.engines import _sockets
+from galenashed.engines import _statuses
 
 # Reading from the target pauses when more bytes of a response are buffered.
 MAX_UNREAD_BYTES = 256 * 1024
@@ -304,13 +305,18 @@
             self._headers.append(pair)
 
     def on_headers_complete(self) -> None:
-        """Stores the response head; interim responses are skipped."""
+        """Stores the response head; interim responses are skipped.
+
+        Raises ValueError, which ends the parsing, if the status is invalid.
+        """
         if self._complete:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if _statuses.is_interim_status(status):
             self._headers = []
             return
+        if not _statuses.is_final_status(status):
+            raise ValueError(f"invalid status {status:03}")
         framing = self._find_framing(status)
         head = ResponseHead(
             status=status, headers=self._headers, framing=framing
