Bound what clients make a process hold

Cause: uvicorn makes an object of every pipelined request that it has read (up to 256 KB of requests of 18 bytes under uvloop), and resumes reading after each response and whenever the application receives, also while requests wait. Heads were allowed 288 KiB, as one read may carry a part of a body; of headers of 5 bytes these are 57,000 objects. Nothing limited incomplete bodies over all connections, nor the time of a response that is not read. The gRPC servers took any number of connections, and read a message of up to 64 MiB before they rejected its key.

Ruled out: empty lines, heads over the limit and chunks of one byte, which were within the bounds before.

A guard for each server counts the bytes held, refuses requests that have not begun above max_held_bytes (503, not run), and disconnects clients without progress: after stall_timeout, or 1 s while too much is held. A slow reader makes progress as its kernel acknowledges bytes. Connections of internal addresses are limited, a wrong key is rejected before the message is read, and the window of a gRPC connection is 1 MiB.

--- a/galenashed/cli/main.py
+++ b/galenashed/cli/main.py
@@ -129,6 +129,7 @@
         },
         rng=random.Random(),
         snapshot_every=cfg.snapshot_every,
+        max_connections=cfg.max_peer_connections,
     )
 
 
--- a/galenashed/config/_settings.py
+++ b/galenashed/config/_settings.py
@@ -9,6 +9,7 @@
 from galenashed.config import _findings
 from galenashed.config import _reader
 from galenashed.protocol import rpc
+from galenashed import web
 
 PRESETS = ["overspend-first", "refusals-first"]
 
@@ -42,6 +43,10 @@
     max_stale: float
     log: LogSettings
     statsd: str
+    max_head_bytes: int = web.MAX_HEAD_BYTES
+    max_held_bytes: int = web.MAX_HELD_BYTES
+    stall_timeout: float = web.STALL_SECONDS
+    max_peer_connections: int = rpc.MAX_CONNECTIONS
 
 
 class ControlSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,6 +63,7 @@
     snapshot_every: int
     log: LogSettings
     statsd: str
+    max_peer_connections: int = rpc.MAX_CONNECTIONS
 
 
 class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,6 +141,22 @@
         max_stale=policy.number("max_stale", 10.0, low=0.5, high=86400.0),
         log=_build_log(root),
         statsd=_build_statsd(root),
+        max_head_bytes=callers.integer(
+            "max_head_bytes", web.MAX_HEAD_BYTES, low=1024, high=2**20
+        ),
+        max_held_bytes=callers.integer(
+            "max_held_bytes", web.MAX_HELD_BYTES, low=2**20, high=2**40
+        ),
+        stall_timeout=callers.number(
+            "stall_timeout", web.STALL_SECONDS, low=0.1, high=3600.0
+        ),
+        max_peer_connections=_read_max_connections(peers),
+    )
+
+
+def _read_max_connections(peers: _reader.TableReader) -> int:
+    return peers.integer(
+        "max_connections", rpc.MAX_CONNECTIONS, low=10, high=100_000
     )
 
 
@@ -172,6 +194,7 @@
         operator_key_hash=operators.key_hash(),
         log=_build_log(root),
         statsd=_build_statsd(root),
+        max_peer_connections=_read_max_connections(peers),
     )
 
 
--- a/galenashed/control/_server.py
+++ b/galenashed/control/_server.py
@@ -52,6 +52,8 @@
     versions : VersionRecords or None
         The versions of targets' software; None for a replica that keeps no
         records of them.
+    max_connections : int
+        Connections of other instances and of operators that may be open.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         election_timeout: float = 0.5,
         heartbeat: float = 0.1,
         versions: _versions.VersionRecords | None = None,
+        max_connections: int = rpc.MAX_CONNECTIONS,
     ):
         self.name = name
         self.replicas = replicas
@@ -111,6 +114,7 @@
                 (methods.STATUS, self._status),
                 *self._version_handlers(),
             ],
+            max_connections=max_connections,
         )
 
     def _version_handlers(self) -> list[tuple[rpc.Method, typing.Any]]:
--- a/galenashed/entry/_server.py
+++ b/galenashed/entry/_server.py
@@ -82,8 +82,14 @@
         self._http = web.HttpServer(
             app=self.app,
             address=cfg.callers_address,
-            max_connections=cfg.max_connections,
-            head_timeout=cfg.receive_timeout,
+            limits=web.ConnectionLimits(
+                max_connections=cfg.max_connections,
+                head_timeout=cfg.receive_timeout,
+                max_head_bytes=cfg.max_head_bytes,
+                max_held_bytes=cfg.max_held_bytes,
+                stall_timeout=cfg.stall_timeout,
+            ),
+            metrics=self._metrics,
         )
         self._peers = rpc.Server(
             address=cfg.peers_address,
@@ -94,6 +100,7 @@
                 (methods.WITNESS, self._witness.serve),
                 (methods.REACH_TARGET, self._reach_exchange.answer),
             ],
+            max_connections=cfg.max_peer_connections,
         )
 
     def _make_control(self, rng: random.Random) -> None:
--- a/galenashed/node/_replica.py
+++ b/galenashed/node/_replica.py
@@ -49,6 +49,7 @@
         election_timeout=ELECTION_TIMEOUT_SECONDS,
         heartbeat=HEARTBEAT_INTERVAL_SECONDS,
         versions=versions,
+        max_connections=cfg.max_peer_connections,
     )
 
 
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -316,6 +316,7 @@
                 (methods.REACH_TARGET, self._reach_exchange.answer),
                 (methods.FIND_ORIGIN, self._origin_exchange.answer),
             ],
+            max_connections=cfg.max_peer_connections,
         )
 
     def _make_replica_manager(self) -> _replica_manager.ReplicaManager | None:
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -2,6 +2,8 @@
 
 import pathlib
 
+from galenashed.protocol import rpc
+
 
 class NodeSettings:
     """Validated settings of a node.
@@ -49,6 +51,8 @@
         What the machine's link carries each way; 0 if unknown.
     memory_bytes, max_descriptors : int
         Limits of the process; 0 if unknown.
+    max_peer_connections : int
+        Connections that other nodes may open to each internal address.
     """
 
     __slots__ = (
@@ -62,6 +66,7 @@
         "failure_domain",
         "link_bytes_per_second",
         "max_descriptors",
+        "max_peer_connections",
         "memory_bytes",
         "name",
         "peer_key",
@@ -103,6 +108,7 @@
         link_bytes_per_second: float = 0.0,
         memory_bytes: int = 0,
         max_descriptors: int = 0,
+        max_peer_connections: int = rpc.MAX_CONNECTIONS,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -127,3 +133,4 @@
         self.link_bytes_per_second = link_bytes_per_second
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
+        self.max_peer_connections = max_peer_connections
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -16,6 +16,8 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_ID_LENGTH = 200
+# On top of the limit of the configuration, which is that of the headers.
+MAX_REQUEST_LINE_BYTES = 16 * 1024
 DEFAULT_LIMITS = routes_wire.CallerLimits()
 
 
@@ -184,6 +186,10 @@
                 message=f"the request headers exceed {limit} bytes",
             )
 
+    def head_bytes(self) -> int:
+        """Returns the size of the largest head that may be served."""
+        return self._limits().max_header_bytes + MAX_REQUEST_LINE_BYTES
+
     def _limits(self) -> routes_wire.CallerLimits:
         if self.gateway.route_index is None:
             return DEFAULT_LIMITS
@@ -191,23 +197,21 @@
 
     async def _read_body(self, receive) -> bytes:
         limit = self._limits().max_body_bytes
-        parts = []
-        size = 0
+        # Not a list of parts: many of them may have one byte.
+        body = bytearray()
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 raise CallerDisconnectedError
-            data = message.get("body", b"")
-            size += len(data)
-            if size > limit:
+            body += message.get("body", b"")
+            if len(body) > limit:
                 raise web.ApiError(
                     status=413,
                     code="body_too_large",
                     message=f"the request body exceeds {limit} bytes",
                 )
-            parts.append(data)
             if not message.get("more_body", False):
-                return parts[0] if len(parts) == 1 else b"".join(parts)
+                return bytes(body)
 
     async def _serve(
         self, request, route, team, writer: AsgiResponseWriter
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -38,8 +38,6 @@
 # are accepted: the platform tolerates that the stop cuts a request that was
 # sent in the first 3 s, and the signal is handled a little after it was sent.
 SHORT_ONLY_AFTER_SECONDS = 2.8
-MAX_CONNECTIONS = 2000
-HEAD_TIMEOUT_SECONDS = 10.0
 
 
 class Program:
@@ -81,17 +79,20 @@
             rng=random.Random(),
             place_held_since=None if place is None else place.held_since,
         )
+        ingress = _ingress.Ingress(
+            gateway=self.node.gateway,
+            is_draining=lambda: self.node.draining,
+            relay_address=self.node_cfg.relay_address,
+            peer_key=self.node_cfg.peer_key,
+        )
         self._caller_server = web.HttpServer(
-            app=_ingress.Ingress(
-                gateway=self.node.gateway,
-                is_draining=lambda: self.node.draining,
-                relay_address=self.node_cfg.relay_address,
-                peer_key=self.node_cfg.peer_key,
-            ),
+            app=ingress,
             address=cfg.listen.front,
             extra_addresses=[self.node_cfg.relay_address],
-            max_connections=MAX_CONNECTIONS,
-            head_timeout=HEAD_TIMEOUT_SECONDS,
+            limits=_settings.make_caller_limits(cfg),
+            metrics=self.metrics,
+            report=self._log_ended_clients,
+            configured_head_bytes=ingress.head_bytes,
             sock=None if place is None else place.sock,
         )
         self._management_server = web.HttpServer(
@@ -102,7 +103,9 @@
             ),
             address=cfg.listen.control,
             extra_addresses=[cfg.listen.directory, cfg.listen.readiness],
-            max_connections=MAX_CONNECTIONS,
+            limits=_settings.make_management_limits(cfg),
+            metrics=self.metrics,
+            report=self._log_ended_clients,
         )
         self._tasks: list[asyncio.Task] = []
 
@@ -193,6 +196,9 @@
                 **self.node.resources(),
             )
 
+    def _log_ended_clients(self, counts: dict[str, int]) -> None:
+        self.log.write("clients refused or disconnected", counts=counts)
+
     async def _log_traffic(self) -> None:
         """Logs the bytes exchanged with other nodes, by kind of message."""
         while True:
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -7,12 +7,14 @@
 import os
 import pathlib
 import tomllib
+import typing
 
 import loguru
 import msgspec
 
 from galenashed import node
 from galenashed.platform import _place
+from galenashed import web
 
 LOG = loguru.logger
 
@@ -34,6 +36,16 @@
 RETRY_BUDGET_SHARE = 0.5
 BYTES_PER_MEGABIT = 125_000
 BYTES_PER_MEGABYTE = 1_000_000
+# Of the process's descriptors, the shares for connections of callers, for
+# those of operators, targets and lookups, and for those of other nodes at each
+# of two addresses; connections to targets need the rest.
+CALLER_DESCRIPTOR_SHARE = 1 / 2
+MANAGEMENT_DESCRIPTOR_SHARE = 1 / 8
+INTERNAL_DESCRIPTOR_SHARE = 1 / 8
+# Of the process's memory, the share that clients' requests and responses hold.
+HELD_MEMORY_SHARE = 0.25
+# What operators, targets and lookups may make it hold, as a share of that.
+MANAGEMENT_HELD_SHARE = 0.25
 MIN_VOTERS = 3
 MAX_VOTERS = 7
 
@@ -86,6 +98,26 @@
     link_mbps: float = 0.0
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+_HeadBytes = typing.Annotated[int, msgspec.Meta(ge=1024, le=1024 * 1024)]
+_Megabytes = typing.Annotated[float, msgspec.Meta(ge=0.0, le=100_000.0)]
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=0.1, le=3600.0)]
+
+
+class Connections(msgspec.Struct, frozen=True, rename="camel"):
+    """Limits on what clients make the process hold; not set by the platform.
+
+    ``max_open`` limits the connections of callers, those of operators,
+    targets and lookups, and those of other nodes at each address.
+    ``max_held_mb`` is 0 for a quarter of the memory limit, if that is known.
+    """
+
+    max_open: _Count = 2000
+    max_head_bytes: _HeadBytes = web.MAX_HEAD_BYTES
+    max_held_mb: _Megabytes = 0.0
+    stall_s: _Seconds = web.STALL_SECONDS
+
+
 class Settings(msgspec.Struct, frozen=True, rename="camel"):
     """The contents of the settings file.
 
@@ -110,6 +142,7 @@
     limits: Limits = Limits()
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
+    connections: Connections = Connections()
     zones: dict[str, str] = {}
 
 
@@ -148,6 +181,42 @@
         raise SettingsError(f"{path}: {exc}") from exc
 
 
+def make_caller_limits(cfg: Settings) -> web.ConnectionLimits:
+    """Returns the limits of the server for callers and relays."""
+    return _make_limits(cfg, CALLER_DESCRIPTOR_SHARE, 1.0)
+
+
+def make_management_limits(cfg: Settings) -> web.ConnectionLimits:
+    """Returns the limits of the server for all other clients."""
+    return _make_limits(
+        cfg, MANAGEMENT_DESCRIPTOR_SHARE, MANAGEMENT_HELD_SHARE
+    )
+
+
+def _make_limits(
+    cfg: Settings, descriptor_share: float, held_share: float
+) -> web.ConnectionLimits:
+    held_bytes: float = web.MAX_HELD_BYTES
+    if cfg.connections.max_held_mb:
+        held_bytes = cfg.connections.max_held_mb * BYTES_PER_MEGABYTE
+    elif cfg.limits.memory_mb:
+        memory_bytes = cfg.limits.memory_mb * BYTES_PER_MEGABYTE
+        held_bytes = HELD_MEMORY_SHARE * memory_bytes
+    return web.ConnectionLimits(
+        max_connections=_limit_connections(cfg, descriptor_share),
+        max_head_bytes=cfg.connections.max_head_bytes,
+        max_held_bytes=int(held_share * held_bytes),
+        stall_timeout=cfg.connections.stall_s,
+    )
+
+
+def _limit_connections(cfg: Settings, descriptor_share: float) -> int:
+    if not cfg.limits.max_fds:
+        return cfg.connections.max_open
+    share = max(1, int(descriptor_share * cfg.limits.max_fds))
+    return min(cfg.connections.max_open, share)
+
+
 def make_node_settings(cfg: Settings) -> node.NodeSettings:
     """Derives the node's settings from those of the platform."""
     port_range = cfg.port_range
@@ -182,6 +251,9 @@
         link_bytes_per_second=cfg.limits.link_mbps * BYTES_PER_MEGABIT,
         memory_bytes=cfg.limits.memory_mb * BYTES_PER_MEGABYTE,
         max_descriptors=cfg.limits.max_fds,
+        max_peer_connections=_limit_connections(
+            cfg, INTERNAL_DESCRIPTOR_SHARE
+        ),
     )
 
 
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -114,6 +114,24 @@
         self.assertAlmostEqual(3.5, cfg.target_lease)
         self.assertEqual(pathlib.Path("/data/x"), cfg.data_directory)
 
+    def test_limits_of_connections_are_derived_from_the_file(self):
+        limits = _settings.make_caller_limits(self.read(SETTINGS))
+        self.assertEqual(2000, limits.max_connections)
+        self.assertEqual(256 * 2**20, limits.max_held_bytes)
+        small = f"{SETTINGS}\n[limits]\nmaxFds = 1600\nmemoryMb = 160\n"
+        limits = _settings.make_caller_limits(self.read(small))
+        self.assertEqual(800, limits.max_connections)
+        self.assertEqual(40_000_000, limits.max_held_bytes)
+        other = _settings.make_management_limits(self.read(small))
+        self.assertEqual(200, other.max_connections)
+        self.assertEqual(10_000_000, other.max_held_bytes)
+
+    def test_limits_of_connections_out_of_range_are_errors(self):
+        for line in ("maxOpen = 0", "maxHeadBytes = 10", "stallS = 0"):
+            text = f"{SETTINGS}\n[connections]\n{line}\n"
+            exc = self.assertRaises(_settings.SettingsError, self.read, text)
+            self.assertIn("connections", str(exc))
+
     def test_no_replica_on_machines_whose_loss_does_not_count(self):
         text = SETTINGS.replace("countsAsLoss = true", "countsAsLoss = false")
         self.assertIsNone(
--- a/galenashed/protocol/rpc.py
+++ b/galenashed/protocol/rpc.py
@@ -18,6 +18,15 @@
 
 KEY_METADATA = "x-galenashed-key"
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Limits of a server: connections by default, calls at the same time on each,
+# and the time that a new connection has for its first bytes.  An instance
+# opens one connection for each of its parts that calls this one.
+MAX_CONNECTIONS = 2000
+MAX_STREAMS = 1000
+HANDSHAKE_TIMEOUT_MS = 10_000
+# What a connection buffers before a call reads it.  With the estimate of gRPC
+# it grows to some MB on each connection, also for calls without a key.
+WINDOW_BYTES = 1024 * 1024
 # Longer than any call on a channel of a pool may take.
 IDLE_CHANNEL_SECONDS = 6.0
 
@@ -45,6 +54,10 @@
     ("grpc.keepalive_timeout_ms", 2000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.so_reuseport", 0),
+    ("grpc.max_concurrent_streams", MAX_STREAMS),
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", WINDOW_BYTES),
 ]
 
 RpcError = grpc.aio.AioRpcError
@@ -143,8 +156,8 @@
         for role in method.roles:
             if key_matches(key, self._keys.get(role, "")):
                 return await continuation(details)
-        if method.kind == "unary":
-            return grpc.unary_unary_rpc_method_handler(_reject_wrong_key)
+        # A handler of streams does not read the message before it rejects
+        # the call, also if the method is unary.
         if method.kind == "bidi":
             return grpc.stream_stream_rpc_method_handler(_reject_wrong_key)
         return grpc.stream_unary_rpc_method_handler(_reject_wrong_key)
@@ -166,15 +179,23 @@
     handlers : list of (Method, callable)
         Each handler is a coroutine function, or an async generator function
         for a ``bidi`` method.
+    max_connections : int
+        Connections that may be open; more are closed.
     """
 
-    def __init__(self, *, address, keys, handlers):
+    def __init__(
+        self, *, address, keys, handlers, max_connections=MAX_CONNECTIONS
+    ):
         self.address = address
         self.port = 0
         methods = [method for method, _ in handlers]
         interceptors = [_KeyInterceptor(keys, methods)]
         self._server = grpc.aio.server(
-            interceptors=interceptors, options=SERVER_OPTIONS
+            interceptors=interceptors,
+            options=[
+                *SERVER_OPTIONS,
+                ("grpc.max_allowed_incoming_connections", max_connections),
+            ],
         )
         services: dict[str, dict] = {}
         for method, handler in handlers:
