Refuse requests before they overload an entry's link, memory or descriptors

Cause: an entry admitted whatever came.

Ruled out: a bound on requests in flight (the right number follows from sizes and durations, which differ); reacting to the measured rate only (it shows what was admitted a second ago); 85 % of the link as the bound (in the test's model refused callers' requests then held the admitted rate below the usual load).

Change: gateway.LoadShedder decides without I/O, by bytes charged against 92 % of the link, the expected rate of running streams, blocked send buffers, memory and descriptors; node.ResourceMeter measures, the platform's ingress counts bytes and asks. 503 "overloaded" with a jittered Retry-After of at most 2 s. Only where the settings name limits.

--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -11,6 +11,10 @@
 from galenashed.gateway._origins import MAX_ORIGIN_RECORDS
 from galenashed.gateway._origins import OriginFinder
 from galenashed.gateway._origins import OriginRecords
+from galenashed.gateway._overload import Flow
+from galenashed.gateway._overload import Limits
+from galenashed.gateway._overload import LoadShedder
+from galenashed.gateway._overload import Sample
 from galenashed.gateway._prepaid import PrepaidReserver
 from galenashed.gateway._request import Attempt
 from galenashed.gateway._request import PromptPart
@@ -28,7 +32,10 @@
 __all__ = [
     "MAX_ORIGIN_RECORDS",
     "Attempt",
+    "Flow",
     "Gateway",
+    "Limits",
+    "LoadShedder",
     "OriginFinder",
     "OriginRecords",
     "PeerFinder",
@@ -38,6 +45,7 @@
     "Request",
     "ResponseWriter",
     "RouteIndex",
+    "Sample",
     "TargetCodec",
     "TargetResponse",
     "TargetState",
--- a/galenashed/gateway/_refusals.py
+++ b/galenashed/gateway/_refusals.py
@@ -18,6 +18,17 @@
     )
 
 
+def overloaded_error(resource: str, *, retry_after: float) -> web.ApiError:
+    """Returns the error of a request for which a resource is too scarce."""
+    return web.ApiError(
+        status=503,
+        code="overloaded",
+        message=f"this instance is short of its {resource};"
+        " use another one, or come back",
+        retry_after=retry_after,
+    )
+
+
 def unavailable_error(
     reason: str, *, retry_after: float | None = RETRY_AFTER_SECONDS
 ) -> web.ApiError:
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -29,6 +29,7 @@
 from galenashed.node import _origins
 from galenashed.node import _replica
 from galenashed.node import _replica_manager
+from galenashed.node import _resources
 from galenashed.node import _settings
 from galenashed.node import _silent_holders
 from galenashed.node import _spending_file
@@ -80,23 +81,10 @@
 # A node that has just started knows too few other entries to answer discovery
 # requests.
 DISCOVERY_WARMUP_SECONDS = 2.0
-# Entries that are asked whether they reach a target, enough to find one on the
-# other side if most entries of a failure domain are cut off from targets.
 # Part of the shutdown timeout that is reserved for returning grants.
 GRANT_RETURN_TIMEOUT_SECONDS = 0.5
 
 
-class _NullWitnesses:
-    """Has no witnesses: no other entry records what this one may spend."""
-
-    def choose(self) -> list[str]:
-        """See :class:`galenashed.budget.Witnesses`."""
-        return []
-
-    def send(self, notes) -> None:
-        """See :class:`galenashed.budget.Witnesses`."""
-
-
 class Node:
     """The entry of this process and, optionally, a control replica.
 
@@ -146,7 +134,9 @@
         # By failure domain: the last logged selection of entries, and the
         # monotonic time of that log line.
         self._logged_selections: dict[str, tuple[set[str], float]] = {}
-        self._processor_meter = telemetry.ProcessorMeter()
+        self.resource_meter = _resources.ResourceMeter(
+            cfg=cfg, log=log, metrics=metrics, rng=rng
+        )
         self._control_contact_at = 0.0
         self._next_budget_log_at = 0.0
         self._next_spending_log_at = 0.0
@@ -280,7 +270,7 @@
                 policy=_token_holders.policy(is_named=False),
             ),
             control=self.control_client,
-            witnesses=_NullWitnesses(),
+            witnesses=_token_holders.NullWitnesses(),
             unavailable=control.ControlUnavailableError,
             control_reachable=lambda: not self.is_cut_off,
             loan_client=self._loan_exchange,
@@ -762,7 +752,7 @@
             state=state,
             in_flight=self.gateway.in_flight,
             cores=self.cfg.cores,
-            cores_used=self._processor_meter.cores_used(now=time.monotonic()),
+            cores_used=self.resource_meter.cores_used(),
             replica=replica.name if replica else "",
             replica_address=self.cfg.control_address if replica else "",
             request_rate=round(
@@ -851,6 +841,7 @@
                 self.target_directory.names(),
                 now,
             )
+            self.resource_meter.update(now)
             self.paths.check_silence(self.gateway.waiting_since(), now)
             alive = self.instance_directory.alive(now)
             self.target_limits.set_senders(
--- a/galenashed/node/_token_holders.py
+++ b/galenashed/node/_token_holders.py
@@ -91,3 +91,14 @@
     peers.sort(key=lambda peer: peer.request_rate <= 0.0)
     ranked = peers[: LENDERS_ASKED * MAX_LOAN_ROUNDS]
     return [peer.peer_address for peer in ranked]
+
+
+class NullWitnesses:
+    """Has no witnesses: no other entry records what this one may spend."""
+
+    def choose(self) -> list[str]:
+        """See :class:`galenashed.budget.Witnesses`."""
+        return []
+
+    def send(self, notes) -> None:
+        """See :class:`galenashed.budget.Witnesses`."""
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -26,15 +26,29 @@
     ----------
     send : callable
         The ASGI ``send`` of the request.
-    is_draining : callable
-        Returns whether this node is shutting down.  Responses then close the
-        connection, so that callers connect to another node.
+    closes_connections : callable
+        Returns whether this node is shutting down, or lacks descriptors.
+        Responses then close the connection, so that callers connect to
+        another node.
     """
 
-    def __init__(self, *, send, is_draining):
+    def __init__(self, *, send, closes_connections):
         self._send = send
-        self._is_draining = is_draining
+        self._closes_connections = closes_connections
         self.started = False
+        # Counts the bytes of an admitted request.
+        self.flow: gateway.Flow | None = None
+
+    def count(self, size: int) -> None:
+        """Counts bytes read from the caller or written to it."""
+        if self.flow is not None:
+            self.flow.add(size, time.monotonic())
+
+    def close(self) -> None:
+        """Ends the count of bytes."""
+        if self.flow is not None:
+            self.flow.close(time.monotonic())
+            self.flow = None
 
     async def start(
         self, head: engines.ResponseHead, *, with_content_length: bool
@@ -51,9 +65,10 @@
             for name, value in head.headers
             if name not in excluded
         ]
-        if self._is_draining():
+        if self._closes_connections():
             headers.append((b"connection", b"close"))
         self.started = True
+        self.count(_head_size(headers))
         await self._send(
             {
                 "type": "http.response.start",
@@ -64,6 +79,7 @@
 
     async def write(self, data: bytes) -> None:
         """See :class:`galenashed.gateway.ResponseWriter`."""
+        self.count(len(data))
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
@@ -84,9 +100,13 @@
         ]
         if error.retry_after is not None:
             headers.append((b"retry-after", b"%.2f" % error.retry_after))
-        if self._is_draining() or error.status in web.UNREAD_BODY_STATUSES:
+        if (
+            self._closes_connections()
+            or error.status in web.UNREAD_BODY_STATUSES
+        ):
             headers.append((b"connection", b"close"))
         self.started = True
+        self.count(_head_size(headers) + len(body))
         await self._send(
             {
                 "type": "http.response.start",
@@ -108,6 +128,8 @@
     ----------
     gateway : Gateway
         Handles the decoded requests.
+    shedder : LoadShedder
+        Refuses requests that would overload this node.
     is_draining : callable
         Returns whether this node is shutting down.
     relay_address : str
@@ -120,19 +142,34 @@
         self,
         *,
         gateway: gateway.Gateway,
+        shedder: gateway.LoadShedder,
         is_draining,
         relay_address: str,
         peer_key: str,
     ):
         self.gateway = gateway
+        self.shedder = shedder
         self.is_draining = is_draining
         self.relay_address = relay_address
         self.peer_key = peer_key
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
+        writer = AsgiResponseWriter(
+            send=send, closes_connections=self._closes_connections
+        )
+        try:
+            await self._serve_call(scope, receive, writer)
+        finally:
+            writer.close()
+
+    def _closes_connections(self) -> bool:
+        return self.is_draining() or self.shedder.lacks_descriptors
+
+    async def _serve_call(
+        self, scope, receive, writer: AsgiResponseWriter
+    ) -> None:
         arrived_at = time.monotonic()
-        writer = AsgiResponseWriter(send=send, is_draining=self.is_draining)
         try:
             headers = _decode_headers(scope)
             forwarded = self._is_forwarded(scope, headers)
@@ -141,7 +178,11 @@
             key = _get_header(headers, _headers.API_KEY)
             route, team = self.gateway.admit(host, path, key)
             self._check_header_size(headers)
-            body = await self._read_body(receive)
+            writer.flow = self.shedder.admit(
+                route.name, _announced_size(headers), arrived_at
+            )
+            writer.count(_head_size(headers))
+            body = await self._read_body(receive, writer.count)
             request = _decode_request(
                 scope, headers, host, path, team, body, arrived_at
             )
@@ -176,8 +217,7 @@
 
     def _check_header_size(self, headers) -> None:
         limit = self._limits().max_header_bytes
-        size = sum(len(name) + len(value) + 4 for name, value in headers)
-        if size > limit:
+        if _head_size(headers) > limit:
             raise web.ApiError(
                 status=431,
                 code="head_too_large",
@@ -189,7 +229,7 @@
             return DEFAULT_LIMITS
         return self.gateway.route_index.table.limits
 
-    async def _read_body(self, receive) -> bytes:
+    async def _read_body(self, receive, count) -> bytes:
         limit = self._limits().max_body_bytes
         parts = []
         size = 0
@@ -199,6 +239,7 @@
                 raise CallerDisconnectedError
             data = message.get("body", b"")
             size += len(data)
+            count(len(data))
             if size > limit:
                 raise web.ApiError(
                     status=413,
@@ -257,6 +298,18 @@
     ]
 
 
+def _head_size(headers) -> int:
+    """Returns the bytes of the header lines."""
+    return sum(len(name) + len(value) + 4 for name, value in headers)
+
+
+def _announced_size(headers: list[tuple[str, str]]) -> int:
+    """Returns the bytes of a request, as far as its headers tell."""
+    length = _get_header(headers, "content-length")
+    body = int(length) if _headers.is_number(length) else 0
+    return _head_size(headers) + body
+
+
 def _get_header(headers: list[tuple[str, str]], name: str) -> str:
     for header_name, value in headers:
         if header_name == name:
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -84,6 +84,7 @@
         self._caller_server = web.HttpServer(
             app=_ingress.Ingress(
                 gateway=self.node.gateway,
+                shedder=self.node.resource_meter.shedder,
                 is_draining=lambda: self.node.draining,
                 relay_address=self.node_cfg.relay_address,
                 peer_key=self.node_cfg.peer_key,
@@ -94,6 +95,9 @@
             head_timeout=HEAD_TIMEOUT_SECONDS,
             sock=None if place is None else place.sock,
         )
+        self.node.resource_meter.measure_send_queue = (
+            self._caller_server.measure_send_queue
+        )
         self._management_server = web.HttpServer(
             app=_management.ManagementApi(
                 node=self.node,
--- a/galenashed/telemetry/__init__.py
+++ b/galenashed/telemetry/__init__.py
@@ -1,7 +1,8 @@
-"""Logging, the decision log, metrics, processor and memory usage."""
+"""Logging, the decision log, metrics, and the usage of resources."""
 
 from galenashed.telemetry._decisions import DecisionLog
 from galenashed.telemetry._decisions import NullDecisionLog
+from galenashed.telemetry._descriptors import open_descriptors
 from galenashed.telemetry._in_memory import InMemoryMetrics
 from galenashed.telemetry._logs import configure_logging
 from galenashed.telemetry._memory import resident_bytes
@@ -22,6 +23,7 @@
     "ProcessorMeter",
     "RateMeter",
     "configure_logging",
+    "open_descriptors",
     "open_metrics",
     "processor_seconds",
     "resident_bytes",
--- a/galenashed/web/__init__.py
+++ b/galenashed/web/__init__.py
@@ -3,6 +3,7 @@
 from galenashed.web._errors import ApiError
 from galenashed.web._errors import ExecutionStatus
 from galenashed.web._errors import UNREAD_BODY_STATUSES
+from galenashed.web._send_queues import SendQueue
 from galenashed.web._server import HttpServer
 
 __all__ = [
@@ -10,4 +11,5 @@
     "ApiError",
     "ExecutionStatus",
     "HttpServer",
+    "SendQueue",
 ]
--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -11,6 +11,7 @@
 import uvicorn.protocols.http.httptools_impl as httptools_impl
 
 from galenashed.web import _errors
+from galenashed.web import _send_queues
 
 LOG = loguru.logger
 
@@ -302,6 +303,7 @@
         self.sock = sock
         self.port = 0
         self._protocol: type[_BoundedProtocol] = _BoundedProtocol
+        self._send_queues = _send_queues.SendQueues()
         self._server: _UvicornServer | None = None
         self._task: asyncio.Task | None = None
 
@@ -359,6 +361,19 @@
             return 0
         return len(self._server.server_state.connections)
 
+    def measure_send_queue(self, now: float) -> _send_queues.SendQueue:
+        """Returns what waits to be sent on all connections."""
+        if self._server is None:
+            return _send_queues.SendQueue()
+        connections = self._server.server_state.connections
+        return self._send_queues.measure(
+            [
+                typing.cast(_BoundedProtocol, conn).transport
+                for conn in connections
+            ],
+            now,
+        )
+
     async def close(self) -> None:
         """Stops accepting connections and waits for requests in flight."""
         if self._server is None or self._task is None:
