--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -30,6 +30,7 @@
 from galenashed.node import _origins
 from galenashed.node import _replica
 from galenashed.node import _replica_manager
+from galenashed.node import _resources
 from galenashed.node import _settings
 from galenashed.node import _silent_holders
 from galenashed.node import _spending_file
@@ -134,7 +135,9 @@
         # By failure domain: the last logged selection of entries, and the
         # monotonic time of that log line.
         self._logged_selections: dict[str, tuple[set[str], float]] = {}
-        self._processor_meter = telemetry.ProcessorMeter()
+        self.resource_meter = _resources.ResourceMeter(
+            cfg=cfg, log=log, metrics=metrics, rng=rng
+        )
         self._control_contact_at = 0.0
         self._next_budget_log_at = 0.0
         self._next_spending_log_at = 0.0
@@ -758,7 +761,7 @@
             state=state,
             in_flight=self.gateway.in_flight,
             cores=self.cfg.cores,
-            cores_used=self._processor_meter.cores_used(now=time.monotonic()),
+            cores_used=self.resource_meter.cores_used(),
             replica=replica.name if replica else "",
             replica_address=self.cfg.control_address if replica else "",
             request_rate=round(
@@ -848,6 +851,7 @@
                 self.target_directory.names(),
                 now,
             )
+            self.resource_meter.update(now)
             self.paths.check_silence(self.gateway.waiting_since(), now)
             alive = self.instance_directory.alive(now)
             everyone = self._known_alive(now)
--- a/galenashed/platform/_program.py
+++ b/galenashed/platform/_program.py
@@ -81,6 +81,7 @@
         )
         ingress = _ingress.Ingress(
             gateway=self.node.gateway,
+            shedder=self.node.resource_meter.shedder,
             is_draining=lambda: self.node.draining,
             relay_address=self.node_cfg.relay_address,
             peer_key=self.node_cfg.peer_key,
@@ -95,6 +96,9 @@
             configured_head_bytes=ingress.head_bytes,
             sock=None if place is None else place.sock,
         )
+        self.node.resource_meter.measure_send_queue = (
+            self._caller_server.measure_send_queue
+        )
         self._management_server = web.HttpServer(
             app=_management.ManagementApi(
                 node=self.node,
--- a/galenashed/web/__init__.py
+++ b/galenashed/web/__init__.py
@@ -7,6 +7,7 @@
 from galenashed.web._guard import MAX_HEAD_BYTES
 from galenashed.web._guard import MAX_HELD_BYTES
 from galenashed.web._guard import STALL_SECONDS
+from galenashed.web._send_queues import SendQueue
 from galenashed.web._server import HttpServer
 
 __all__ = [
@@ -18,4 +19,5 @@
     "ConnectionLimits",
     "ExecutionStatus",
     "HttpServer",
+    "SendQueue",
 ]
--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -9,6 +9,7 @@
 
 from galenashed.web import _guard
 from galenashed.web import _protocol
+from galenashed.web import _send_queues
 
 MAX_HEAD_BYTES = _guard.MAX_HEAD_BYTES
 LISTEN_BACKLOG = 1024
@@ -103,6 +104,7 @@
         self._protocol: type[_protocol.BoundedProtocol] = (
             _protocol.BoundedProtocol
         )
+        self._send_queues = _send_queues.SendQueues()
         self._server: _UvicornServer | None = None
         self._task: asyncio.Task | None = None
         self._sweeper: asyncio.Task | None = None
@@ -179,6 +181,19 @@
             return 0
         return len(self._server.server_state.connections)
 
+    def measure_send_queue(self, now: float) -> _send_queues.SendQueue:
+        """Returns what waits to be sent on all connections."""
+        if self._server is None:
+            return _send_queues.SendQueue()
+        connections = self._server.server_state.connections
+        return self._send_queues.measure(
+            [
+                typing.cast(_BoundedProtocol, conn).transport
+                for conn in connections
+            ],
+            now,
+        )
+
     async def close(self) -> None:
         """Stops accepting connections and waits for requests in flight."""
         if self._server is None or self._task is None:
