--- a/galenashed/web/_server.py
+++ b/galenashed/web/_server.py
@@ -188,7 +188,7 @@
         connections = self._server.server_state.connections
         return self._send_queues.measure(
             [
-                typing.cast(_BoundedProtocol, conn).transport
+                typing.cast(_protocol.BoundedProtocol, conn).transport
                 for conn in connections
             ],
             now,
