Keep requests of routes and teams with home regions there

Nothing bound a request to a region: any target of its service might run it, and an entry that had lost its paths forwarded the body to any other.

Ruled out: a filter in the set of usable targets, which falls back to all ready ones when too few are left, and a preference in placement.

Targets elsewhere join those that a request must not use; if route and team both name home regions, only those in both count. Entries are filtered by the region that they announce. The error of a request after its last attempt moved to its context, so that the handler does not grow. A target whose cold period is known before the time of day counts as cold.

In existing tests, the stand-in for other entries takes the regions as a second argument, and the fixture of the gateway takes home regions.

--- a/galenashed/gateway/_cold.py
+++ b/galenashed/gateway/_cold.py
@@ -16,6 +16,8 @@
 
 # Between the clock of this entry and that of the one that had the heartbeat.
 MAX_CLOCK_DIFFERENCE_SECONDS = 1.0
+# Time left of a period while the time of day is not known.
+UNKNOWN_SECONDS = 1.0
 # From the start of a target until this entry has its first heartbeat.
 MAX_REPORT_DELAY_SECONDS = 3.0
 
@@ -158,10 +160,13 @@
 
     def _seconds_left(self, period: _Period, now: float) -> float:
         left = period.presumed_end - now
-        if period.announced_end and self._unix_offset is not None:
-            end = period.announced_end + MAX_CLOCK_DIFFERENCE_SECONDS
-            left = max(left, end - self._unix_offset - now)
-        return left
+        if not period.announced_end:
+            return left
+        if self._unix_offset is None:
+            # This entry has just started.
+            return max(left, UNKNOWN_SECONDS)
+        end = period.announced_end + MAX_CLOCK_DIFFERENCE_SECONDS
+        return max(left, end - self._unix_offset - now)
 
     def _end_if_over(self, name: str, now: float) -> None:
         period = self._periods[name]
--- a/galenashed/gateway/_context.py
+++ b/galenashed/gateway/_context.py
@@ -5,9 +5,11 @@
 from galenashed.gateway import _attempts
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _refusals
+from galenashed.gateway import _regions
 from galenashed.gateway import _request
 from galenashed.protocol import routes as wire
 from galenashed.protocol import streams
+from galenashed import web
 
 
 class RequestContext:
@@ -29,6 +31,7 @@
         "begun",
         "crashed_target",
         "deadline",
+        "home_regions",
         "in_trial",
         "last_error",
         "request",
@@ -60,6 +63,8 @@
         self.tokens_per_event: int = tokens_per_event
         self.reservation: _prepaid.PrepaidReservation = reservation
         self.deadline = find_deadline(request, route)
+        # The only regions where it may run, None for all.
+        self.home_regions = _regions.find_home_regions(route, team)
         self.attempts = _attempts.AttemptCounts()
         # Whether the request is the trial of a quarantined suspect, which is
         # sent to one target.
@@ -82,6 +87,23 @@
         """Returns the seconds until the deadline."""
         return self.deadline - time.monotonic()
 
+    def explain_no_target(self) -> str:
+        """Returns why the request has no target, if nothing else is known."""
+        reason = f"service {self.service!r} has no target"
+        if self.home_regions is not None:
+            reason += f" in the home regions {sorted(self.home_regions)}"
+        return reason
+
+    def make_error(self) -> web.ApiError:
+        """Returns the error of the request after its last attempt."""
+        if self.attempts.runs:
+            return _refusals.target_lost_error(
+                len(self.attempted_targets), self.last_error
+            )
+        return _refusals.unavailable_error(
+            self.last_error, retry_after=self.retry_after
+        )
+
 
 def find_deadline(request: _request.Request, route: wire.Route) -> float:
     """Returns the earlier of the route's and the caller's time limit."""
--- a/galenashed/gateway/_forwarding.py
+++ b/galenashed/gateway/_forwarding.py
@@ -31,10 +31,13 @@
 class PeerFinder(typing.Protocol):
     """Knows the other entries."""
 
-    def entries_with_path(self, service: str) -> list[str]:
+    def entries_with_path(
+        self, service: str, regions: frozenset[str] | None
+    ) -> list[str]:
         """Returns the addresses of entries that reach a service.
 
-        The best one comes first.
+        They are in one of the regions, anywhere if None.  The best one comes
+        first.
         """
 
     async def any_reaches(self, address: str) -> bool:
@@ -93,17 +96,19 @@
         service: str,
         writer: _request.ResponseWriter,
         deadline: float,
+        regions: frozenset[str] | None,
     ) -> int:
         """Has another entry serve a request; returns its status.
 
-        ``deadline`` is on the monotonic clock.  Raises ApiError if the
+        ``deadline`` is on the monotonic clock.  The entry is in one of the
+        ``regions``, anywhere if None.  Raises ApiError if the
         request fails before a response has started; aborts it after that and
         returns 0.
         """
         sent = started = False
         try:
             async with asyncio.timeout(deadline - time.monotonic()):
-                conn = await self._connect(request, route, service)
+                conn = await self._connect(request, route, service, regions)
                 sent = True
                 try:
                     conn.send(
@@ -141,7 +146,11 @@
         return head.status
 
     async def _connect(
-        self, request: _request.Request, route: wire.Route, service: str
+        self,
+        request: _request.Request,
+        route: wire.Route,
+        service: str,
+        regions: frozenset[str] | None,
     ) -> engines.Connection:
         """Returns a connection to an entry that reaches a service.
 
@@ -154,7 +163,7 @@
             for address, until in self._failed_until.items()
             if until > now
         }
-        peers = self.peers.entries_with_path(service)
+        peers = self.peers.entries_with_path(service, regions)
         peers.sort(key=lambda address: address in self._failed_until)
         for address in peers[:MAX_PEERS_TRIED]:
             try:
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -13,6 +13,7 @@
 from galenashed.gateway import _origins
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _refusals
+from galenashed.gateway import _regions
 from galenashed.gateway import _relay
 from galenashed.gateway import _request
 from galenashed.gateway import _stop
@@ -233,17 +234,20 @@
             route, request.resumed_request or request.id
         )
         if self._forwarder.is_needed(request, service):
-            await self._forward_to_peer(request, route, service, writer)
+            await self._forward_to_peer(request, route, team, service, writer)
         else:
             await self._serve(request, route, team, writer)
 
-    async def _forward_to_peer(self, request, route, service, writer) -> int:
+    async def _forward_to_peer(
+        self, request, route, team, service, writer
+    ) -> int:
         """Has another entry serve a request; see :class:`PeerForwarder`."""
         deadline = _context.find_deadline(request, route)
         if self._stop is not None:
             deadline = min(deadline, self._stop.stop_at)
+        regions = _regions.find_home_regions(route, team)
         return await self._forwarder.forward(
-            request, route, service, writer, deadline
+            request, route, service, writer, deadline, regions
         )
 
     async def _serve(self, request, route, team, writer) -> None:
@@ -292,7 +296,7 @@
                     self._timers.discard(timer)
             if lost_path:
                 status = await self._forward_to_peer(
-                    request, route, service, writer
+                    request, route, team, service, writer
                 )
                 if 0 < status < CLIENT_ERROR:
                     # The other entry bills the request.
@@ -361,7 +365,7 @@
                 context.request, context.service
             ):
                 if not await relay.finish_after_failure():
-                    raise _attempts_failed_error(context)
+                    raise context.make_error()
                 return
             suspect = self.quarantine.find_quarantined(context.request)
             starts_trial = context.in_trial and not context.attempted_targets
@@ -374,7 +378,7 @@
             target = self._choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
-                    raise _attempts_failed_error(context)
+                    raise context.make_error()
                 return
             outcome = await self._send(context, target, relay)
             if outcome is None:
@@ -414,7 +418,7 @@
                 continue
             if await relay.finish_after_failure():
                 return
-            raise _attempts_failed_error(context)
+            raise context.make_error()
 
     def _record_answer(
         self, context: _context.RequestContext, relay: _relay.Relay
@@ -444,7 +448,7 @@
         self, context: _context.RequestContext
     ) -> _targets.TargetState | None:
         now = time.monotonic()
-        other_versions: set[str] = set()
+        unsuitable: set[str] = set()
         if context.begun is not None:
             begun = self.targets.correct_origin(context.begun)
             if begun is None:
@@ -452,38 +456,41 @@
                 return None
             context.version = begun.version
         if context.version is not None:
-            other_versions = self.targets.other_versions(
+            unsuitable = self.targets.other_versions(
                 context.service, context.version
             )
         elif context.route.resumable:
-            other_versions = self._continuations.unrecorded_targets(
+            unsuitable = self._continuations.unrecorded_targets(
                 context.service
             )
-            if other_versions:
+            if unsuitable:
                 context.last_error = (
                     "targets of versions that are not on record are left out"
                 )
+        unsuitable = unsuitable | self.targets.outside(
+            context.service, context.home_regions
+        )
         target = self.targets.choose(
             context.service,
             context.request.prompt,
-            other_versions.union(context.attempted_targets),
+            unsuitable.union(context.attempted_targets),
             now,
             self.rng,
             tokens=context.request.max_tokens,
         )
         if target is None and not context.attempts.runs:
-            self._explain_refusal(context, other_versions, now)
+            self._explain_refusal(context, unsuitable, now)
         return target
 
     def _explain_refusal(
         self,
         context: _context.RequestContext,
-        other_versions: set[str],
+        unsuitable: set[str],
         now: float,
     ) -> None:
         """Sets why no target takes a request, and when one may."""
         wait = self.targets.seconds_until_allowed(
-            context.service, other_versions, now
+            context.service, unsuitable, now
         )
         if wait is not None:
             context.last_error = (
@@ -506,7 +513,9 @@
         elif self.targets.is_brittle(context.service, now):
             context.last_error = "brittle targets have no room"
         elif not context.last_error:
-            context.last_error = f"service {context.service!r} has no target"
+            context.last_error = context.explain_no_target()
+            if context.home_regions is not None:
+                self.metrics.count("regions.refused")
 
     async def _send(
         self,
@@ -746,15 +755,3 @@
                 target=target.name,
                 most_per_second=rejections,
             )
-
-
-def _attempts_failed_error(
-    context: _context.RequestContext,
-) -> web.ApiError:
-    if context.attempts.runs:
-        return _refusals.target_lost_error(
-            len(context.attempted_targets), context.last_error
-        )
-    return _refusals.unavailable_error(
-        context.last_error, retry_after=context.retry_after
-    )
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -7,6 +7,7 @@
 from galenashed.gateway import _cold
 from galenashed.gateway import _placement
 from galenashed.gateway import _prompts
+from galenashed.gateway import _regions
 from galenashed.gateway import _request
 from galenashed.gateway import _warmth
 from galenashed.protocol import gossip as wire
@@ -132,10 +133,21 @@
         The failure domain of this entry; its targets are preferred.
     limits : TargetLimits
         The request rates that targets take from all entries together.
+    regions_by_domain : dict of str to str or None
+        The region of each failure domain, as far as it is known.
     """
 
-    def __init__(self, *, domain: str, limits: routing.TargetLimits):
+    def __init__(
+        self,
+        *,
+        domain: str,
+        limits: routing.TargetLimits,
+        regions_by_domain: typing.Mapping[str, str] | None = None,
+    ):
         self.domain = domain
+        self._regions = _regions.DomainRegions(
+            regions_by_domain=regions_by_domain or {}
+        )
         self.limits = limits
         self.cold = _cold.ColdTargets(
             limits=routing.ColdLimits(name=limits.name)
@@ -346,6 +358,24 @@
             )
         }
 
+    def outside(
+        self, service: str, regions: frozenset[str] | None
+    ) -> set[str]:
+        """Returns the names of a service's targets in no such region.
+
+        There are none if ``regions`` is None.
+        """
+        if regions is None:
+            return set()
+        return {
+            target.name
+            for target in self._known.values()
+            if target.announced.service == service
+            and self._regions.is_outside(
+                target.announced.failure_domain, regions
+            )
+        }
+
     def _ring_for(self, service: str, now: float) -> _placement.HashRing:
         if any(
             self._known[name].ejected_until <= now
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -122,7 +122,7 @@
     async def any_reaches(self, address):
         return self.reaches_targets
 
-    def entries_with_path(self, service):
+    def entries_with_path(self, service, regions):
         return []
 
 
@@ -161,7 +161,15 @@
 class Fixture:
     """A gateway with a service under test and one without faults."""
 
-    def __init__(self, *, kind, resumable=False, time_limit):
+    def __init__(
+        self,
+        *,
+        kind,
+        resumable=False,
+        time_limit,
+        home_regions=(),
+        regions_by_domain=None,
+    ):
         self.route = routes.Route(
             name="r",
             host="h",
@@ -171,6 +179,7 @@
             time_limit=time_limit,
             max_targets=3,
             resumable=resumable,
+            home_regions=list(home_regions),
         )
         self.healthy_route = routes.Route(
             name="healthy",
@@ -181,7 +190,9 @@
             time_limit=time_limit,
         )
         self.targets = gateway.Targets(
-            domain="east", limits=routing.TargetLimits(name="entry")
+            domain="east",
+            limits=routing.TargetLimits(name="entry"),
+            regions_by_domain=regions_by_domain,
         )
         self.pool = engines.ConnectionPool(connect_timeout=1.0)
         self.peers = Peers()
@@ -212,7 +223,7 @@
         )
         self.servers = []
 
-    async def add(self, target, *, service="s"):
+    async def add(self, target, *, service="s", domain="east"):
         """Starts a target and adds it to a service."""
         address = await target.start()
         self.servers.append(target)
@@ -224,7 +235,7 @@
                 sequence=1,
                 service=service,
                 address=address,
-                failure_domain="east",
+                failure_domain=domain,
                 state="ready",
                 slots=8,
             )
@@ -244,7 +255,7 @@
         bad.may_answer.set()
         return task
 
-    def handle(self, writer, route=None):
+    def handle(self, writer, route=None, team=None):
         request = gateway.Request(
             id=f"r{time.monotonic_ns()}",
             method="GET",
@@ -255,7 +266,7 @@
             body=b"",
             arrived_at=time.monotonic(),
         )
-        return self.gateway.handle(request, route or self.route, None, writer)
+        return self.gateway.handle(request, route or self.route, team, writer)
 
     async def close(self):
         await self.pool.close()
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -63,7 +63,12 @@
 
 
 def with_path(
-    alive: list[wire.Instance], service: str, domain: str, rng: random.Random
+    alive: list[wire.Instance],
+    service: str,
+    domain: str,
+    rng: random.Random,
+    *,
+    regions: frozenset[str] | None = None,
 ) -> list[str]:
     """Returns where to forward requests for a service, the best first.
 
@@ -71,6 +76,7 @@
     then those whose processors are not busy: the few that remain in a domain
     can't serve the callers of all others there.  Among these, entries of the
     failure domain ``domain`` come first, as bytes between domains cost more.
+    Entries outside of ``regions``, if there are any, are left out.
     """
     usable = [
         entry
@@ -78,6 +84,7 @@
         if entry.state in ("serving", "cut-off")
         and entry.relay_address
         and service not in entry.unreachable
+        and (regions is None or entry.region in regions)
     ]
     rng.shuffle(usable)
     usable.sort(
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -157,7 +157,9 @@
         self.target_directory = membership.Directory(lease=cfg.target_lease)
         self.target_limits = routing.TargetLimits(name=cfg.name)
         self.targets = gateway.Targets(
-            domain=cfg.failure_domain, limits=self.target_limits
+            domain=cfg.failure_domain,
+            limits=self.target_limits,
+            regions_by_domain=cfg.regions_by_domain,
         )
         self.replica = _replica.make_replica(cfg, rng)
         self._replica_manager = self._make_replica_manager()
@@ -765,13 +767,16 @@
             isolated=self.paths.isolated,
         )
 
-    def entries_with_path(self, service: str) -> list[str]:
+    def entries_with_path(
+        self, service: str, regions: frozenset[str] | None
+    ) -> list[str]:
         """See :class:`galenashed.gateway.PeerFinder`."""
         return _entries.with_path(
             self.instance_directory.alive(time.monotonic()),
             service,
             self.cfg.failure_domain,
             self.rng,
+            regions=regions,
         )
 
     async def any_reaches(self, address: str) -> bool:
--- a/galenashed/node/tests/test_entries.py
+++ b/galenashed/node/tests/test_entries.py
@@ -221,8 +221,23 @@
 class TestWithPath(testtools.TestCase):
     """Where an entry forwards requests for a service that it can't reach."""
 
-    def order(self, *entries):
-        return _entries.with_path(entries, "s", "east", random.Random(1))
+    def order(self, *entries, **options):
+        return _entries.with_path(
+            entries, "s", "east", random.Random(1), **options
+        )
+
+    def test_entries_outside_of_the_home_regions_get_no_request(self):
+        north = entry("a", "west")
+        south = entry("b", "east", region="south")
+        unknown = entry("c", "east", region="")
+        for regions, found in (
+            (frozenset({"south", "other"}), ["b:3"]),
+            (frozenset({"other"}), []),
+            (frozenset(), []),
+        ):
+            self.assertEqual(
+                found, self.order(north, south, unknown, regions=regions)
+            )
 
     def test_entries_of_the_domain_first(self):
         found = self.order(entry("a", "west"), entry("b", "east"))
