--- a/galenashed/gateway/_context.py
+++ b/galenashed/gateway/_context.py
@@ -4,6 +4,7 @@
 
 from galenashed.gateway import _attempts
 from galenashed.gateway import _prepaid
+from galenashed.gateway import _regions
 from galenashed.gateway import _request
 from galenashed.protocol import routes as wire
 from galenashed.protocol import streams
@@ -28,6 +29,7 @@
         "begun",
         "crashed_target",
         "deadline",
+        "home_regions",
         "in_trial",
         "last_error",
         "may_return",
@@ -61,6 +63,8 @@
         self.tokens_per_event: int = tokens_per_event
         self.reservation: _prepaid.PrepaidReservation = reservation
         self.deadline = find_deadline(request, route)
+        # The only regions where it may run, None for all.
+        self.home_regions = _regions.find_home_regions(route, team)
         self.attempts = _attempts.AttemptCounts()
         # Whether the request is the trial of a quarantined suspect, which is
         # sent to one target.
@@ -87,6 +91,14 @@
         """Returns the seconds until the deadline."""
         return self.deadline - time.monotonic()
 
+    def explain_no_target(self) -> str:
+        """Returns why no home region has a target for the request."""
+        assert self.home_regions is not None
+        return (
+            f"service {self.service!r} has no target in the home regions"
+            f" {sorted(self.home_regions)}"
+        )
+
 
 def find_deadline(request: _request.Request, route: wire.Route) -> float:
     """Returns the earlier of the route's and the caller's time limit."""
