Request and announce tokens for waiting requests and those that follow

Cause: a grant was requested with a limit for the first waiting request only, and limits were then raised for the waiting requests or for the demand, whichever was more. So what a round trip to control announced was used up by the requests that waited for it, and the next ones waited for another. Requests that wait did not count as demand before they were served.

Ruled out: announcing tokens without demand, or the whole grant; a loss of all power takes what is announced.

Change: budget/_placement.py holds these decisions (moved out of the escrow); waiting requests count as demand, a grant is requested with a limit for all of them, and limits are raised for them and for the demand. What is announced beyond tokens in use is bounded as before.

The first test of test_bursts.py fails before: the next requests wait for an announcement.

--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -15,6 +15,7 @@
 from galenashed.budget import _account
 from galenashed.budget import _announcer
 from galenashed.budget import _bills
+from galenashed.budget import _placement
 from galenashed.budget import _policy
 from galenashed.protocol import control as wire
 from galenashed.protocol import witness as witness_wire
@@ -269,7 +270,7 @@
             unsettled=self.bills.unsettled_tokens,
             announced=sum(a.announced for a in self.accounts.values()),
             headroom=sum(
-                min(self._limit_headroom(a, now), a.unspent)
+                min(_placement.limit_headroom(a, self.policy, now), a.unspent)
                 for a in self.accounts.values()
             ),
             stored=sum(a.free for a in self.accounts.values()),
@@ -285,26 +286,35 @@
         now: float,
         witnesses: list[str],
         exact: bool = False,
+        waiting: int = 0,
     ) -> wire.OpenGrant | None:
         """Returns a command that requests another grant.
 
         ``witnesses`` are its guards if the policy announces limits.
 
         ``need`` is the smallest useful amount, ``missing`` the shortfall of
-        all waiting requests.  Tokens ahead of demand are added unless the
-        grant is to be ``exact``.  Returns None while an earlier command for
-        the budget is unanswered.
+        all waiting requests, which need ``waiting`` tokens together.  Tokens
+        ahead of demand are added unless the grant is to be ``exact``.
+        Returns None while an earlier command for the budget is unanswered.
         """
         account = self._get_account(budget, now)
         if account.pending_open is not None:
             return None
         want = missing
         if not exact:
-            expected = int(account.demand(now) * self.policy.horizon)
-            spare = self.policy.min_headroom
-            if account.max_spare is not None:
-                spare = min(spare, account.max_spare)
-            want += max(spare, expected)
+            want = _placement.wanted_tokens(
+                account, self.policy, now, missing=missing, waiting=waiting
+            )
+        limit = None
+        if self.policy.announces_limits:
+            limit = _placement.initial_limit(
+                account,
+                self.policy,
+                now,
+                need=need,
+                want=want,
+                waiting=waiting,
+            )
         if self.policy.emergency_tokens and not account.has_unwitnessed_grant:
             witnesses = []
             want = max(need, self.policy.emergency_tokens)
@@ -319,17 +329,20 @@
             want=want,
             term=self.term,
             witnesses=witnesses,
-            limit=need if self.policy.announces_limits else None,
+            limit=limit,
         )
         return account.pending_open
 
     def raise_limits(
-        self, budget: str, missing: int, now: float
+        self, budget: str, missing: int, now: float, *, waiting: int = 0
     ) -> list[WitnessMessage]:
-        """Returns notes that raise limits to free ``missing`` tokens."""
+        """Returns notes that raise limits to free ``missing`` tokens.
+
+        ``waiting`` are those that all waiting requests need together.
+        """
         account = self._get_account(budget, now)
-        wanted = max(
-            missing, self._limit_headroom(account, now) - account.announced
+        wanted = _placement.missing_limits(
+            account, self.policy, now, missing=missing, waiting=waiting
         )
         notes: list[WitnessMessage] = []
         for grant in account.grants.values():
@@ -358,25 +371,9 @@
     def needs_higher_limits(self, budget: str, now: float) -> bool:
         """Whether the acknowledged limits will soon be used up."""
         account = self._get_account(budget, now)
-        threshold = self._limit_headroom(account, now) / 2
+        threshold = _placement.limit_headroom(account, self.policy, now) / 2
         return account.announced < min(threshold, account.unspent)
 
-    def _limit_headroom(self, account: _account.Account, now: float) -> int:
-        """Returns the tokens that limits should allow beyond those in use.
-
-        Nothing beyond the demand is announced for a budget that is hardly
-        used here: if this entry dies, what it has announced is lost.  That is
-        missing at the end if the budget is scarce, while what a partition
-        delays can still be spent after it.
-        """
-        demand = account.demand(now)
-        if account.is_scarce:
-            return int(demand * self.policy.scarce_limit_horizon)
-        expected = int(demand * self.policy.limit_horizon)
-        if expected < MIN_LIMIT_STEP_TOKENS:
-            return expected
-        return max(expected, self.policy.min_limit)
-
     def on_limit_acknowledged(
         self, witness: str, note: witness_wire.Hold
     ) -> None:
@@ -445,7 +442,7 @@
         """
         for account in self.accounts.values():
             account.is_scarce = True
-            expected = self._limit_headroom(account, now)
+            expected = _placement.limit_headroom(account, self.policy, now)
             for grant in account.grants.values():
                 if not grant.lifted:
                     continue
@@ -525,8 +522,8 @@
                 guards=command.witnesses if announces else [],
             )
             if command.limit is not None:
-                grant.limits[_announcer.CONTROL] = command.limit
-                grant.sent_limit = command.limit
+                grant.sent_limit = min(command.limit, reply.amount)
+                grant.limits[_announcer.CONTROL] = grant.sent_limit
             # A grant of a term that has since been closed is not spent.
             grant.closing = bool(is_term_closed)
             account.grants[grant.id] = grant
--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -281,8 +281,12 @@
 
     # Witnesses
 
-    def _raise_limits(self, budget: str, missing: int) -> None:
-        notes = self.escrow.raise_limits(budget, missing, time.monotonic())
+    def _raise_limits(
+        self, budget: str, missing: int, *, waiting: int = 0
+    ) -> None:
+        notes = self.escrow.raise_limits(
+            budget, missing, time.monotonic(), waiting=waiting
+        )
         entry_notes = [n for n in notes if n.witness != _announcer.CONTROL]
         if entry_notes:
             self.witnesses.send(entry_notes)
@@ -465,14 +469,23 @@
         control.
         """
         wanted = self._waiters.list_needs(budget)
-        self._raise_limits(budget, sum(wanted) - self.escrow.announced(budget))
+        self._raise_limits(
+            budget,
+            sum(wanted) - self.escrow.announced(budget),
+            waiting=sum(wanted),
+        )
         self._request_bounds(budget)
         held = self.escrow.unspent(budget)
         if self._bounds_writer is not None and self._bounds_writer.is_slow:
             held = self.escrow.free(budget)
         if held < wanted[0]:
             need = max(1, wanted[0] - held)
-            self._open_grant(budget, need, max(need, sum(wanted) - held))
+            self._open_grant(
+                budget,
+                need,
+                max(need, sum(wanted) - held),
+                waiting=sum(wanted),
+            )
 
     def _serve_all_waiters(self) -> None:
         for budget in self._waiters.budgets:
@@ -482,13 +495,20 @@
         self._waiters.serve(budget, time.monotonic())
 
     def _open_grant(
-        self, budget: str, need: int, missing: int, *, exact: bool = False
+        self,
+        budget: str,
+        need: int,
+        missing: int,
+        *,
+        exact: bool = False,
+        waiting: int = 0,
     ) -> None:
         command = self.escrow.open_grant(
             budget,
             need=need,
             missing=missing,
             exact=exact,
+            waiting=waiting,
             now=time.monotonic(),
             witnesses=(
                 self._term_guards
