Send slow requests to a second target

Cause: a request waits for a target that stalls while others are idle; it is repeated only once its target has failed or its time limit has passed.

Ruled out: a fixed delay (it spends the share on requests about to be answered when a service is slow); two relays with one writer each (the time limit and the bill read one relay, so the runs forward to it and the first answer decides which); a rule on hedge_share in routes.find_errors, which replicas apply, so that old and new ones would differ (the adapter checks it instead).

Change: routing/_hedging.py decides (delay from histograms of first answers, share of a window, general slowdown, state of the service), gateway/_hedges.py runs both. Off by default; hedgeRatio of the platform's settings turns it on, hedgeShare of a route lowers it. The handler calls it in one line and does not grow. A head of a stream that may be hedged is held until its first event.

Nothing was measured with real targets.

Tests: pytest -n 2 of galenashed/gateway, routing, node and test_decoding, test_site, test_quarantine of the platform: no failure, 4 known-red passed (load average 20 to 30). With the end of the loser, the check of suspects, of versions or of errors taken out, a test fails each time.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -10,6 +10,7 @@
 from galenashed.gateway import _context
 from galenashed.gateway import _continuations
 from galenashed.gateway import _forwarding
+from galenashed.gateway import _hedges
 from galenashed.gateway import _origins
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _refusals
@@ -95,6 +96,7 @@
             targets=targets, origins=origins, log=log
         )
         self.retries = retries
+        self.hedges = _hedges.Hedges(gateway=self)
         self.log = log
         self.metrics = metrics
         self.rng = rng
@@ -375,12 +377,12 @@
                         suspect, executed=bool(context.attempts.runs)
                     )
                 return
-            target = self._choose_target(context)
+            target = self.choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
                     raise _attempts_failed_error(context)
                 return
-            outcome = await self._send(context, target, relay)
+            outcome = await self.hedges.send(context, target, relay)
             if outcome is None:
                 if context.begun is not None:
                     self.origins.end(context.begun.request)
@@ -444,7 +446,7 @@
             after=_context.elapsed_seconds(context.request),
         )
 
-    def _choose_target(
+    def choose_target(
         self, context: _context.RequestContext
     ) -> _targets.TargetState | None:
         now = time.monotonic()
@@ -509,7 +511,7 @@
         elif not context.last_error:
             context.last_error = f"service {context.service!r} has no target"
 
-    async def _send(
+    async def send(
         self,
         context: _context.RequestContext,
         target: _targets.TargetState,
@@ -551,7 +553,7 @@
         known = self.quarantine.index
         suspected = self.quarantine.is_suspected(context.request)
         try:
-            outcome = await self._exchange(context, target, relay)
+            outcome = await relay.run(self._exchange(context, target, relay))
             if outcome is _attempts.AttemptOutcome.LOST:
                 await self._check_crashed(
                     context, target, relay, known, suspected=suspected
@@ -631,12 +633,10 @@
         )
 
     async def _exchange(self, context, target, relay):
-        new_connection = not context.route.repeatable
         announced = target.announced
-        address = announced.address
         try:
             conn = await self.pool.acquire(
-                address, new_connection=new_connection
+                announced.address, new_connection=not context.route.repeatable
             )
         except engines.NotSentError as exc:
             context.last_error = str(exc)
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -74,6 +74,15 @@
         self.framing = None
         self._earlier_event_count = self.event_count
 
+    async def run(
+        self,
+        exchange: typing.Coroutine[
+            typing.Any, typing.Any, _attempts.AttemptOutcome | None
+        ],
+    ) -> _attempts.AttemptOutcome | None:
+        """Runs the exchange of the current attempt with its target."""
+        return await exchange
+
     @property
     def unfinished_bytes(self) -> int:
         """The size of an event that has no end yet."""
@@ -108,13 +117,13 @@
         self.framing = head.framing
         if head.status >= SERVER_ERROR and self._retries_server_errors():
             return await self._buffer_error(head, conn)
-        if self.started and not _is_event_stream(head):
+        if self.started and not is_event_stream(head):
             # Only events can continue a stream that has started.
             self.context.last_error = (
                 f"resumption got no events and status {head.status}"
             )
             return _attempts.AttemptOutcome.FAILED
-        if _is_event_stream(head):
+        if is_event_stream(head):
             await self._forward_events(head, conn, on_event)
         else:
             await self._forward_bytes(head, conn)
@@ -199,7 +208,7 @@
     ) -> None:
         self.started = True
         self.status = head.status
-        self._is_stream = _is_event_stream(head)
+        self._is_stream = is_event_stream(head)
         await self.writer.start(head, with_content_length=with_content_length)
 
     async def finish_after_failure(self) -> bool:
@@ -224,6 +233,7 @@
         self.writer.abort()
 
 
-def _is_event_stream(head: engines.ResponseHead) -> bool:
+def is_event_stream(head: engines.ResponseHead) -> bool:
+    """Whether a response is a stream of events."""
     kind = head.get("content-type") or ""
     return head.status == 200 and kind.lower().startswith(EVENT_STREAM_TYPE)
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -208,6 +208,7 @@
             rng=rng,
         )
         self._make_peer_services()
+        self.gateway.hedges.policy.max_share = cfg.max_hedge_share
         self.gateway.on_leaving = self._on_target_leaving
         self.paths.on_change = self._gossiper.trigger_round
 
@@ -237,10 +238,9 @@
 
     def _make_control_client(self) -> None:
         """Creates the clients of the control replicas."""
-        cfg = self.cfg
         self.control_client = control.ControlClient(
-            replicas={address: address for address in cfg.replicas},
-            key=cfg.peer_key,
+            replicas={address: address for address in self.cfg.replicas},
+            key=self.cfg.peer_key,
         )
         self._feed_client = control.FeedClient(
             client=self.control_client,
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -43,6 +43,9 @@
         attempts.
     retry_burst : float
         Retries that all nodes together may make in a burst beyond that share.
+    max_hedge_share : float
+        The largest share of a route's requests that are sent to a second
+        target while the first is slow; 0 for none.
     regions_by_domain : dict of str to str or None
         The region of each failure domain, as far as the settings name it.
     link_bytes_per_second : float
@@ -62,6 +65,7 @@
         "failure_domain",
         "link_bytes_per_second",
         "max_descriptors",
+        "max_hedge_share",
         "memory_bytes",
         "name",
         "peer_key",
@@ -103,6 +107,7 @@
         link_bytes_per_second: float = 0.0,
         memory_bytes: int = 0,
         max_descriptors: int = 0,
+        max_hedge_share: float = 0.0,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -127,3 +132,4 @@
         self.link_bytes_per_second = link_bytes_per_second
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
+        self.max_hedge_share = max_hedge_share
--- a/galenashed/platform/_configuration.py
+++ b/galenashed/platform/_configuration.py
@@ -1,5 +1,7 @@
 """Routing configurations that operators send, decoded."""
 
+import typing
+
 import msgspec
 
 from galenashed import gateway
@@ -21,7 +23,9 @@
     """A route from a host and a path prefix to services.
 
     ``service`` is short for a ``split`` with a single service.  ``anonymous``
-    routes require no API key.
+    routes require no API key.  ``hedge_share`` is the share of the requests
+    that may be sent to a second target while the first is slow; the settings
+    of the instances bound it and apply where it is missing.
     """
 
     name: str
@@ -37,6 +41,9 @@
     anonymous: bool = False
     resumable: bool = False
     max_gap_ms: float = 0.0
+    hedge_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] | None = (
+        None
+    )
 
 
 class Engine(msgspec.Struct, frozen=True, rename="camel"):
@@ -162,6 +169,7 @@
         max_targets=max(1, route.max_attempts),
         keyless=route.anonymous,
         resumable=route.resumable,
+        hedge_share=route.hedge_share,
     )
 
 
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import tomllib
+import typing
 
 import loguru
 import msgspec
@@ -62,11 +63,16 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, rename="camel"):
-    """Time limits and retry limits; the suffix ``_s`` is for seconds."""
+    """Time limits and retry limits; the suffix ``_s`` is for seconds.
+
+    ``hedge_ratio`` is the share of a route's requests that may be sent to a
+    second target while the first is slow; 0 for none.
+    """
 
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
+    hedge_ratio: typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5.0)
 
 
@@ -182,6 +188,7 @@
         link_bytes_per_second=cfg.limits.link_mbps * BYTES_PER_MEGABIT,
         memory_bytes=cfg.limits.memory_mb * BYTES_PER_MEGABYTE,
         max_descriptors=cfg.limits.max_fds,
+        max_hedge_share=cfg.bounds.hedge_ratio,
     )
 
 
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -120,6 +120,17 @@
             _settings.make_node_settings(self.read(text)).data_directory
         )
 
+    def test_requests_are_hedged_only_if_the_settings_say_so(self):
+        text = SETTINGS + "hedgeRatio = 0.05\n"
+        shares = [
+            _settings.make_node_settings(self.read(item)).max_hedge_share
+            for item in (SETTINGS, text)
+        ]
+        self.assertEqual([0.0, 0.05], shares)
+        self.assertRaises(
+            _settings.SettingsError, self.read, text.replace("0.05", "2")
+        )
+
     def test_unknown_fields_are_ignored(self):
         self.read("later = 3\n" + SETTINGS)
 
@@ -141,6 +152,14 @@
             _configuration.ConfigurationError, self.read, **changes
         ).findings
 
+    def test_share_of_hedged_requests(self):
+        (route,) = self.read().routes
+        self.assertIsNone(route.hedge_share)
+        (route,) = self.read(routes=[{**ROUTE, "hedgeShare": 0.01}]).routes
+        self.assertEqual(0.01, route.hedge_share)
+        (finding,) = self.read_invalid(routes=[{**ROUTE, "hedgeShare": -1}])
+        self.assertIn("$.routes[0].hedgeShare", finding)
+
     def test_routing_table(self):
         table = self.read()
         (route,) = table.routes
--- a/galenashed/protocol/routes.py
+++ b/galenashed/protocol/routes.py
@@ -32,7 +32,9 @@
     ``max_pause`` the longest pause allowed between two events.  A request
     is run by at most ``max_targets`` targets.  Requests with a lower
     ``priority`` are served first.  A ``keyless`` route needs no API key.  A
-    ``resumable`` stream may continue at another target.
+    ``resumable`` stream may continue at another target.  ``hedge_share`` is
+    the share of the requests that may be sent to a second target while the
+    first is slow; None leaves it to the settings of the instances.
     """
 
     name: str
@@ -47,6 +49,7 @@
     max_targets: int = 1
     keyless: bool = False
     resumable: bool = False
+    hedge_share: float | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/galenashed/routing/__init__.py
+++ b/galenashed/routing/__init__.py
@@ -3,7 +3,8 @@
 Everything here is sans-IO and can be embedded.  :class:`Router` tracks the
 load and health of an entry's targets and uses a :class:`Balancer` to choose
 among the eligible ones, by load, prefix affinity and concurrency limits;
-:class:`FairQueue` orders the waiting requests.
+:class:`FairQueue` orders the waiting requests.  :class:`HedgePolicy` decides
+which slow requests a second target gets.
 """
 
 from galenashed.routing._balancers import AffinityBalancer
@@ -14,6 +15,11 @@
 from galenashed.routing._balancers import RoundRobinBalancer
 from galenashed.routing._balancers import StrictAffinityBalancer
 from galenashed.routing._group import TargetStats
+from galenashed.routing._hedging import HedgeKey
+from galenashed.routing._hedging import HedgePolicy
+from galenashed.routing._hedging import HedgeRefusal
+from galenashed.routing._hedging import ServiceState
+from galenashed.routing._hedging import SlowRequest
 from galenashed.routing._queue import FairQueue
 from galenashed.routing._queue import QueueFullError
 from galenashed.routing._retries import RetryBudget
@@ -27,12 +33,17 @@
     "AffinityBalancer",
     "Balancer",
     "FairQueue",
+    "HedgeKey",
+    "HedgePolicy",
+    "HedgeRefusal",
     "LeastLoadedBalancer",
     "QueueFullError",
     "RandomBalancer",
     "RetryBudget",
     "RoundRobinBalancer",
     "Router",
+    "ServiceState",
+    "SlowRequest",
     "StrictAffinityBalancer",
     "TargetLimits",
     "TargetRequirements",
--- a/galenashed/routing/_target_limits.py
+++ b/galenashed/routing/_target_limits.py
@@ -234,6 +234,11 @@
                 names.add(target)
         return names
 
+    def is_limited(self, target: str) -> bool:
+        """Whether a target is known to name a limit."""
+        limit = self._limits.get(target)
+        return limit is not None and limit.requests_per_second is not None
+
     def on_send(self, target: str, now: float) -> None:
         """Records a request to a target, of whatever kind."""
         limit = self._limits.get(target)
