--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -10,6 +10,7 @@
 from galenashed.gateway import _context
 from galenashed.gateway import _continuations
 from galenashed.gateway import _forwarding
+from galenashed.gateway import _hedges
 from galenashed.gateway import _origins
 from galenashed.gateway import _prepaid
 from galenashed.gateway import _refusals
@@ -97,6 +98,7 @@
         )
         self.retries = retries
         self.retry_times = routing.RetryTimes(rng=rng)
+        self.hedges = _hedges.Hedges(gateway=self)
         self.log = log
         self.metrics = metrics
         self.rng = rng
@@ -376,12 +378,12 @@
                         suspect, executed=bool(context.attempts.runs)
                     )
                 return
-            target = self._choose_target(context)
+            target = self.choose_target(context)
             if target is None:
                 if not await relay.finish_after_failure():
                     raise self._attempts_failed_error(context)
                 return
-            outcome = await self._send(context, target, relay)
+            outcome = await self.hedges.send(context, target, relay)
             if outcome is None:
                 if context.begun is not None:
                     self.origins.end(context.begun.request)
@@ -447,7 +449,7 @@
             after=_context.elapsed_seconds(context.request),
         )
 
-    def _choose_target(
+    def choose_target(
         self, context: _context.RequestContext
     ) -> _targets.TargetState | None:
         now = time.monotonic()
@@ -521,7 +523,7 @@
                 context.last_error = context.explain_no_target()
                 self.metrics.count("regions.refused")
 
-    async def _send(
+    async def send(
         self,
         context: _context.RequestContext,
         target: _targets.TargetState,
@@ -563,7 +565,7 @@
         known = self.quarantine.index
         suspected = self.quarantine.is_suspected(context.request)
         try:
-            outcome = await self._exchange(context, target, relay)
+            outcome = await relay.run(self._exchange(context, target, relay))
             if outcome is _attempts.AttemptOutcome.LOST:
                 await self._check_crashed(
                     context, target, relay, known, suspected=suspected
@@ -643,12 +645,10 @@
         )
 
     async def _exchange(self, context, target, relay):
-        new_connection = not context.route.repeatable
         announced = target.announced
-        address = announced.address
         try:
             conn = await self.pool.acquire(
-                address, new_connection=new_connection
+                announced.address, new_connection=not context.route.repeatable
             )
         except engines.NotSentError as exc:
             context.last_error = str(exc)
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -45,6 +45,9 @@
         attempts.
     retry_burst : float
         Retries that all nodes together may make in a burst beyond that share.
+    max_hedge_share : float
+        The largest share of a route's requests that are sent to a second
+        target while the first is slow; 0 for none.
     regions_by_domain : dict of str to str or None
         The region of each failure domain, as far as the settings name it.
     link_bytes_per_second : float
@@ -66,6 +69,7 @@
         "failure_domain",
         "link_bytes_per_second",
         "max_descriptors",
+        "max_hedge_share",
         "max_peer_connections",
         "memory_bytes",
         "name",
@@ -109,6 +113,7 @@
         memory_bytes: int = 0,
         max_descriptors: int = 0,
         max_peer_connections: int = rpc.MAX_CONNECTIONS,
+        max_hedge_share: float = 0.0,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -134,3 +139,4 @@
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
         self.max_peer_connections = max_peer_connections
+        self.max_hedge_share = max_hedge_share
--- a/galenashed/platform/_configuration.py
+++ b/galenashed/platform/_configuration.py
@@ -1,5 +1,7 @@
 """Routing configurations that operators send, decoded."""
 
+import typing
+
 import msgspec
 
 from galenashed import gateway
@@ -21,8 +23,10 @@
     """A route from a host and a path prefix to services.
 
     ``service`` is short for a ``split`` with a single service.  ``anonymous``
-    routes require no API key.  ``homeRegions`` are the only regions whose
-    targets run its requests, any if empty.
+    routes require no API key.  ``home_regions`` are the only regions whose
+    targets run its requests, any if empty.  ``hedge_share`` is the share of
+    the requests that may be sent to a second target while the first is slow;
+    the settings of the instances bound it and apply where it is missing.
     """
 
     name: str
@@ -39,6 +43,9 @@
     resumable: bool = False
     max_gap_ms: float = 0.0
     home_regions: list[str] = []
+    hedge_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] | None = (
+        None
+    )
 
 
 class Engine(msgspec.Struct, frozen=True, rename="camel"):
@@ -183,6 +190,7 @@
         keyless=route.anonymous,
         resumable=route.resumable,
         home_regions=route.home_regions,
+        hedge_share=route.hedge_share,
     )
 
 
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -74,11 +74,16 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, rename="camel"):
-    """Time limits and retry limits; the suffix ``_s`` is for seconds."""
+    """Time limits and retry limits; the suffix ``_s`` is for seconds.
+
+    ``hedge_ratio`` is the share of a route's requests that may be sent to a
+    second target while the first is slow; 0 for none.
+    """
 
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
+    hedge_ratio: typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5.0)
 
 
@@ -254,6 +259,7 @@
         max_peer_connections=_limit_connections(
             cfg, INTERNAL_DESCRIPTOR_SHARE
         ),
+        max_hedge_share=cfg.bounds.hedge_ratio,
     )
 
 
--- a/galenashed/protocol/routes.py
+++ b/galenashed/protocol/routes.py
@@ -33,7 +33,9 @@
     is run by at most ``max_targets`` targets.  Requests with a lower
     ``priority`` are served first.  A ``keyless`` route needs no API key.  A
     ``resumable`` stream may continue at another target.  If there are
-    ``home_regions``, only targets there run its requests.
+    ``home_regions``, only targets there run its requests.  ``hedge_share`` is
+    the share of the requests that may be sent to a second target while the
+    first is slow; None leaves it to the settings of the instances.
     """
 
     name: str
@@ -49,6 +51,7 @@
     keyless: bool = False
     resumable: bool = False
     home_regions: list[str] = []
+    hedge_share: float | None = None
 
     @property
     def repeatable(self) -> bool:
