--- a/galenashed/gateway/_hedges.py
+++ b/galenashed/gateway/_hedges.py
@@ -344,7 +344,8 @@
         state = routing.ServiceState(
             brittle=targets.is_brittle(service, now),
             cold=any(
-                target.announced.cold_until > wall_time for target in usable
+                (target.announced.cold_until or 0) > wall_time
+                for target in usable
             ),
             limited=any(
                 targets.limits.is_limited(target.incarnation_name)
