Name no entry to callers that was lost 7 s before

Cause, two ways, found by tests with real nodes. An entry that is cut off from control named the replicas that it had heard in the last 10 s, beside itself (replicas lost 7.0 s before were named). An entry that was frozen took the heartbeats that waited in its sockets for just sent, and named an entry that had been killed meanwhile (7.02 s before).

Ruled out: entries in contact with control; a killed replica was not named from 7 to 12 s after its loss. A lease ends at most two leases (5 s) after the last heartbeat.

Change: an entry that is cut off names what it has heard in the last 6 s. After a pause of a second or more, what gossip reads in the next second counts as older by the pause. In a longer partition, an entry that is cut off now names only itself from 6 s on, not from 10 s; it can't tell lost replicas from those that callers still reach.

--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -65,6 +65,7 @@
     __slots__ = (
         "_compact",
         "_contacts",
+        "_delay",
         "_domain",
         "_full",
         "_identities",
@@ -122,6 +123,8 @@
         self._domain = ""
         self._synced_at: dict[str, float] = {}
         self._next_expiry = 0.0
+        # For how long the message that is read may have waited.
+        self._delay = 0.0
         self._seen: heartbeats.Seen = {}
 
     @property
@@ -148,22 +151,34 @@
         self._merge_target(target, now, from_announcer=True, local=True)
 
     def receive(
-        self, message: wire.GossipMessage | wire.CompactMessage, now: float
+        self,
+        message: wire.GossipMessage | wire.CompactMessage,
+        now: float,
+        *,
+        delay: float = 0.0,
     ) -> None:
-        """Merges a gossip message of another entry."""
+        """Merges a gossip message of another entry.
+
+        It may have waited for ``delay`` seconds before it was read.
+        """
+        self._delay = delay
         if isinstance(message, wire.GossipMessage):
             local = message.sender.failure_domain == self._domain
-            self._merge_instance(message.sender, now, age=0.0, local=local)
+            self._merge_instance(message.sender, now, age=delay, local=local)
         else:
             sender = self.instances.get(message.sender)
             local = sender is None or sender.failure_domain == self._domain
         for instance, age in _with_ages(
             message.instances, message.instance_ages
         ):
-            self._merge_instance(instance, now, age=age, local=local)
+            self._merge_instance(instance, now, age=age + delay, local=local)
         for target, age in _with_ages(message.targets, message.target_ages):
             self._merge_target(
-                target, now, from_announcer=False, age=age, local=local
+                target,
+                now,
+                from_announcer=False,
+                age=age + delay,
+                local=local,
             )
         if self.limits is not None:
             self.limits.receive(message.limits, now)
@@ -253,7 +268,7 @@
             request_rate=beat.request_rate / heartbeats.RATE_FACTOR,
             cores_used=share_used * known.cores,
         )
-        age = heartbeats.age_seconds(beat.age)
+        age = heartbeats.age_seconds(beat.age) + self._delay
         if self.instances.renew(renewed, now=now, age=age):
             self._rounds.on_instance(
                 known.name, now, changed=False, local=local
@@ -275,7 +290,7 @@
             sequence=heartbeats.full_sequence(beat.sequence, known.sequence),
             load=load,
         )
-        age = heartbeats.age_seconds(beat.age)
+        age = heartbeats.age_seconds(beat.age) + self._delay
         if self.targets.renew(renewed, now=now, age=age):
             self._rounds.on_target(
                 known.name, now, changed=False, local=local, first_hand=False
--- a/galenashed/gossip/_gossiper.py
+++ b/galenashed/gossip/_gossiper.py
@@ -7,6 +7,7 @@
 import loguru
 
 from galenashed.gossip import _core
+from galenashed.gossip import _pauses
 from galenashed import membership
 from galenashed.protocol import gossip as wire
 from galenashed.protocol import links
@@ -78,6 +79,7 @@
                 (wire.CompactMessage, methods.SPREAD_COMPACT),
             )
         }
+        self._pauses = _pauses.Pauses()
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -120,7 +122,8 @@
         self, message: wire.GossipMessage | wire.CompactMessage
     ) -> None:
         """Merges a gossip message of another entry."""
-        self._core.receive(message, time.monotonic())
+        now = time.monotonic()
+        self._core.receive(message, now, delay=self._pauses.max_delay(now))
         self._wake_if_urgent()
 
     def _wake_if_urgent(self) -> None:
@@ -131,6 +134,7 @@
         while True:
             self._wake.clear()
             now = time.monotonic()
+            self._pauses.update(now)
             for address, message in self._core.next_messages(
                 self.describe(), now
             ):
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -45,8 +45,9 @@
 # requests of others.
 BUSY_UTILIZATION = 0.7
 # An entry that was not heard for longer may be gone for good, and is not named
-# even by those that are cut off and can't tell.
-MAX_SILENCE_SECONDS = 10.0
+# even by those that are cut off and can't tell.  The platform requires that an
+# entry is not named 7 s after its loss; the rest is for a message on its way.
+MAX_SILENCE_SECONDS = 6.0
 
 
 def serving(alive: list[wire.Instance]) -> list[wire.Instance]:
--- a/galenashed/node/tests/test_entries.py
+++ b/galenashed/node/tests/test_entries.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from galenashed import membership
 from galenashed.node import _entries
 from galenashed.protocol import gossip as wire
 
@@ -203,6 +204,14 @@
         )
         self.assertEqual(["a:1", "c:1"], sorted(found))
 
+    def test_entry_that_was_silent_for_long_is_not_known(self):
+        """Guards against naming entries that were lost 7 s before."""
+        directory = membership.Directory(lease=2.5)
+        directory.merge(entry("c", "west"), now=0.0, from_announcer=True)
+        for now, known in ((3.0, ["c"]), (5.9, ["c"]), (6.1, [])):
+            found = _entries.last_known(directory, contact_at=0.0, now=now)
+            self.assertEqual(known, [item.name for item in found])
+
     def test_excludes_itself_while_it_lacks_tokens(self):
         own = entry("a", "east", "cut-off")
         found = _entries.choose_while_cut_off(
