Serve urgent requests first among those that wait for tokens

Cause: waiting requests of a team got tokens in order of arrival, whatever their priority and the time that they had left, and a request that did not fit was refused together with smaller ones that did.

Change: WaitQueue orders by priority, then by time limit. A request that does not fit still holds back less urgent ones; once nothing more will come, those that fit are served and the rest is refused.

The new tests of the order use the new parameters, so they can't run on the code before.

--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -1,6 +1,7 @@
 """Asyncio manager of an entry's escrow and its traffic with control."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -134,9 +135,18 @@
         if self._bounds_writer is not None:
             await self._bounds_writer.close()
 
-    async def reserve(self, budget: str, tokens: int) -> _account.Reservation:
+    async def reserve(
+        self,
+        budget: str,
+        tokens: int,
+        *,
+        priority: int = 0,
+        time_limit: float = math.inf,
+    ) -> _account.Reservation:
         """Reserves tokens for a request.
 
+        Among waiting requests a lower ``priority`` goes first, then an earlier
+        ``time_limit``, a monotonic time.
         Raises BudgetExhaustedError if the budget does not cover the request,
         or the control client's error if the tokens held do not suffice and
         control does not answer.
@@ -152,7 +162,11 @@
                 self._request_bounds(budget)
             return reservation
         waiter = self._waiters.add(
-            budget, tokens, deadline=now + self.escrow.policy.recall_wait
+            budget,
+            tokens,
+            deadline=now + self.escrow.policy.recall_wait,
+            priority=priority,
+            time_limit=time_limit,
         )
         self._request_tokens(budget)
         is_answer_due = self.control_reachable()
@@ -215,6 +229,7 @@
                     f"control is out of reach; of {held} tokens held,"
                     f" {free} are announced, {waiter.tokens} are needed"
                 ),
+                time.monotonic(),
             )
         for other in self._waiters:
             if lent and other.budget == waiter.budget:
@@ -529,7 +544,7 @@
             # The grant may still be committed, and only its holder can
             # return it.
             self._spawn(self._resolve_open(command))
-            self._waiters.fail(command.budget, exc)
+            self._waiters.fail(command.budget, exc, time.monotonic())
             return
         self._on_contact(sent)
         self.escrow.on_opened(command, reply, time.monotonic())
@@ -541,6 +556,7 @@
                 _waiters.BudgetExhaustedError(
                     needed=command.need, available=0, held_elsewhere=0
                 ),
+                time.monotonic(),
             )
         elif isinstance(reply, wire.Short):
             await self._on_short(command.budget, reply)
--- a/galenashed/budget/_waiters.py
+++ b/galenashed/budget/_waiters.py
@@ -1,6 +1,12 @@
-"""Requests that wait for tokens at an entry."""
+"""Requests that wait for tokens at an entry, the urgent ones first.
+
+The load that this addresses: more requests of a team wait than the tokens
+cover that have come so far, and some of them have little time left.
+"""
 
 import asyncio
+import bisect
+import math
 import typing
 
 from galenashed.budget import _account
@@ -40,9 +46,10 @@
     """A request that waits; ``fut`` gets its reservation or an error.
 
     After ``deadline`` it waits no more for tokens that other entries hold.
+    ``urgency`` is the sort key of waiting requests.
     """
 
-    __slots__ = ("budget", "deadline", "fut", "tokens")
+    __slots__ = ("budget", "deadline", "fut", "tokens", "urgency")
 
     def __init__(
         self,
@@ -50,16 +57,21 @@
         budget: str,
         tokens: int,
         deadline: float,
+        urgency: tuple[int, float],
         fut: "asyncio.Future[_account.Reservation]",
     ):
         self.budget = budget
         self.tokens = tokens
         self.deadline = deadline
+        self.urgency = urgency
         self.fut = fut
 
 
 class WaitQueue:
-    """The waiting requests of an entry, in order of arrival.
+    """The waiting requests of an entry, in order of their urgency.
+
+    A request that does not fit holds back less urgent ones of its budget, so
+    that large requests are served too.
 
     Times are in seconds on a monotonic clock.
 
@@ -80,15 +92,28 @@
     def __iter__(self) -> typing.Iterator[Waiter]:
         return iter(self._waiters)
 
-    def add(self, budget: str, tokens: int, *, deadline: float) -> Waiter:
-        """Adds a request; call this in the event loop."""
+    def add(
+        self,
+        budget: str,
+        tokens: int,
+        *,
+        deadline: float,
+        priority: int = 0,
+        time_limit: float = math.inf,
+    ) -> Waiter:
+        """Adds a request; call this in the event loop.
+
+        A lower ``priority`` is more urgent, then an earlier ``time_limit``,
+        which is a time like ``deadline``.
+        """
         waiter = Waiter(
             budget=budget,
             tokens=tokens,
             deadline=deadline,
+            urgency=(priority, time_limit),
             fut=asyncio.get_running_loop().create_future(),
         )
-        self._waiters.append(waiter)
+        bisect.insort(self._waiters, waiter, key=lambda item: item.urgency)
         return waiter
 
     def discard(self, waiter: Waiter, now: float) -> None:
@@ -129,8 +154,15 @@
             self._waiters.remove(waiter)
             waiter.fut.set_result(reservation)
 
-    def fail(self, budget: str, exc: Exception) -> None:
-        """Refuses all requests of a budget."""
+    def fail(self, budget: str, exc: Exception, now: float) -> None:
+        """Refuses all requests of a budget but those that still fit."""
+        for waiter in list(self._waiters):
+            if waiter.budget != budget or waiter.fut.done():
+                continue
+            reservation = self.escrow.reserve(budget, waiter.tokens, now)
+            if reservation is not None:
+                self._waiters.remove(waiter)
+                waiter.fut.set_result(reservation)
         for waiter in list(self._waiters):
             if waiter.budget == budget:
                 self._waiters.remove(waiter)
--- a/galenashed/budget/tests/test_bursts.py
+++ b/galenashed/budget/tests/test_bursts.py
@@ -5,6 +5,7 @@
 import testtools
 
 from galenashed import budget
+from galenashed.budget import _waiters
 from galenashed.budget.tests import _control
 from galenashed.budget.tests import test_manager
 from galenashed import control
@@ -80,3 +81,62 @@
 
         first, later = asyncio.run(run())
         self.assertLessEqual(first, later)
+
+
+class TestOrderOfWaitingRequests(testtools.TestCase):
+    """Fewer tokens than the waiting requests of a team need."""
+
+    def served_in_order(self, requests, *, tokens):
+        """Returns the indices of served requests as tokens come bit by bit.
+
+        A request has a priority, the time left and the tokens that it needs.
+        """
+        order = []
+
+        async def run():
+            escrow = budget.Escrow(
+                holder="node-1/a", policy=budget.POLICIES["cut-tolerant"]
+            )
+            queue = _waiters.WaitQueue(escrow=escrow)
+            for index, (priority, left, needed) in enumerate(requests):
+                waiter = queue.add(
+                    TEAM,
+                    needed,
+                    deadline=9.0,
+                    priority=priority,
+                    time_limit=left,
+                )
+                waiter.fut.add_done_callback(
+                    lambda fut, index=index: (
+                        order.append(index)
+                        if fut.exception() is None
+                        else None
+                    )
+                )
+            for _ in range(tokens // TOKENS):
+                escrow.on_borrowed(TEAM, TOKENS, 0.0)
+                queue.serve(TEAM, 0.0)
+                await asyncio.sleep(0)
+            queue.fail(TEAM, control.ControlUnavailableError("cut"), 0.0)
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+        return order
+
+    def test_urgent_requests_go_first(self):
+        """Guards against urgent requests that wait behind earlier ones."""
+        order = self.served_in_order(
+            [(5, 9.0, TOKENS), (5, 1.0, TOKENS), (1, 16.0, TOKENS)],
+            tokens=2 * TOKENS,
+        )
+        self.assertEqual([2, 1], order)
+
+    def test_large_request_is_not_passed_until_nothing_more_comes(self):
+        """Guards against starved large requests, and unused tokens."""
+        requests = [(1, 1.0, 3 * TOKENS), (5, 1.0, TOKENS)]
+        self.assertEqual(
+            [0, 1], self.served_in_order(requests, tokens=4 * TOKENS)
+        )
+        self.assertEqual(
+            [1], self.served_in_order(requests, tokens=2 * TOKENS)
+        )
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -104,15 +104,19 @@
         if needed > team.prepaid:
             raise _exhausted_error(team, needed, team.prepaid)
         now = time.monotonic()
+        time_limit = request.deadline(route.time_limit)
         wait = _token_wait.longest_wait(
             objective=route.objective,
-            time_left=request.deadline(route.time_limit) - now,
+            time_left=time_limit - now,
             expected=self.budget_manager.round_trips.seconds_until_tokens(now),
         )
         try:
             async with asyncio.timeout(wait):
                 reservation = await self.budget_manager.reserve(
-                    team.name, needed
+                    team.name,
+                    needed,
+                    priority=_find_priority(team, route),
+                    time_limit=time_limit,
                 )
         except TimeoutError:
             raise self._unavailable_error(
@@ -187,3 +191,10 @@
         message=f"team {team.name!r}: the request may take {needed} tokens;"
         f" {remaining} of {team.prepaid} are left",
     )
+
+
+def _find_priority(
+    team: routes_wire.RoutedTeam, route: routes_wire.Route
+) -> int:
+    """Returns the priority of a team's request; lower is more urgent."""
+    return route.priority if team.priority is None else team.priority
