Take the first loans that suffice, and ask near entries first

Cause: an entry asked three others at a time for a loan and waited for all three, up to 0.1 s for each that was frozen or cut off, before it used what the others had lent, and up to 0.3 s in all. Lenders were chosen at random over all failure domains, also beyond a partition.

Change: a loan ends as soon as the answers suffice, others are asked after 30 ms, and what is lent later is kept (the lender has billed it).

--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -217,8 +217,7 @@
         finally:
             self._borrowing.discard(waiter.budget)
         if lent:
-            self.escrow.on_borrowed(waiter.budget, lent, time.monotonic())
-            self._serve_waiters(waiter.budget)
+            self.add_loan(waiter.budget, lent)
         elif not self.control_reachable() and not self._waits_for_disk(waiter):
             # Neither control nor any reachable entry can provide tokens.
             held = self.escrow.unspent(waiter.budget)
@@ -236,6 +235,11 @@
                 self._borrow(other)
                 return
 
+    def add_loan(self, budget: str, tokens: int) -> None:
+        """Adds tokens that another entry has lent."""
+        self.escrow.on_borrowed(budget, tokens, time.monotonic())
+        self._serve_waiters(budget)
+
     def set_policy(self, policy: _policy.Policy) -> None:
         """Sets the policy; it must announce limits like the one before."""
         self.escrow.set_policy(policy)
--- a/galenashed/node/_loans.py
+++ b/galenashed/node/_loans.py
@@ -31,6 +31,8 @@
     ----------
     name : str
         Name of this entry.
+    domain : str
+        Its failure domain.
     directory : Directory
         Lists the other entries.
     key : str
@@ -45,6 +47,7 @@
         self,
         *,
         name: str,
+        domain: str,
         directory: membership.Directory,
         key: str,
         rng: random.Random,
@@ -52,10 +55,13 @@
     ):
         self.log = log
         self.name = name
+        self.domain = domain
         self.directory = directory
         self.rng = rng
         self.budget_manager: budget.BudgetManager | None = None
         self._channels = rpc.ChannelPool(key=key)
+        # Requests for loans whose answers nobody waits for any more.
+        self._late: set[asyncio.Task[int]] = set()
 
     @property
     def channel_count(self) -> int:
@@ -68,34 +74,73 @@
 
     async def close(self) -> None:
         """Closes the channels to other entries."""
+        for task in list(self._late):
+            task.cancel()
+        await asyncio.gather(*self._late, return_exceptions=True)
         await self._channels.close()
 
     async def borrow(self, budget_name: str, need: int) -> int:
-        """Asks a few entries in turn; returns the tokens that they lent."""
+        """Asks a few entries in turn; returns the tokens that they lent.
+
+        Returns as soon as the answers suffice.  Tokens that are lent later
+        are added to the budget all the same.
+        """
         ranked = _token_holders.rank_lenders(
-            self.name, self.directory.alive(time.monotonic()), self.rng
+            self.name,
+            self.directory.alive(time.monotonic()),
+            self.rng,
+            self.domain,
         )
         lent = 0
+        pending: set[asyncio.Task[int]] = set()
         size = _token_holders.LENDERS_ASKED
-        for start in range(0, len(ranked), size):
-            lent += await self._request_loans(
-                ranked[start : start + size], budget_name, need - lent
+        while lent < need and (ranked or pending):
+            loan = wire.LoanRequest(
+                borrower=self.name, budget=budget_name, need=need - lent
+            )
+            asked, ranked = ranked[:size], ranked[size:]
+            pending.update(
+                telemetry.start_task(self._request_loan(address, loan), "loan")
+                for address in asked
+            )
+            lent += await self._collect(pending, need - lent, wait=not ranked)
+        for task in pending:
+            self._late.add(task)
+            task.add_done_callback(
+                lambda task: self._on_late_loan(budget_name, task)
             )
-            if lent >= need:
-                break
         return lent
 
-    async def _request_loans(
-        self, addresses: list[str], budget_name: str, need: int
+    async def _collect(
+        self, pending: set[asyncio.Task[int]], need: int, *, wait: bool
     ) -> int:
-        loan = wire.LoanRequest(
-            borrower=self.name, budget=budget_name, need=need
-        )
-        return sum(
-            await asyncio.gather(
-                *[self._request_loan(address, loan) for address in addresses]
+        """Returns what was lent once it suffices or others should be asked.
+
+        Answered requests are removed from ``pending``.  If ``wait`` is set,
+        there are no others to ask.
+        """
+        lent = 0
+        deadline = time.monotonic() + _token_holders.NEXT_LENDERS_SECONDS
+        while pending and lent < need:
+            timeout = None if wait else deadline - time.monotonic()
+            if timeout is not None and timeout <= 0.0:
+                break
+            done, _ = await asyncio.wait(
+                pending,
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
             )
-        )
+            pending -= done
+            lent += sum(task.result() for task in done)
+        return lent
+
+    def _on_late_loan(self, budget_name: str, task: asyncio.Task[int]) -> None:
+        """Adds tokens that were lent after others had sufficed."""
+        self._late.discard(task)
+        if task.cancelled() or task.exception() is not None:
+            return
+        if self.budget_manager is not None and task.result():
+            self.budget_manager.add_loan(budget_name, task.result())
 
     async def _request_loan(self, address: str, loan: wire.LoanRequest) -> int:
         try:
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -263,6 +263,7 @@
         )
         self._loan_exchange = _loans.LoanExchange(
             name=self.cfg.name,
+            domain=self.cfg.failure_domain,
             directory=self.instance_directory,
             key=self.cfg.peer_key,
             rng=self.rng,
@@ -593,15 +594,9 @@
         self, table: routes_wire.RoutingTable, *, prefetch: bool
     ) -> None:
         """Limits the tokens held without demand, and requests them."""
-        for team in table.teams:
-            if team.prepaid is None:
-                continue
-            spare = _token_holders.spare_tokens(
-                team.prepaid, self._naming.count
-            )
-            self.budget_manager.set_max_spare(team.name, spare)
-            if prefetch:
-                self.budget_manager.prefetch(team.name, spare)
+        _token_holders.hold_tokens(
+            self.budget_manager, table, self._naming.count, prefetch=prefetch
+        )
 
     # Targets and other nodes
 
--- a/galenashed/node/_token_holders.py
+++ b/galenashed/node/_token_holders.py
@@ -11,6 +11,7 @@
 
 from galenashed import budget
 from galenashed.protocol import gossip as wire
+from galenashed.protocol import routes as routes_wire
 
 # Share of a team's prepaid total that all named entries together request ahead
 # of demand, so that the team's first request at each finds tokens.
@@ -22,6 +23,9 @@
 # still missing: enough to find tokens, and few at any fleet size.
 LENDERS_ASKED = 3
 MAX_LOAN_ROUNDS = 3
+# The next ones are asked once the others have not answered for this long: a
+# few round trips within a region.
+NEXT_LENDERS_SECONDS = 0.03
 LENDER_STATES = ("serving", "cut-off")
 
 
@@ -74,13 +78,36 @@
     return int(prepaid * SPARE_SHARE / max(1, named_count))
 
 
+def hold_tokens(
+    manager: budget.BudgetManager,
+    table: routes_wire.RoutingTable,
+    named_count: int,
+    *,
+    prefetch: bool,
+) -> None:
+    """Limits the tokens held without demand, and requests them."""
+    for team in table.teams:
+        if team.prepaid is None:
+            continue
+        spare = spare_tokens(team.prepaid, named_count)
+        manager.set_max_spare(team.name, spare)
+        if prefetch:
+            manager.prefetch(team.name, spare)
+
+
 def rank_lenders(
-    own: str, alive: typing.Iterable[wire.Instance], rng: random.Random
+    own: str,
+    alive: typing.Iterable[wire.Instance],
+    rng: random.Random,
+    domain: str = "",
 ) -> list[str]:
     """Returns the addresses of the entries to ask for a loan, in order.
 
     Entries without requests have returned their tokens, so those that serve
-    callers come first.
+    callers come first.  Of these, a few of the failure domain ``domain`` do:
+    they are near, and a partition most likely leaves them in reach.  The ones
+    after them are of other domains, because all entries of a domain whose
+    callers need more than usual run short at once.
     """
     peers = [
         peer
@@ -89,5 +116,17 @@
     ]
     rng.shuffle(peers)
     peers.sort(key=lambda peer: peer.request_rate <= 0.0)
-    ranked = peers[: LENDERS_ASKED * MAX_LOAN_ROUNDS]
+    near = [
+        peer
+        for peer in peers
+        if peer.failure_domain == domain and peer.request_rate > 0.0
+    ][:LENDERS_ASKED]
+    peers = [peer for peer in peers if peer not in near]
+    peers.sort(
+        key=lambda peer: (
+            peer.request_rate <= 0.0,
+            peer.failure_domain == domain,
+        )
+    )
+    ranked = (near + peers)[: LENDERS_ASKED * MAX_LOAN_ROUNDS]
     return [peer.peer_address for peer in ranked]
