Log where a refused team's tokens were, and grants that take long

Cause: a refusal for tokens said how many its team had left, but not who held them, how many of these were announced and how many were lost; and nothing said how long control took to grant tokens.

Change: the reply to a grant request that can't be met (Short) names the lost tokens and the three largest holders, in optional fields that old builds ignore; it is not part of the replicated state. Decision-log lines 'tokens lacking' and 'slow grant', histogram gateway.token_wait.

test_refusal_names_tokens_of_silent_holders compares the whole reply, so it expects the new field as well.

--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -61,6 +61,8 @@
         Entries that record when announced limits are exceeded.
     bounds_store : BoundsStore or None
         Disk that bounds what may be spent; None for an entry without one.
+    log : DecisionLog or None
+        Receives a line for each grant that control is slow to open.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         loan_client: _ports.LoanClient | None = None,
         guards: _ports.Guards | None = None,
         bounds_store: _ports.BoundsStore | None = None,
+        log: telemetry.DecisionLog | telemetry.NullDecisionLog | None = None,
     ):
         self.loan_client = loan_client or _ports.NullLoanClient()
         self.guards = guards or _ports.NullGuards()
@@ -86,7 +89,9 @@
         self.escrow = escrow
         self.round_trips = _round_trips.RoundTrips()
         self.control = _measured_control.MeasuredControl(
-            control=control, round_trips=self.round_trips
+            control=control,
+            round_trips=self.round_trips,
+            log=log or telemetry.NullDecisionLog(),
         )
         self.witnesses = witnesses
         self.unavailable = unavailable
--- a/galenashed/budget/_measured_control.py
+++ b/galenashed/budget/_measured_control.py
@@ -5,6 +5,10 @@
 from galenashed.budget import _ports
 from galenashed.budget import _round_trips
 from galenashed.protocol import control as wire
+from galenashed import telemetry
+
+# Grants that take longer are logged: most take a few milliseconds.
+SLOW_GRANT_SECONDS = 0.1
 
 
 class MeasuredControl:
@@ -19,18 +23,22 @@
         Client that commits commands.
     round_trips : RoundTrips
         Receives the times of sending and of the answers.
+    log : DecisionLog
+        Receives a line for each grant that is slow or not answered.
     """
 
-    __slots__ = ("_control", "_round_trips")
+    __slots__ = ("_control", "_log", "_round_trips")
 
     def __init__(
         self,
         *,
         control: _ports.Proposer,
         round_trips: _round_trips.RoundTrips,
+        log: telemetry.DecisionLog | telemetry.NullDecisionLog,
     ):
         self._control = control
         self._round_trips = round_trips
+        self._log = log
 
     async def propose(
         self, command: wire.Command, *, timeout: float
@@ -39,11 +47,32 @@
         if not isinstance(command, wire.OpenGrant | wire.Holding):
             return await self._control.propose(command, timeout=timeout)
         key = object()
-        self._round_trips.on_sent(key, time.monotonic())
+        sent_at = time.monotonic()
+        self._round_trips.on_sent(key, sent_at)
         try:
             reply = await self._control.propose(command, timeout=timeout)
         except BaseException:
             self._round_trips.on_abandoned(key)
+            self._log_grant(command, "unanswered", sent_at)
             raise
         self._round_trips.on_answered(key, time.monotonic())
+        self._log_grant(command, type(reply).__name__.lower(), sent_at)
         return reply
+
+    def _log_grant(
+        self, command: wire.Command, outcome: str, sent_at: float
+    ) -> None:
+        """Writes a line about a grant that took long."""
+        seconds = time.monotonic() - sent_at
+        if seconds < SLOW_GRANT_SECONDS:
+            return
+        if isinstance(command, wire.OpenGrant):
+            self._log.write(
+                "slow grant",
+                budget=command.budget,
+                grant=command.grant,
+                outcome=outcome,
+                need=command.need,
+                want=command.want,
+                after=round(seconds, 3),
+            )
--- a/galenashed/budget/_waiters.py
+++ b/galenashed/budget/_waiters.py
@@ -22,7 +22,8 @@
 
     ``held_elsewhere`` is the number of tokens of the budget that other entries
     hold, ``held_by_silent`` that of those with entries which control does not
-    hear.
+    hear.  ``lost`` are tokens that dead entries may have spent, and
+    ``holders`` the other holders that have the most.
     """
 
     def __init__(
@@ -32,6 +33,8 @@
         available: int,
         held_elsewhere: int,
         held_by_silent: int = 0,
+        lost: int = 0,
+        holders: typing.Sequence[wire.HeldShare] = (),
     ):
         super().__init__(
             f"the request may take {needed} tokens; {available} are left"
@@ -40,6 +43,8 @@
         self.available = available
         self.held_elsewhere = held_elsewhere
         self.held_by_silent = held_by_silent
+        self.lost = lost
+        self.holders = holders
 
 
 class Waiter:
@@ -190,6 +195,8 @@
                 available=spare,
                 held_elsewhere=reply.elsewhere,
                 held_by_silent=reply.silent,
+                lost=reply.lost,
+                holders=reply.holders,
             )
             waiter.fut.set_exception(error)
 
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -25,6 +25,8 @@
 HOLDER_RETENTION_SECONDS = 7 * 24 * 3600.0
 WRITE_OFF_SECONDS = 3600.0
 MAX_RECENT_BILLS = 10_000
+# Holders that a reply to a refused grant request names.
+MAX_HOLDERS_NAMED = 3
 # Ten times the period of announcements.
 SILENT_HOLDER_SECONDS = 3.0
 # The announced limits of a dead holder are trusted only up to this silence.
@@ -174,16 +176,29 @@
     state: _state.ControlState, budget_state: _state.BudgetState, holder: str
 ) -> wire.Short:
     """Returns the reply to a holder that needs more than is free."""
-    elsewhere = silent = 0
+    silent = 0
+    held: collections.Counter[str] = collections.Counter()
+    announced: collections.Counter[str] = collections.Counter()
     for grant in budget_state.grants.values():
         if grant.holder == holder:
             continue
         tokens = grant.amount - grant.settled
-        elsewhere += tokens
+        held[grant.holder] += tokens
+        limit = grant.amount if grant.limit is None else grant.limit
+        announced[grant.holder] += min(tokens, max(0, limit - grant.settled))
         if _is_silent(state, grant):
             silent += tokens
     return wire.Short(
-        available=budget_state.free, elsewhere=elsewhere, silent=silent
+        available=budget_state.free,
+        elsewhere=held.total(),
+        silent=silent,
+        lost=budget_state.lost,
+        holders=[
+            wire.HeldShare(
+                holder=name, tokens=tokens, announced=announced[name]
+            )
+            for name, tokens in held.most_common(MAX_HOLDERS_NAMED)
+        ],
     )
 
 
--- a/galenashed/control/tests/test_state_machine.py
+++ b/galenashed/control/tests/test_state_machine.py
@@ -141,7 +141,17 @@
         self.apply(wire.Holding(holder="e2/x", sent_at=5.0, limits={}))
         reply = self.open(1, 100, holder="e4/x")
         self.assertEqual(
-            wire.Short(available=50, elsewhere=950, silent=600), reply
+            wire.Short(
+                available=50,
+                elsewhere=950,
+                silent=600,
+                holders=[
+                    wire.HeldShare(holder="e1/x", tokens=600, announced=600),
+                    wire.HeldShare(holder="e2/x", tokens=300, announced=300),
+                    wire.HeldShare(holder="e3/x", tokens=50, announced=50),
+                ],
+            ),
+            reply,
         )
 
     def test_duplicate_open_returns_the_same_grant(self):
--- a/galenashed/gateway/_prepaid.py
+++ b/galenashed/gateway/_prepaid.py
@@ -11,6 +11,7 @@
 from galenashed.gateway import _token_wait
 from galenashed.protocol import control as wire
 from galenashed.protocol import routes as routes_wire
+from galenashed import telemetry
 from galenashed import web
 
 
@@ -76,13 +77,24 @@
         Holds the token grants of this entry.
     rng : random.Random
         Spreads the times at which refused requests come back.
+    log : DecisionLog
+        Receives a line for each refusal, with where the tokens are.
+    metrics : Metrics
+        Receives how long requests waited for tokens.
     """
 
     def __init__(
-        self, *, budget_manager: budget.BudgetManager, rng: random.Random
+        self,
+        *,
+        budget_manager: budget.BudgetManager,
+        rng: random.Random,
+        log: telemetry.DecisionLog | telemetry.NullDecisionLog,
+        metrics: telemetry.Metrics,
     ):
         self.budget_manager = budget_manager
         self.rng = rng
+        self.log = log
+        self.metrics = metrics
         # Monotonic time of the last refusal for a temporary lack of tokens.
         self.last_refused_at = float("-inf")
 
@@ -103,6 +115,31 @@
         needed = request.usage.prompt + request.usage.max_output
         if needed > team.prepaid:
             raise _exhausted_error(team, needed, team.prepaid)
+        started = time.monotonic()
+        try:
+            reservation = await self._reserve(request, team, route, needed)
+        except (
+            TimeoutError,
+            control.ControlUnavailableError,
+            budget.BudgetExhaustedError,
+        ) as exc:
+            self._log_shortage(request, team, needed, exc, started)
+            raise self._make_error(team, needed, exc) from None
+        self.metrics.duration("gateway.token_wait", time.monotonic() - started)
+        return PrepaidReservation(
+            budget_manager=self.budget_manager,
+            reservation=reservation,
+            team=team.name,
+        )
+
+    async def _reserve(
+        self,
+        request: _request.Request,
+        team: routes_wire.RoutedTeam,
+        route: routes_wire.Route,
+        needed: int,
+    ) -> budget.Reservation:
+        """Waits for tokens as long as they can come in time."""
         now = time.monotonic()
         time_limit = request.deadline(route.time_limit)
         wait = _token_wait.longest_wait(
@@ -110,29 +147,62 @@
             time_left=time_limit - now,
             expected=self.budget_manager.round_trips.seconds_until_tokens(now),
         )
-        try:
-            async with asyncio.timeout(wait):
-                reservation = await self.budget_manager.reserve(
-                    team.name,
-                    needed,
-                    priority=_find_priority(team, route),
-                    time_limit=time_limit,
-                )
-        except TimeoutError:
-            raise self._unavailable_error(
-                "tokens did not come in time",
-                _token_retry.until_granted(self._grant_seconds()),
-            ) from None
-        except control.ControlUnavailableError as exc:
-            raise self._unavailable_error(
+        async with asyncio.timeout(wait):
+            return await self.budget_manager.reserve(
+                team.name,
+                needed,
+                priority=_find_priority(team, route),
+                time_limit=time_limit,
+            )
+
+    def _make_error(
+        self, team: routes_wire.RoutedTeam, needed: int, exc: Exception
+    ) -> web.ApiError:
+        """Returns the error of a request that tokens could not be had for."""
+        if isinstance(exc, budget.BudgetExhaustedError):
+            return self._shortage_error(team, exc)
+        if isinstance(exc, control.ControlUnavailableError):
+            return self._unavailable_error(
                 str(exc), self._until_control_answers(team.name, needed)
-            ) from None
-        except budget.BudgetExhaustedError as exc:
-            raise self._shortage_error(team, exc) from None
-        return PrepaidReservation(
-            budget_manager=self.budget_manager,
-            reservation=reservation,
+            )
+        return self._unavailable_error(
+            "tokens did not come in time",
+            _token_retry.until_granted(self._grant_seconds()),
+        )
+
+    def _log_shortage(
+        self,
+        request: _request.Request,
+        team: routes_wire.RoutedTeam,
+        needed: int,
+        exc: Exception,
+        started: float,
+    ) -> None:
+        """Writes where a team's tokens are, as far as this entry knows."""
+        escrow = self.budget_manager.escrow
+        fields = {}
+        if isinstance(exc, budget.BudgetExhaustedError):
+            fields = {
+                "free": exc.available,
+                "elsewhere": exc.held_elsewhere,
+                "silent": exc.held_by_silent,
+                "lost": exc.lost,
+                "holders": [
+                    [share.holder, share.tokens, share.announced]
+                    for share in exc.holders
+                ],
+            }
+        self.log.write(
+            "tokens lacking",
+            request=request.id,
             team=team.name,
+            needed=needed,
+            prepaid=team.prepaid,
+            held=escrow.unspent(team.name),
+            announced=escrow.announced(team.name),
+            waited=round(time.monotonic() - started, 3),
+            grants_take=round(self._grant_seconds(), 3),
+            **fields,
         )
 
     def _grant_seconds(self) -> float:
--- a/galenashed/gateway/tests/test_token_wait.py
+++ b/galenashed/gateway/tests/test_token_wait.py
@@ -11,7 +11,9 @@
 from galenashed import control
 from galenashed import gateway
 from galenashed.gateway.tests import _fixture
+from galenashed.protocol import control as wire
 from galenashed.protocol import routes
+from galenashed import telemetry
 from galenashed import web
 
 TEAM = "rounds"
@@ -30,6 +32,16 @@
         pass
 
 
+class Log:
+    """Keeps the lines that are written."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+
 class SlowControl(_control.Control):
     """Control whose answers take as long as on the measured days."""
 
@@ -51,6 +63,10 @@
 class TestTokenWait(testtools.TestCase):
     """First requests of a team at an entry that holds none of its tokens."""
 
+    def setUp(self):
+        super().setUp()
+        self.log = Log()
+
     async def run_request(self, fleet, *, seed=1, objective, time_limit):
         """Returns the error, or None if tokens came, and the seconds."""
         manager = budget.BudgetManager(
@@ -65,7 +81,10 @@
             kind=routes.RouteKind.IDEMPOTENT, time_limit=time_limit
         )
         reserver = gateway.PrepaidReserver(
-            budget_manager=manager, rng=random.Random(seed)
+            budget_manager=manager,
+            rng=random.Random(seed),
+            log=self.log,
+            metrics=telemetry.NullMetrics(),
         )
         fixture.gateway.prepaid = reserver
         request = gateway.Request(
@@ -153,3 +172,29 @@
         self.assertGreater(times[0], 0.4)
         self.assertGreater(times[-1] - times[0], 0.3)
         self.assertGreater(len({round(seconds, 2) for seconds in times}), 20)
+
+    def test_refusal_says_where_the_tokens_are(self):
+        """Guards against 402 without a trace of who held the rest."""
+        fleet = _control.Control(team=TEAM, tokens=400)
+        fleet.apply(
+            wire.OpenGrant(
+                grant="node-2/b/1",
+                budget=TEAM,
+                holder="node-2/b",
+                number=1,
+                sequence=0,
+                need=300,
+                want=300,
+                limit=100,
+            )
+        )
+        error, _ = asyncio.run(
+            self.run_request(fleet, objective=0.25, time_limit=4.0)
+        )
+        self.assertEqual("prepaid_exhausted", error.code)
+        (line,) = self.log.lines
+        self.assertEqual("tokens lacking", line["event"])
+        self.assertEqual([["node-2/b", 300, 100]], line["holders"])
+        self.assertEqual(
+            (100, 300, 0), (line["free"], line["elsewhere"], line["lost"])
+        )
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -192,7 +192,10 @@
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=gateway.PrepaidReserver(
-                budget_manager=self.budget_manager, rng=rng
+                budget_manager=self.budget_manager,
+                rng=rng,
+                log=log,
+                metrics=metrics,
             ),
             pool=self._pool,
             codec=codec,
@@ -287,6 +290,7 @@
             loan_client=self._loan_exchange,
             guards=self._guard_exchange,
             bounds_store=self._spending_file,
+            log=self.log,
         )
         self._loan_exchange.attach(self.budget_manager)
 
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -443,16 +443,31 @@
     grant: str
 
 
+class HeldShare(msgspec.Struct, frozen=True, kw_only=True):
+    """Unbilled tokens of a budget at a holder.
+
+    It has announced that it may spend ``announced`` of them.
+    """
+
+    holder: str
+    tokens: int
+    announced: int
+
+
 class Short(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """Too few free tokens for a grant.
 
     ``available`` tokens are free, ``elsewhere`` are granted to other holders,
     ``silent`` of them to holders that control has not heard for seconds.
+    ``lost`` are those that dead holders may have spent, and ``holders`` the
+    other holders that have the most, for the logs.
     """
 
     available: int
     elsewhere: int
     silent: int = 0
+    lost: int = 0
+    holders: list[HeldShare] = []
 
 
 class Settled(msgspec.Struct, tag=True, frozen=True, kw_only=True):
