--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -1,6 +1,7 @@
 """Asyncio manager of an entry's escrow and its traffic with control."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -60,6 +61,8 @@
         Entries that record when announced limits are exceeded.
     bounds_store : BoundsStore or None
         Disk that bounds what may be spent; None for an entry without one.
+    log : DecisionLog or None
+        Receives a line for each grant that control is slow to open.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         loan_client: _ports.LoanClient | None = None,
         guards: _ports.Guards | None = None,
         bounds_store: _ports.BoundsStore | None = None,
+        log: telemetry.DecisionLog | telemetry.NullDecisionLog | None = None,
     ):
         self.loan_client = loan_client or _ports.NullLoanClient()
         self.guards = guards or _ports.NullGuards()
@@ -85,7 +89,9 @@
         self.escrow = escrow
         self.round_trips = _round_trips.RoundTrips()
         self.control = _measured_control.MeasuredControl(
-            control=control, round_trips=self.round_trips
+            control=control,
+            round_trips=self.round_trips,
+            log=log or telemetry.NullDecisionLog(),
         )
         self.witnesses = witnesses
         self.unavailable = unavailable
@@ -134,9 +140,18 @@
         if self._bounds_writer is not None:
             await self._bounds_writer.close()
 
-    async def reserve(self, budget: str, tokens: int) -> _account.Reservation:
+    async def reserve(
+        self,
+        budget: str,
+        tokens: int,
+        *,
+        priority: int = 0,
+        time_limit: float = math.inf,
+    ) -> _account.Reservation:
         """Reserves tokens for a request.
 
+        Among waiting requests a lower ``priority`` goes first, then an earlier
+        ``time_limit``, a monotonic time.
         Raises BudgetExhaustedError if the budget does not cover the request,
         or the control client's error if the tokens held do not suffice and
         control does not answer.
@@ -152,7 +167,11 @@
                 self._request_bounds(budget)
             return reservation
         waiter = self._waiters.add(
-            budget, tokens, deadline=now + self.escrow.policy.recall_wait
+            budget,
+            tokens,
+            deadline=now + self.escrow.policy.recall_wait,
+            priority=priority,
+            time_limit=time_limit,
         )
         self._request_tokens(budget)
         is_answer_due = self.control_reachable()
@@ -203,8 +222,7 @@
         finally:
             self._borrowing.discard(waiter.budget)
         if lent:
-            self.escrow.on_borrowed(waiter.budget, lent, time.monotonic())
-            self._serve_waiters(waiter.budget)
+            self.add_loan(waiter.budget, lent)
         elif not self.control_reachable() and not self._waits_for_disk(waiter):
             # Neither control nor any reachable entry can provide tokens.
             held = self.escrow.unspent(waiter.budget)
@@ -215,12 +233,18 @@
                     f"control is out of reach; of {held} tokens held,"
                     f" {free} are announced, {waiter.tokens} are needed"
                 ),
+                time.monotonic(),
             )
         for other in self._waiters:
             if lent and other.budget == waiter.budget:
                 self._borrow(other)
                 return
 
+    def add_loan(self, budget: str, tokens: int) -> None:
+        """Adds tokens that another entry has lent."""
+        self.escrow.on_borrowed(budget, tokens, time.monotonic())
+        self._serve_waiters(budget)
+
     def set_policy(self, policy: _policy.Policy) -> None:
         """Sets the policy; it must announce limits like the one before."""
         self.escrow.set_policy(policy)
@@ -529,7 +553,7 @@
             # The grant may still be committed, and only its holder can
             # return it.
             self._spawn(self._resolve_open(command))
-            self._waiters.fail(command.budget, exc)
+            self._waiters.fail(command.budget, exc, time.monotonic())
             return
         self._on_contact(sent)
         self.escrow.on_opened(command, reply, time.monotonic())
@@ -541,6 +565,7 @@
                 _waiters.BudgetExhaustedError(
                     needed=command.need, available=0, held_elsewhere=0
                 ),
+                time.monotonic(),
             )
         elif isinstance(reply, wire.Short):
             await self._on_short(command.budget, reply)
--- a/galenashed/budget/_waiters.py
+++ b/galenashed/budget/_waiters.py
@@ -1,6 +1,12 @@
-"""Requests that wait for tokens at an entry."""
+"""Requests that wait for tokens at an entry, the urgent ones first.
+
+The load that this addresses: more requests of a team wait than the tokens
+cover that have come so far, and some of them have little time left.
+"""
 
 import asyncio
+import bisect
+import math
 import typing
 
 from galenashed.budget import _account
@@ -16,7 +22,8 @@
 
     ``held_elsewhere`` is the number of tokens of the budget that other entries
     hold, ``held_by_silent`` that of those with entries which control does not
-    hear.
+    hear.  ``lost`` are tokens that dead entries may have spent, and
+    ``holders`` the other holders that have the most.
     """
 
     def __init__(
@@ -26,6 +33,8 @@
         available: int,
         held_elsewhere: int,
         held_by_silent: int = 0,
+        lost: int = 0,
+        holders: typing.Sequence[wire.HeldShare] = (),
     ):
         super().__init__(
             f"the request may take {needed} tokens; {available} are left"
@@ -34,15 +43,18 @@
         self.available = available
         self.held_elsewhere = held_elsewhere
         self.held_by_silent = held_by_silent
+        self.lost = lost
+        self.holders = holders
 
 
 class Waiter:
     """A request that waits; ``fut`` gets its reservation or an error.
 
     After ``deadline`` it waits no more for tokens that other entries hold.
+    ``urgency`` is the sort key of waiting requests.
     """
 
-    __slots__ = ("budget", "deadline", "fut", "tokens")
+    __slots__ = ("budget", "deadline", "fut", "tokens", "urgency")
 
     def __init__(
         self,
@@ -50,16 +62,21 @@
         budget: str,
         tokens: int,
         deadline: float,
+        urgency: tuple[int, float],
         fut: "asyncio.Future[_account.Reservation]",
     ):
         self.budget = budget
         self.tokens = tokens
         self.deadline = deadline
+        self.urgency = urgency
         self.fut = fut
 
 
 class WaitQueue:
-    """The waiting requests of an entry, in order of arrival.
+    """The waiting requests of an entry, in order of their urgency.
+
+    A request that does not fit holds back less urgent ones of its budget, so
+    that large requests are served too.
 
     Times are in seconds on a monotonic clock.
 
@@ -80,15 +97,28 @@
     def __iter__(self) -> typing.Iterator[Waiter]:
         return iter(self._waiters)
 
-    def add(self, budget: str, tokens: int, *, deadline: float) -> Waiter:
-        """Adds a request; call this in the event loop."""
+    def add(
+        self,
+        budget: str,
+        tokens: int,
+        *,
+        deadline: float,
+        priority: int = 0,
+        time_limit: float = math.inf,
+    ) -> Waiter:
+        """Adds a request; call this in the event loop.
+
+        A lower ``priority`` is more urgent, then an earlier ``time_limit``,
+        which is a time like ``deadline``.
+        """
         waiter = Waiter(
             budget=budget,
             tokens=tokens,
             deadline=deadline,
+            urgency=(priority, time_limit),
             fut=asyncio.get_running_loop().create_future(),
         )
-        self._waiters.append(waiter)
+        bisect.insort(self._waiters, waiter, key=lambda item: item.urgency)
         return waiter
 
     def discard(self, waiter: Waiter, now: float) -> None:
@@ -129,8 +159,15 @@
             self._waiters.remove(waiter)
             waiter.fut.set_result(reservation)
 
-    def fail(self, budget: str, exc: Exception) -> None:
-        """Refuses all requests of a budget."""
+    def fail(self, budget: str, exc: Exception, now: float) -> None:
+        """Refuses all requests of a budget but those that still fit."""
+        for waiter in list(self._waiters):
+            if waiter.budget != budget or waiter.fut.done():
+                continue
+            reservation = self.escrow.reserve(budget, waiter.tokens, now)
+            if reservation is not None:
+                self._waiters.remove(waiter)
+                waiter.fut.set_result(reservation)
         for waiter in list(self._waiters):
             if waiter.budget == budget:
                 self._waiters.remove(waiter)
@@ -158,6 +195,8 @@
                 available=spare,
                 held_elsewhere=reply.elsewhere,
                 held_by_silent=reply.silent,
+                lost=reply.lost,
+                holders=reply.holders,
             )
             waiter.fut.set_exception(error)
 
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -194,7 +194,10 @@
         self.gateway = gateway.Gateway(
             targets=self.targets,
             prepaid=gateway.PrepaidReserver(
-                budget_manager=self.budget_manager, rng=rng
+                budget_manager=self.budget_manager,
+                rng=rng,
+                log=log,
+                metrics=metrics,
             ),
             pool=self._pool,
             codec=codec,
@@ -266,6 +269,7 @@
         )
         self._loan_exchange = _loans.LoanExchange(
             name=self.cfg.name,
+            domain=self.cfg.failure_domain,
             directory=self.instance_directory,
             key=self.cfg.peer_key,
             rng=self.rng,
@@ -289,6 +293,7 @@
             loan_client=self._loan_exchange,
             guards=self._guard_exchange,
             bounds_store=self._spending_file,
+            log=self.log,
         )
         self._loan_exchange.attach(self.budget_manager)
 
@@ -601,15 +606,9 @@
         self, table: routes_wire.RoutingTable, *, prefetch: bool
     ) -> None:
         """Limits the tokens held without demand, and requests them."""
-        for team in table.teams:
-            if team.prepaid is None:
-                continue
-            spare = _token_holders.spare_tokens(
-                team.prepaid, self._naming.count
-            )
-            self.budget_manager.set_max_spare(team.name, spare)
-            if prefetch:
-                self.budget_manager.prefetch(team.name, spare)
+        _token_holders.hold_tokens(
+            self.budget_manager, table, self._naming.count, prefetch=prefetch
+        )
 
     # Targets and other nodes
 
