Drop waiting requests before ordinary ones are refused

Change: above the limit, requests that wait for the response to an earlier one are dropped first; their connection closes after that response. The parser gets a head or a part of a body at a time, by the empty line that ends each, which costs less than pieces of 512 bytes.

--- a/galenashed/web/_guard.py
+++ b/galenashed/web/_guard.py
@@ -82,6 +82,12 @@
         0 while the server does not wait for the client.
         """
 
+    def drop_waiting(self) -> None:
+        """Drops requests that wait for the response to an earlier one.
+
+        The connection closes after that response.
+        """
+
     def end_stalled(self, reason: str) -> None:
         """Closes the connection; refuses a request that has not begun."""
 
@@ -162,19 +168,25 @@
     def relieve(
         self, conns: typing.Iterable[GuardedConnection], now: float
     ) -> None:
-        """Ends connections that wait for their client, if the limit is met."""
+        """Frees bytes if more are held than the limit allows.
+
+        Requests that wait for a response are dropped first, then connections
+        that wait for their client are ended, those that hold most first.
+        """
         if not self.is_full or now - self._relieved_at < (
             RELIEF_INTERVAL_SECONDS
         ):
             return
         self._relieved_at = now
-        waiting = [
-            conn
-            for conn in conns
-            if conn.seconds_waited(now) >= RELIEF_WAIT_SECONDS
-        ]
-        waiting.sort(key=lambda conn: conn.held_bytes, reverse=True)
-        for conn in waiting:
-            if self.held_bytes <= RELIEF_SHARE * self.limits.max_held_bytes:
+        enough = RELIEF_SHARE * self.limits.max_held_bytes
+        largest_first = sorted(
+            conns, key=lambda conn: conn.held_bytes, reverse=True
+        )
+        for conn in largest_first:
+            if self.held_bytes > enough:
+                conn.drop_waiting()
+        for conn in largest_first:
+            if self.held_bytes <= enough:
                 return
-            conn.end_stalled("held")
+            if conn.seconds_waited(now) >= RELIEF_WAIT_SECONDS:
+                conn.end_stalled("held")
--- a/galenashed/web/_protocol.py
+++ b/galenashed/web/_protocol.py
@@ -7,9 +7,6 @@
 """
 
 import asyncio
-import contextlib
-import socket
-import struct
 import typing
 
 import httptools
@@ -18,11 +15,16 @@
 
 from galenashed.web import _errors
 from galenashed.web import _guard
+from galenashed.web import _progress
 
 # What the connections of a server read at once; more stays with the kernel.
 READ_BYTES = 64 * 1024
-# The parser gets pieces, so that few requests begin before it is stopped.
-PIECE_BYTES = 512
+# The parser gets pieces, so that few requests begin before it is stopped: at
+# most so many bytes of a head, and a body in chunks up to the first HEAD_END
+# after CHUNKS_BYTES.  A head, and a body in chunks, ends with HEAD_END.
+HEAD_PIECE_BYTES = 1024
+CHUNKS_BYTES = 512
+HEAD_END = b"\r\n\r\n"
 # Reading pauses when a larger response waits to be sent.
 WRITE_BUFFER_BYTES = 32 * 1024
 # What a header, and a request beside its head and body, hold.
@@ -30,9 +32,6 @@
 REQUEST_OBJECT_BYTES = 4096
 # These tell where the body of a request ends.
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
-# The position of tcpi_bytes_acked in Linux's struct tcp_info.
-TCP_INFO_BYTES = 256
-BYTES_ACKED_OFFSET = 120
 
 
 class _Flow(flow_control.FlowControl):
@@ -99,6 +98,7 @@
         self._unparsed = b""
         self._running: typing.Any = None
         self._body_left = 0
+        self._in_chunks = False
         self._progress_at = self.loop.time()
         self._acked_bytes = 0
         self._head_bytes = 0
@@ -124,6 +124,10 @@
         self._unparsed = b""
         self._set_held(0)
         super().connection_lost(exc)
+        if self._running is not None:
+            # The base class tells only the last request that was parsed.
+            self._running.disconnected = True
+            self._running.message_event.set()
 
     # Time limit of heads
 
@@ -196,18 +200,25 @@
             self.transport.write(head.encode() + body)
             self.transport.close()
 
+    def _is_full(self) -> bool:
+        """Whether too many bytes are held, also once some were freed."""
+        if self.guard.is_full:
+            typed_conns = typing.cast(
+                typing.Iterable[_guard.GuardedConnection], self.connections
+            )
+            self.guard.relieve(typed_conns, self.loop.time())
+        return self.guard.is_full
+
     def _refuse_if_full(self) -> None:
         """Refuses an incomplete request if too many bytes are held."""
-        if not self.guard.is_full:
+        if not self._is_full():
             return
-        typed_conns = typing.cast(
-            typing.Iterable[_guard.GuardedConnection], self.connections
-        )
-        self.guard.relieve(typed_conns, self.loop.time())
         is_incomplete = self._head_timer is not None or (
             self.cycle is not None and self.cycle.more_body
         )
-        if self.guard.is_full and is_incomplete and self._can_send_error():
+        if self.pipeline:
+            self.drop_waiting()
+        elif is_incomplete and self._can_send_error():
             error = _make_overload_error()
             self._refuse(error.status, error.code, error.message)
 
@@ -217,7 +228,7 @@
         """See :class:`GuardedConnection`."""
         cycle = self.cycle
         if self.transport.get_write_buffer_size():
-            acked = _read_acked_bytes(self.transport)
+            acked = _progress.read_acked_bytes(self.transport)
             if acked is None or acked != self._acked_bytes:
                 self._acked_bytes = acked or 0
                 self._progress_at = now
@@ -230,6 +241,15 @@
             self._progress_at = now
         return now - self._progress_at
 
+    def drop_waiting(self) -> None:
+        """See :class:`GuardedConnection`."""
+        if self.pipeline and not self.transport.is_closing():
+            self.guard.note("held")
+            self._end_input()
+            self.pipeline.clear()
+            self.cycle = self._running
+            self._count_held()
+
     def end_stalled(self, reason: str) -> None:
         """See :class:`GuardedConnection`."""
         if self.transport.get_write_buffer_size() or (
@@ -286,7 +306,7 @@
         """Parses as much as may be held; keeps the rest."""
         start = 0
         while start < len(data) and not self._must_wait():
-            end = start + max(PIECE_BYTES, self._body_left)
+            end = self._find_piece_end(data, start)
             self._feed_piece(data[start:end])
             start = end
             if self._input_ended or self.transport.is_closing():
@@ -296,6 +316,17 @@
         self._count_held()
         self._refuse_if_full()
 
+    def _find_piece_end(self, data: bytes, start: int) -> int:
+        """Returns the end of a piece in which about one request begins."""
+        if self._body_left:
+            return start + self._body_left
+        if self._in_chunks:
+            end = data.find(HEAD_END, start + CHUNKS_BYTES)
+            return len(data) if end < 0 else end + len(HEAD_END)
+        limit = start + HEAD_PIECE_BYTES
+        end = data.find(HEAD_END, start, limit)
+        return limit if end < 0 else end + len(HEAD_END)
+
     def _set_blocked(self) -> None:
         """Stops reading while a request waits for an earlier response."""
         self.flow.blocked = bool(self.pipeline) and not self._input_ended
@@ -387,7 +418,7 @@
             return
         self._ends_at_offer = self.parser.should_upgrade()
         self._stop_head_timer()
-        self._body_left = _find_body_length(self.headers)
+        self._body_left, self._in_chunks = _find_body_length(self.headers)
         super().on_headers_complete()
         cycle: typing.Any = self.cycle
         cycle.held_bytes = (
@@ -417,13 +448,14 @@
             return
         self._framing_bytes = 0
         self._body_left = 0
+        self._in_chunks = False
         super().on_message_complete()
 
     # Responses
 
     def _start_asgi_task(self, cycle, app) -> None:
         self._running = cycle
-        if self.guard.is_full:
+        if self._is_full():
             self.guard.note("too_many_held_bytes")
             app = _refuse_for_held_bytes
         super()._start_asgi_task(cycle, app)
@@ -450,23 +482,12 @@
         self._count_held()
 
 
-def _find_body_length(headers: list[tuple[bytes, bytes]]) -> int:
-    """Returns the length of a request's body; 0 if it comes in chunks."""
+def _find_body_length(headers: list[tuple[bytes, bytes]]) -> tuple[int, bool]:
+    """Returns the length of a request's body, and if it comes in chunks."""
     length = 0
     for name, value in headers:
         if name == b"transfer-encoding":
-            return 0
+            return 0, True
         if name == b"content-length" and value.isdigit():
             length = int(value)
-    return length
-
-
-def _read_acked_bytes(transport: asyncio.Transport) -> int | None:
-    """Returns how many bytes the client has acknowledged; None if unknown."""
-    sock = transport.get_extra_info("socket")
-    with contextlib.suppress(OSError, AttributeError, struct.error):
-        info = sock.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
-        )
-        return struct.unpack_from("Q", info, BYTES_ACKED_OFFSET)[0]
-    return None
+    return length, False
--- a/galenashed/web/tests/test_limits.py
+++ b/galenashed/web/tests/test_limits.py
@@ -211,6 +211,29 @@
         responses, _ = self.run_server(function, max_held_bytes=1_000_000)
         self.assertEqual([b"408", b"200", b"200"], responses)
 
+    def test_pipelined_requests_are_dropped_for_ordinary_ones(self):
+        async def function(server, app):
+            app.released.clear()
+            pipelining = [await connect(server) for _ in range(20)]
+            for _, writer in pipelining:
+                writer.write(b"".join(GET % n for n in range(10_000)))
+            await wait_until(lambda: server.connection_count == 20)
+            await asyncio.sleep(0.5)
+            held = server._guard.held_bytes
+            app.paths.clear()
+            reader, writer = await connect(server)
+            writer.write(GET % 5)
+            await wait_until(lambda: app.paths)
+            app.released.set()
+            await reader.readuntil(b"\r\n\r\nxx")
+            for _, other in [*pipelining, (reader, writer)]:
+                other.transport.abort()
+            return held
+
+        held, page = self.run_server(function, max_held_bytes=1_000_000)
+        self.assertLess(held, 1_000_000)
+        self.assertIn("galenashed_web_ended_held_total", page)
+
     def test_head_over_the_limit_is_refused(self):
         for size, status in ((15_000, b"200"), (20_000, b"431")):
             response = self.send_head(size)
