Name entries by their scarcest resource, so that the weakest bears its part

Cause: entries were chosen by cores alone, three or an eighth of a domain's cores at least.

Change: Instance gains link, memory and descriptors with their use; two bytes beside each compact heartbeat renew the use. node/_capacity.py names the least number of entries for which enough can bear the domain's load divided by the number less the tolerated losses, with room for a fifth of the domain's capacity before load comes. Without announced limits the rule is unchanged (tests of test_entries.py unchanged). Limits that an old build left out of a forwarded announcement are asked for.

--- a/galenashed/gossip/_compact_rounds.py
+++ b/galenashed/gossip/_compact_rounds.py
@@ -405,22 +405,24 @@
             instances.append(own_record)
             instance_ages.append(0.0)
         targets = _rounds.get_all(self.targets, target_names)
-        packed_instances = [
-            heartbeats.pack_instance(
-                self.identities.instances[name],
-                announced,
-                self.instances.age(name, now),
-            )
-            for name, announced in self._existing(
-                self.instances, renewed_instances
+        packed_instances: list[bytes] = []
+        shares: list[bytes] = []
+        for name, renewed in self._existing(self.instances, renewed_instances):
+            identity = self.identities.instances[name]
+            age = self.instances.age(name, now)
+            packed_instances.append(
+                heartbeats.pack_instance(identity, renewed, age)
             )
-        ]
+            shares.append(heartbeats.pack_shares(renewed))
         if own_heartbeat is not None:
             packed_instances.append(
                 heartbeats.pack_instance(
                     self.identities.own, own_heartbeat, 0.0
                 )
             )
+            shares.append(heartbeats.pack_shares(own_heartbeat))
+        if all(share == heartbeats.NO_SHARES for share in shares):
+            shares = []
         plain: list[bytes] = []
         loaded: list[bytes] = []
         for name, target in self._existing(self.targets, renewed_targets):
@@ -436,6 +438,7 @@
             sender=own.name,
             complete=complete,
             instance_heartbeats=b"".join(packed_instances),
+            instance_shares=b"".join(shares),
             target_heartbeats=b"".join(plain),
             loaded_target_heartbeats=b"".join(loaded),
             instances=instances,
--- a/galenashed/gossip/_core.py
+++ b/galenashed/gossip/_core.py
@@ -199,7 +199,7 @@
         seen = self._seen
         unknown: list[int] = []
         for beat in heartbeats.unpack_instances(
-            message.instance_heartbeats, seen
+            message.instance_heartbeats, seen, message.instance_shares
         ):
             name = identities.instance_name(beat.identity)
             instance = self.instances.get(name) if name is not None else None
@@ -209,6 +209,8 @@
             seen[beat.identity] = beat.sequence
             if heartbeats.is_newer(beat.sequence, instance.sequence):
                 self._renew_instance(instance, beat, now, local=local)
+            if _lacks_limits(instance, beat):
+                unknown.append(beat.identity)
         for packed in (
             heartbeats.unpack_targets(message.target_heartbeats, seen),
             heartbeats.unpack_loaded_targets(
@@ -250,6 +252,7 @@
             in_flight=beat.in_flight,
             request_rate=beat.request_rate / heartbeats.RATE_FACTOR,
             cores_used=share_used * known.cores,
+            **_uses(known, beat),
         )
         age = heartbeats.age_seconds(beat.age)
         if self.instances.renew(renewed, now=now, age=age):
@@ -417,6 +420,30 @@
                 del self._synced_at[address]
 
 
+def _lacks_limits(
+    known: wire.Instance, beat: heartbeats.InstanceHeartbeat
+) -> bool:
+    """Whether an older version left out the limits of an announcement."""
+    return heartbeats.unpack_shares(beat.shares) is not None and not (
+        known.link or known.memory or known.descriptors
+    )
+
+
+def _uses(
+    known: wire.Instance, beat: heartbeats.InstanceHeartbeat
+) -> dict[str, typing.Any]:
+    """Returns what an instance uses of its limits, if its heartbeat tells."""
+    shares = heartbeats.unpack_shares(beat.shares)
+    if shares is None:
+        return {}
+    link, memory, descriptors = shares
+    return {
+        "link_used": link * known.link,
+        "memory_used": int(memory * known.memory),
+        "descriptors_used": int(descriptors * known.descriptors),
+    }
+
+
 def _with_ages(
     announcements: list, ages: list[float]
 ) -> typing.Iterator[tuple[typing.Any, float]]:
--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -7,7 +7,8 @@
 better than many.
 
 Therefore the entries with a control replica serve the callers of their region
-as long as their processors have capacity for all of them.  Otherwise all
+as long as their processors, and what else they announce, have capacity for
+all of them.  Otherwise all
 entries of the callers' failure domain do, because a few replicas in front of a
 large fleet can only serve a small part of its load.
 """
@@ -18,6 +19,7 @@
 import xxhash
 
 from galenashed import membership
+from galenashed.node import _capacity
 from galenashed.protocol import gossip as wire
 
 # A response names at least two entries if there are as many, so that a caller
@@ -39,10 +41,11 @@
 MIN_NAMED = 3
 # Names whose hashes are kept.
 MAX_HASHED_NAMES = 4096
-# Failure domains whose load is remembered; callers may send any name.
-MAX_DOMAINS = 64
-# Above this share of its processor time, an entry is the last choice for the
-# requests of others.
+# Loads that are remembered, one for each failure domain and resource; callers
+# may send any name of a domain.
+MAX_PEAKS = 256
+# Above this share of its scarcest resource, an entry is the last choice for
+# the requests of others.
 BUSY_UTILIZATION = 0.7
 # An entry that was not heard for longer may be gone for good, and is not named
 # even by those that are cut off and can't tell.
@@ -68,7 +71,7 @@
     """Returns where to forward requests for a service, the best first.
 
     Those in contact with control come first, as others may lack tokens, and
-    then those whose processors are not busy: the few that remain in a domain
+    then those that are not busy: the few that remain in a domain
     can't serve the callers of all others there.  Among these, entries of the
     failure domain ``domain`` come first, as bytes between domains cost more.
     """
@@ -83,7 +86,7 @@
     usable.sort(
         key=lambda entry: (
             entry.state != "serving",
-            entry.cores_used > BUSY_UTILIZATION * entry.cores,
+            _capacity.share_used(entry) > BUSY_UTILIZATION,
             entry.failure_domain != domain,
         )
     )
@@ -97,14 +100,21 @@
     order, those with a replica first, and name the first ones whose processors
     have room for the load.  Load that grows is followed at once; while it
     falls, its highest value of the last seconds counts, so that a pause
-    between two bursts does not send callers to other entries.
+    between two bursts does not send callers to other entries.  Where entries
+    announce more than their cores, :mod:`_capacity` selects them.
+
+    Parameters
+    ----------
+    losses : int
+        Number of entries whose simultaneous loss is tolerated.
     """
 
-    __slots__ = ("_peaks",)
+    __slots__ = ("_peaks", "losses")
 
-    def __init__(self) -> None:
-        # By domain: the highest load, in processor cores, and when it was.
-        self._peaks: dict[str, tuple[float, float]] = {}
+    def __init__(self, *, losses: int = 1) -> None:
+        self.losses = losses
+        # By domain and resource: the highest load, and when it was.
+        self._peaks: dict[tuple[str, str], tuple[float, float]] = {}
 
     def choose(
         self,
@@ -119,13 +129,10 @@
         rng.shuffle(usable)
         local = [entry for entry in usable if entry.region == region]
         replicas = [entry for entry in local if entry.replica]
-        used = sum(entry.cores_used for entry in local)
-        capacity = MAX_UTILIZATION * sum(entry.cores for entry in replicas)
         chosen = replicas
-        if used > capacity or len(replicas) < MIN_ENTRIES:
+        if len(replicas) < MIN_ENTRIES or not _have_room(replicas, local):
             members = [e for e in usable if e.failure_domain == domain]
-            load = self._hold_peak(domain, _load(members), now)
-            named = first_with_room(members, load)
+            named = self._choose_members(members, domain, now)
             # In the shuffled order, so that callers spread over them.
             chosen = [entry for entry in members if entry.name in named]
         if len(chosen) < MIN_ENTRIES:
@@ -147,24 +154,66 @@
             for address in self.choose(alive, domain, region, rng, now)
         }
 
-    def _hold_peak(self, domain: str, load: float, now: float) -> float:
-        peak, peaked_at = self._peaks.get(domain, (0.0, now))
+    def _choose_members(
+        self, members: list[wire.Instance], domain: str, now: float
+    ) -> set[str]:
+        """Returns the names of the entries that serve a failure domain."""
+        if not any(map(_capacity.announces_limits, members)):
+            demand = _capacity.cores_demand(members)
+            load = self._hold_peak(domain, _capacity.CORES, demand, now)
+            return first_with_room(members, load)
+        loads = {
+            resource: load._replace(
+                demand=self._hold_peak(domain, resource, load.demand, now)
+            )
+            for resource, load in _capacity.measure(members).items()
+        }
+        return _capacity.first_able(
+            _rank(members), _capacity.add_reserve(loads, members), self.losses
+        )
+
+    def _hold_peak(
+        self,
+        domain: str,
+        resource: _capacity.Resource,
+        load: float,
+        now: float,
+    ) -> float:
+        key = (domain, resource.capacity)
+        peak, peaked_at = self._peaks.get(key, (0.0, now))
         if load >= peak or now - peaked_at > HOLD_SECONDS:
             peak, peaked_at = load, now
-        if len(self._peaks) >= MAX_DOMAINS and domain not in self._peaks:
+        if len(self._peaks) >= MAX_PEAKS and key not in self._peaks:
             self._peaks.clear()
-        self._peaks[domain] = (peak, peaked_at)
+        self._peaks[key] = (peak, peaked_at)
         return peak
 
 
-def _load(members: list[wire.Instance]) -> float:
-    """Returns the cores that callers' requests use in a failure domain.
+def _have_room(
+    replicas: list[wire.Instance], local: list[wire.Instance]
+) -> bool:
+    """Whether the entries with a replica can serve all callers of a region."""
+    used = sum(entry.cores_used for entry in local)
+    if used > MAX_UTILIZATION * sum(entry.cores for entry in replicas):
+        return False
+    # The rule for the processors is above.
+    loads = _capacity.measure(local)
+    del loads[_capacity.CORES]
+    return all(
+        _capacity.can_bear(entry, loads, len(replicas)) for entry in replicas
+    )
 
-    What the idlest entry uses is taken for what each uses without requests.
-    """
-    shares = [entry.cores_used / max(entry.cores, 1e-9) for entry in members]
-    idle = min(shares, default=0.0)
-    return sum(entry.cores_used - idle * entry.cores for entry in members)
+
+def _rank(members: list[wire.Instance]) -> list[wire.Instance]:
+    """Returns entries in the order in which all instances name them."""
+    return sorted(
+        members,
+        key=lambda entry: (
+            not entry.replica,
+            _hash(entry.name),
+            entry.name,
+        ),
+    )
 
 
 @functools.lru_cache(maxsize=MAX_HASHED_NAMES)
@@ -177,20 +226,12 @@
 
     ``load`` is in processor cores.
     """
-    ranked = sorted(
-        members,
-        key=lambda entry: (
-            not entry.replica,
-            _hash(entry.name),
-            entry.name,
-        ),
-    )
     needed = max(
         load / MAX_NAMED_UTILIZATION,
         MIN_NAMED_SHARE * sum(entry.cores for entry in members),
     )
     named: set[str] = set()
-    for entry in ranked:
+    for entry in _rank(members):
         if needed <= 0.0 and len(named) >= MIN_NAMED:
             break
         named.add(entry.name)
--- a/galenashed/node/_resources.py
+++ b/galenashed/node/_resources.py
@@ -62,6 +62,20 @@
         """Returns the processor time in use, in seconds per second."""
         return self.processor.cores_used(now=time.monotonic())
 
+    def announced(self) -> dict[str, typing.Any]:
+        """Returns the fields of an announcement for limits and their use."""
+        limits, shedder = self.limits, self.shedder
+        return {
+            "link": limits.link,
+            "link_used": round(shedder.link_used) if limits.link else 0.0,
+            "memory": limits.memory,
+            "memory_used": shedder.memory_used if limits.memory else 0,
+            "descriptors": limits.descriptors,
+            "descriptors_used": (
+                shedder.descriptors_used if limits.descriptors else 0
+            ),
+        }
+
     def update(self, now: float) -> None:
         """Measures what is in use; to be called a few times a second."""
         if not any(self.limits):
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -128,7 +128,9 @@
         self.place_held_since = place_held_since or self.started
         self.draining = False
         self._sequence = 0
-        self._named_entries = _entries.NamedEntries()
+        self._named_entries = _entries.NamedEntries(
+            losses=cfg.tolerated_losses
+        )
         self._naming = _token_holders.Naming()
         self._next_named_check_at = 0.0
         # By failure domain: the last logged selection of entries, and the
@@ -761,6 +763,7 @@
             relay_address=self.cfg.relay_address,
             unreachable=sorted(self.paths.lost),
             isolated=self.paths.isolated,
+            **self.resource_meter.announced(),
         )
 
     def entries_with_path(self, service: str) -> list[str]:
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -49,6 +49,8 @@
         What the machine's link carries each way; 0 if unknown.
     memory_bytes, max_descriptors : int
         Limits of the process; 0 if unknown.
+    tolerated_losses : int
+        Number of nodes whose simultaneous loss is tolerated.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "seeds",
         "shutdown_timeout",
         "target_lease",
+        "tolerated_losses",
     )
 
     def __init__(
@@ -103,6 +106,7 @@
         link_bytes_per_second: float = 0.0,
         memory_bytes: int = 0,
         max_descriptors: int = 0,
+        tolerated_losses: int = 1,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -127,3 +131,4 @@
         self.link_bytes_per_second = link_bytes_per_second
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
+        self.tolerated_losses = tolerated_losses
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -182,6 +182,7 @@
         link_bytes_per_second=cfg.limits.link_mbps * BYTES_PER_MEGABIT,
         memory_bytes=cfg.limits.memory_mb * BYTES_PER_MEGABYTE,
         max_descriptors=cfg.limits.max_fds,
+        tolerated_losses=cfg.tolerance.machines,
     )
 
 
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -49,6 +49,8 @@
     that other entries forward.  ``unreachable`` are the services to whose
     targets it has no path, ``isolated`` tells whether these are all services.
     ``gossip_version`` is 1 if it understands :class:`CompactMessage`.
+    ``link`` is in bytes a second each way, ``memory`` in bytes; these and
+    ``descriptors`` are 0 if the entry announces no such limit.
     """
 
     name: str
@@ -70,6 +72,12 @@
     unreachable: list[str] = []
     isolated: bool = False
     gossip_version: int = 0
+    link: float = 0.0
+    link_used: float = 0.0
+    memory: int = 0
+    memory_used: int = 0
+    descriptors: int = 0
+    descriptors_used: int = 0
 
 
 class TargetLimit(msgspec.Struct, frozen=True, kw_only=True):
@@ -107,6 +115,7 @@
 _COMPACT_NAMES = {
     "sender": "s",
     "instance_heartbeats": "i",
+    "instance_shares": "u",
     "target_heartbeats": "t",
     "loaded_target_heartbeats": "l",
 }
@@ -125,13 +134,16 @@
     ``loaded_target_heartbeats`` are packed by
     :mod:`galenashed.protocol.heartbeats`; if ``complete``, they list all that
     the sender knows.  ``instances`` and ``targets`` are announcements that
-    are new or changed, with their ages in seconds.  ``wanted`` are the
-    identities of announcements that the sender asks the receiver for.
+    are new or changed, with their ages in seconds.  ``instance_shares`` adds
+    to each of ``instance_heartbeats`` what the instance uses of its link,
+    memory and descriptors; it is empty if none announces these.  ``wanted``
+    are the identities of announcements that the sender asks the receiver for.
     """
 
     sender: str
     complete: bool = False
     instance_heartbeats: bytes = b""
+    instance_shares: bytes = b""
     target_heartbeats: bytes = b""
     loaded_target_heartbeats: bytes = b""
     instances: list[Instance] = []
--- a/galenashed/protocol/heartbeats.py
+++ b/galenashed/protocol/heartbeats.py
@@ -19,6 +19,11 @@
 targets
 =========  ========================================================
 
+What an instance uses of its link, memory and descriptors follows in a field
+of its own, which older versions ignore: two bytes for each heartbeat, the link
+in 250ths, and four bits each for memory and descriptors in 15ths, or
+``NO_SHARES``.
+
 Numbers that don't fit are sent as the highest that does.
 """
 
@@ -38,6 +43,12 @@
 MAX_UINT16 = 0xFFFF
 MAX_UINT8 = 0xFF
 
+SHARES_SIZE = 2
+# The shares of an instance without such limits.
+NO_SHARES = b"\xff\xff"
+MAX_LINK_SHARE = 0xFE
+MAX_COARSE_SHARE = 0xF
+
 _INSTANCE = struct.Struct("<IHBBHB")
 _TARGET = struct.Struct("<IHB")
 _LOADED_TARGET = struct.Struct("<IHBHH")
@@ -55,6 +66,7 @@
     in_flight: int
     request_rate: int
     share_used: int
+    shares: bytes = b""
 
 
 class TargetHeartbeat(typing.NamedTuple):
@@ -137,6 +149,38 @@
     )
 
 
+def pack_shares(instance: gossip.Instance) -> bytes:
+    """Returns what an instance uses of its link, memory and descriptors."""
+    if not (instance.link or instance.memory or instance.descriptors):
+        return NO_SHARES
+    link = memory = descriptors = 0
+    if instance.link:
+        used = instance.link_used / instance.link
+        link = min(MAX_LINK_SHARE, round(used * SHARE_FACTOR))
+    if instance.memory:
+        memory = _coarse(instance.memory_used / instance.memory)
+    if instance.descriptors:
+        used = instance.descriptors_used / instance.descriptors
+        descriptors = _coarse(used)
+    return bytes((link, memory << 4 | descriptors))
+
+
+def _coarse(share: float) -> int:
+    return min(MAX_COARSE_SHARE, round(share * MAX_COARSE_SHARE))
+
+
+def unpack_shares(shares: bytes) -> tuple[float, float, float] | None:
+    """Returns the used shares of link, memory and descriptors, if known."""
+    if len(shares) != SHARES_SIZE or shares == NO_SHARES:
+        return None
+    link, coarse = shares
+    return (
+        link / SHARE_FACTOR,
+        (coarse >> 4) / MAX_COARSE_SHARE,
+        (coarse & MAX_COARSE_SHARE) / MAX_COARSE_SHARE,
+    )
+
+
 def pack_target(identity: int, target: gossip.Target, age: float) -> bytes:
     """Returns the heartbeat of a target without load."""
     return _TARGET.pack(
@@ -158,15 +202,18 @@
 
 
 def unpack_instances(
-    data: bytes, seen: Seen
+    data: bytes, seen: Seen, shares: bytes = b""
 ) -> typing.Iterator[InstanceHeartbeat]:
     """Yields heartbeats of instances; an incomplete last one is left out.
 
     Those that are in ``seen`` are left out as well: most arrive twice.
+    ``shares`` are the uses of other resources that belong to them.
     """
-    for fields in _iterate(_INSTANCE, data):
+    for number, fields in enumerate(_iterate(_INSTANCE, data)):
         if seen.get(fields[0]) != fields[1]:
-            yield InstanceHeartbeat(*fields)
+            start = number * SHARES_SIZE
+            end = start + SHARES_SIZE
+            yield InstanceHeartbeat._make((*fields, shares[start:end]))
 
 
 def unpack_targets(
