Prefer targets of the entry's own failure domain

Change: four of the six compared are of the own domain; sessions keep to its targets if it has six or more.

--- a/galenashed/gateway/tests/test_placement.py
+++ b/galenashed/gateway/tests/test_placement.py
@@ -145,3 +145,53 @@
         )
         self.choose(ring, prompt("s"))
         self.assertLessEqual(len(sampled), _placement.SAMPLE_SIZE + 1)
+
+
+def domains(near, distant):
+    return [
+        *(Target(f"near-{n}") for n in range(near)),
+        *(Target(f"far-{n}", same_domain=False) for n in range(distant)),
+    ]
+
+
+class TestDomains(testtools.TestCase):
+    """Guards against two of three requests that cross failure domains."""
+
+    def setUp(self):
+        super().setUp()
+        self.rng = random.Random(7)
+
+    def crossing(self, candidates, prompts):
+        ring = _placement.HashRing(candidates=candidates)
+        chosen = [
+            _placement.choose(ring, parts, (), self.rng) for parts in prompts
+        ]
+        return sum(not target.same_domain for target in chosen) / len(chosen)
+
+    def test_equal_targets_of_the_own_domain_are_preferred(self):
+        prompts = [prompt(str(n)) for n in range(200)]
+        self.assertEqual(0.0, self.crossing(domains(10, 20), prompts))
+        self.assertEqual(0.0, self.crossing(domains(10, 20), [()] * 200))
+
+    def test_requests_leave_a_domain_with_a_longer_wait(self):
+        candidates = domains(10, 20)
+        for target in candidates[:10]:
+            target.waiting = 20
+            target.pending_prefill_tokens = 40_000
+        prompts = [prompt(str(n)) for n in range(50)]
+        self.assertEqual(1.0, self.crossing(candidates, prompts))
+        self.assertEqual(1.0, self.crossing(candidates, [()] * 50))
+
+    def test_sessions_use_all_targets_if_the_domain_has_few(self):
+        candidates = domains(2, 4)
+        ring = _placement.HashRing(candidates=candidates)
+        homes = {ring.affinity_target(str(n), ()).name for n in range(200)}
+        self.assertEqual(6, len(homes))
+
+    def test_excluded_targets_of_the_domain(self):
+        candidates = domains(10, 20)
+        ring = _placement.HashRing(candidates=candidates)
+        near = {target.name for target in candidates[:10]}
+        for parts in (prompt("s"), ()):
+            target = _placement.choose(ring, parts, near, self.rng)
+            self.assertFalse(target.same_domain)
