--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -129,7 +129,9 @@
         self.place_held_since = place_held_since or self.started
         self.draining = False
         self._sequence = 0
-        self._named_entries = _entries.NamedEntries()
+        self._named_entries = _entries.NamedEntries(
+            losses=cfg.tolerated_losses
+        )
         self._naming = _token_holders.Naming()
         self._next_named_check_at = 0.0
         # By failure domain: the last logged selection of entries, and the
@@ -772,6 +774,7 @@
             unreachable=sorted(self.paths.lost),
             isolated=self.paths.isolated,
             understands_evacuations=True,
+            **self.resource_meter.announced(),
         )
 
     def entries_with_path(
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -56,6 +56,8 @@
         Limits of the process; 0 if unknown.
     max_peer_connections : int
         Connections that other nodes may open to each internal address.
+    tolerated_losses : int
+        Number of nodes whose simultaneous loss is tolerated.
     """
 
     __slots__ = (
@@ -84,6 +86,7 @@
         "seeds",
         "shutdown_timeout",
         "target_lease",
+        "tolerated_losses",
     )
 
     def __init__(
@@ -114,6 +117,7 @@
         max_descriptors: int = 0,
         max_peer_connections: int = rpc.MAX_CONNECTIONS,
         max_hedge_share: float = 0.0,
+        tolerated_losses: int = 1,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -140,3 +144,4 @@
         self.max_descriptors = max_descriptors
         self.max_peer_connections = max_peer_connections
         self.max_hedge_share = max_hedge_share
+        self.tolerated_losses = tolerated_losses
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -260,6 +260,7 @@
             cfg, INTERNAL_DESCRIPTOR_SHARE
         ),
         max_hedge_share=cfg.bounds.hedge_ratio,
+        tolerated_losses=cfg.tolerance.machines,
     )
 
 
