Check notes and configurations before they are sent

Cause: an operator learned of an entry that can never match, or of limits that contradict each other, only from refused requests, and of what a new configuration changes not at all. The platform's configurations could not be checked without sending them.

Ruled out: a second set of rules beside those of control (notes are applied to the same state machine, control.NotePreview, and tables are checked by the function that replicas use); lines of values in JSON files, which need a parser of their own (their place is the path, errors of the JSON have a line).

Query kind release, answered by an optional field of QueryReply.

One new test in tests/test_path.py with real processes passed.

--- a/galenashed/cli/_operator.py
+++ b/galenashed/cli/_operator.py
@@ -7,6 +7,7 @@
 
 import cyclopts
 
+from galenashed.cli import _check
 from galenashed.cli import _clients
 from galenashed.cli import _output
 from galenashed import config
@@ -19,21 +20,7 @@
 POLL_SECONDS = 0.1
 
 
-@NOTE.command(name="check")
-def check_note(path: pathlib.Path) -> int:
-    """Checks a release note and prints all errors with their locations.
-
-    Parameters
-    ----------
-    path
-        Release note, a TOML file.
-    """
-    note = _output.unwrap_or_exit(config.load_note(path), str(path))
-    print(
-        f"{path}: valid note {note.number},"
-        f" {control.compute_digest(note)[:12]}"
-    )
-    return _output.EXIT_OK
+NOTE.command(_check.check_note, name="check")
 
 
 @NOTE.command(name="publish")
--- a/galenashed/cli/_output.py
+++ b/galenashed/cli/_output.py
@@ -20,6 +20,17 @@
     return EXIT_FAILED
 
 
+def print_error(message: str) -> None:
+    """Prints an error message."""
+    print(message, file=sys.stderr)
+
+
+def fail_input(message: str) -> int:
+    """Prints an error message and returns the exit code of bad input."""
+    print_error(message)
+    return EXIT_BAD_INPUT
+
+
 def unwrap_or_exit(result: expression.Result, source: str):
     """Returns the value of a result, or prints its findings and exits.
 
--- a/galenashed/config/_findings.py
+++ b/galenashed/config/_findings.py
@@ -9,7 +9,7 @@
 
 
 class Finding:
-    """One error in a file, with its line and key.
+    """One error in a file, with its line and key; line 0 is unknown.
 
     Example::
 
@@ -25,10 +25,13 @@
         self.message = message
 
     def __str__(self) -> str:
-        location = f"{self.file}:{self.line}"
-        if not self.key:
-            return f"{location}: {self.message}"
-        return f"{location}: {self.key}: {self.message}"
+        return self.describe()
+
+    def describe(self, severity: str = "") -> str:
+        """Returns the finding in one line, with its severity if given."""
+        location = f"{self.file}:{self.line}" if self.line else self.file
+        parts = [location, severity, self.key, self.message]
+        return ": ".join(part for part in parts if part)
 
 
 def format_key(path: KeyPath) -> str:
--- a/galenashed/control/__init__.py
+++ b/galenashed/control/__init__.py
@@ -13,6 +13,7 @@
 from galenashed.control._client import FeedClient
 from galenashed.control._notes import compute_digest
 from galenashed.control._notes import merge as merge_release
+from galenashed.control._preview import NotePreview
 from galenashed.control._replicas import make_members
 from galenashed.control._server import ControlServer
 from galenashed.control._state_machine import ControlStateMachine
@@ -24,6 +25,7 @@
     "ControlStateMachine",
     "ControlUnavailableError",
     "FeedClient",
+    "NotePreview",
     "UnannouncedGrant",
     "VersionRecords",
     "compute_digest",
--- a/galenashed/control/_notes.py
+++ b/galenashed/control/_notes.py
@@ -1,6 +1,7 @@
 """Validation and application of release notes."""
 
 import hashlib
+import typing
 
 import msgspec
 
@@ -72,26 +73,49 @@
     return {name: existing[name] for name in existing if name not in names}
 
 
+class NoteError(typing.NamedTuple):
+    """Why a note is refused; ``place`` leads to the value in its file."""
+
+    place: tuple[str | int, ...]
+    message: str
+
+
 def find_errors(
     state: _state.ControlState, note: wire.Note, merged: wire.Release
 ) -> list[str]:
     """Returns all validation errors of a note against the current state."""
-    findings = _find_unknown_names(state.release, note)
+    return [error.message for error in locate_errors(state, note, merged)]
+
+
+def locate_errors(
+    state: _state.ControlState, note: wire.Note, merged: wire.Release
+) -> list[NoteError]:
+    """Returns the same errors with their places."""
+    errors = _find_unknown_names(state.release, note)
+    positions = {svc.name: number for number, svc in enumerate(note.services)}
     for service in merged.services.values():
         for model in service.models:
             if model not in merged.models:
-                findings.append(
+                place: tuple[str | int, ...] = ("withdrawn", "models")
+                if service.name in positions:
+                    place = ("service", positions[service.name], "models")
+                message = (
                     f"service {service.name!r}: model {model!r} is not in"
                     f" force; allowed: {sorted(merged.models)}"
                 )
-    for budget in note.budgets:
-        findings.extend(_find_budget_errors(state, budget, merged))
-    findings.extend(_find_shared_keys(merged))
-    return findings
-
-
-def _find_unknown_names(release: wire.Release, note: wire.Note) -> list[str]:
-    findings = []
+                errors.append(NoteError(place, message))
+    for number, budget in enumerate(note.budgets):
+        errors += [
+            NoteError(("budget", number, *error.place), error.message)
+            for error in _find_budget_errors(state, budget, merged)
+        ]
+    return errors + _find_shared_keys(note, merged)
+
+
+def _find_unknown_names(
+    release: wire.Release, note: wire.Note
+) -> list[NoteError]:
+    errors = []
     withdrawn = note.withdrawn
     for kind, names, existing in (
         ("model", withdrawn.models, release.models),
@@ -101,48 +125,59 @@
     ):
         for name in names:
             if name not in existing:
-                findings.append(
+                message = (
                     f"withdrawn {kind} {name!r} is not in force; allowed:"
                     f" {sorted(existing)}"
                 )
-    return findings
+                errors.append(NoteError(("withdrawn", f"{kind}s"), message))
+    return errors
 
 
-def _find_budget_errors(state, budget, merged) -> list[str]:
-    findings = []
+def _find_budget_errors(state, budget, merged) -> list[NoteError]:
+    """Returns the errors of a budget, with places in its table."""
+    errors = []
     if budget.team not in merged.teams:
-        findings.append(
+        message = (
             f"budget {budget.name!r}: team {budget.team!r} is not in force;"
             f" allowed: {sorted(merged.teams)}"
         )
+        errors.append(NoteError(("team",), message))
     existing = state.budgets.get(budget.name)
     if existing is None:
-        return findings
+        return errors
     if existing.team != budget.team:
-        findings.append(
+        message = (
             f"budget {budget.name!r} belongs to team {existing.team!r}, not"
             f" {budget.team!r}"
         )
-    for top_up in budget.top_ups:
+        errors.append(NoteError(("team",), message))
+    for number, top_up in enumerate(budget.top_ups):
         tokens = existing.top_ups.get(top_up.id, top_up.tokens)
         if tokens != top_up.tokens:
-            findings.append(
+            message = (
                 f"budget {budget.name!r}: top-up {top_up.id!r} was"
                 f" {tokens} tokens, not {top_up.tokens}"
             )
-    return findings
+            errors.append(NoteError(("top_up", number, "tokens"), message))
+    return errors
 
 
-def _find_shared_keys(merged: wire.Release) -> list[str]:
-    findings = []
+def _find_shared_keys(
+    note: wire.Note, merged: wire.Release
+) -> list[NoteError]:
+    errors = []
+    positions = {team.name: number for number, team in enumerate(note.teams)}
     owners: dict[str, str] = {}
     for team in merged.teams.values():
         other = owners.setdefault(team.key_hash, team.name)
         if other != team.name:
-            findings.append(
-                f"teams {other!r} and {team.name!r} have the same key"
-            )
-    return findings
+            place: tuple[str | int, ...] = ()
+            for name in (other, team.name):
+                if name in positions:
+                    place = ("team", positions[name], "key_hash")
+            message = f"teams {other!r} and {team.name!r} have the same key"
+            errors.append(NoteError(place, message))
+    return errors
 
 
 def record_note(
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -128,6 +128,8 @@
                 routes_version=self.state.routes.version,
                 routes_source=self.state.routes_source,
             )
+        if query.kind == "release":
+            return wire.QueryReply(release=self.state.release)
         audit = self.state.audit
         matches = [r for r in audit if query.subject in ("", r.subject)]
         return wire.QueryReply(audit=matches[-query.limit :])
--- a/galenashed/platform/_configuration.py
+++ b/galenashed/platform/_configuration.py
@@ -1,5 +1,6 @@
 """Routing configurations that operators send, decoded."""
 
+import re
 import typing
 
 import msgspec
@@ -105,6 +106,34 @@
     "streaming": wire.RouteKind.STREAM,
 }
 
+# Names of a routing table's fields in the configuration, where they differ.
+_SECTION_NAMES = {"teams": "tenants"}
+_FIELD_NAMES = {
+    "routes": {
+        "prefix": "pathPrefix",
+        "kind": "routeKind",
+        "shares": "split",
+        "time_limit": "timeoutMs",
+        "objective": "targetLatencyMs",
+        "max_pause": "maxGapMs",
+        "max_targets": "maxAttempts",
+        "keyless": "anonymous",
+        "hedge_share": "hedgeShare",
+    },
+    "services": {
+        "health_path": "healthPath",
+        "max_connections": "maxConns",
+    },
+    "teams": {"key_hashes": "apiKeys"},
+    "limits": {
+        "max_header_bytes": "maxHeaderBytes",
+        "max_body_bytes": "maxBodyBytes",
+        "header_timeout": "headerTimeoutMs",
+        "idle_timeout": "idleTimeoutMs",
+    },
+}
+_PLACE_PART = re.compile(r"\.(\w+)|\[(\d+)\]")
+
 _CONFIGURATION_DECODER = msgspec.json.Decoder(Configuration)
 
 
@@ -115,27 +144,48 @@
     ----------
     findings : list of str
         One message for each error found.
+    places : list of Place
+        Where each of them is, empty if that is not known.
     """
 
-    def __init__(self, findings: list[str]):
+    def __init__(self, findings: list[str], places: list[wire.Place]):
         super().__init__("; ".join(findings))
         self.findings = findings
+        self.places = places
 
 
 def decode_routing_table(document: bytes) -> wire.RoutingTable:
     """Returns the routing table; raises ConfigurationError if invalid."""
+    return convert(decode(document))
+
+
+def decode(document: bytes) -> Configuration:
+    """Returns a configuration; raises ConfigurationError."""
     try:
-        cfg = _CONFIGURATION_DECODER.decode(document)
+        return _CONFIGURATION_DECODER.decode(document)
     except (msgspec.DecodeError, ValueError) as exc:
-        raise ConfigurationError([f"configuration: {exc}"]) from None
+        raise ConfigurationError(
+            [f"configuration: {exc}"], [_place_of_decoding(str(exc))]
+        ) from None
+
+
+def convert(cfg: Configuration) -> wire.RoutingTable:
+    """Returns the routing table; raises ConfigurationError if invalid."""
     unknown = [
-        f"route {route.name!r}: kind {route.route_kind!r}; allowed:"
-        f" {', '.join(ROUTE_KINDS)}"
-        for route in cfg.routes
+        number
+        for number, route in enumerate(cfg.routes)
         if route.route_kind not in ROUTE_KINDS
     ]
     if unknown:
-        raise ConfigurationError(unknown)
+        raise ConfigurationError(
+            [
+                f"route {cfg.routes[number].name!r}: kind"
+                f" {cfg.routes[number].route_kind!r}; allowed:"
+                f" {', '.join(ROUTE_KINDS)}"
+                for number in unknown
+            ],
+            [("routes", number, "routeKind") for number in unknown],
+        )
     table = wire.RoutingTable(
         version=cfg.version,
         routes=[_convert_route(route) for route in cfg.routes],
@@ -143,12 +193,42 @@
         limits=_convert_limits(cfg.limits),
         teams=[_convert_tenant(tenant) for tenant in cfg.tenants],
     )
-    findings = wire.find_errors(table)
-    if findings:
-        raise ConfigurationError(findings)
+    errors = wire.locate_errors(table)
+    if errors:
+        raise ConfigurationError(
+            [error.message for error in errors],
+            [translate_place(cfg, error.place) for error in errors],
+        )
     return table
 
 
+def _place_of_decoding(message: str) -> wire.Place:
+    """Returns the place that a message of the decoder ends with."""
+    _, _, path = message.rpartition(" - at `$")
+    if not path.endswith("`"):
+        return ()
+    return tuple(
+        int(number) if number else name
+        for name, number in _PLACE_PART.findall(path)
+    )
+
+
+def translate_place(cfg: Configuration, place: wire.Place) -> wire.Place:
+    """Returns a place in a routing table as one in its configuration."""
+    section = place[0] if place else ""
+    if section == "routes" and "shares" in place:
+        number = place[1]
+        assert isinstance(number, int)
+        if cfg.routes[number].service is not None:
+            return ("routes", number, "service")
+    names = _FIELD_NAMES.get(str(section), {})
+    parts = [
+        names.get(part, part) if isinstance(part, str) else part
+        for part in place[1:]
+    ]
+    return (_SECTION_NAMES.get(str(section), section), *parts)
+
+
 def _convert_route(route: Route) -> wire.Route:
     shares = [
         wire.WeightedService(service=part.service, weight=part.weight)
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -621,10 +621,11 @@
 
 
 class Query(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Reads balances, bills, audit records or the routing table.
+    """Reads balances, bills, audit records or what is in force.
 
-    ``kind`` is ``balance``, ``bill``, ``audit`` or ``routes``; ``subject``
-    filters by budget or by request, ``team`` by team.
+    ``kind`` is ``balance``, ``bill``, ``audit``, ``routes`` for the routing
+    table, or ``release``; ``subject`` filters by budget or by request,
+    ``team`` by team.  Replicas of earlier builds don't know ``release``.
     """
 
     kind: str
@@ -642,6 +643,7 @@
     audit: list[AuditRecord] = []
     routes_version: int = 0
     routes_source: bytes = b""
+    release: Release | None = None
 
 
 class FollowReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/galenashed/protocol/routes.py
+++ b/galenashed/protocol/routes.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import typing
 
 import msgspec
 
@@ -113,6 +114,17 @@
     teams: list[RoutedTeam] = []
 
 
+# Fields and positions that lead from a table to a value in it.
+Place = tuple[str | int, ...]
+
+
+class TableError(typing.NamedTuple):
+    """An error of a table, and the place of the value."""
+
+    place: Place
+    message: str
+
+
 def find_errors(table: RoutingTable) -> list[str]:
     """Returns the errors that make a table invalid.
 
@@ -120,40 +132,57 @@
 
         assert find_errors(RoutingTable(version=1)) == []
     """
+    return [error.message for error in locate_errors(table)]
+
+
+def locate_errors(table: RoutingTable) -> list[TableError]:
+    """Returns the errors that make a table invalid, with their places."""
     errors = []
     if table.version < 1:
-        errors.append(f"version: {table.version}; allowed: 1 and more")
+        message = f"version: {table.version}; allowed: 1 and more"
+        errors.append(TableError(("version",), message))
     services = {service.name for service in table.services}
     route_matches: set[tuple[str, str]] = set()
-    for route in table.routes:
-        errors += _find_route_errors(route, services)
+    for number, route in enumerate(table.routes):
+        place = ("routes", number)
+        errors += [
+            TableError(
+                (*place, *error.place),
+                f"route {route.name!r}: {error.message}",
+            )
+            for error in _locate_route_errors(route, services)
+        ]
         route_match = (route.host, route.prefix)
         if route_match in route_matches:
-            errors.append(
+            message = (
                 f"route {route.name!r}: another route has host"
                 f" {route.host!r} and prefix {route.prefix!r}"
             )
+            errors.append(TableError((*place, "prefix"), message))
         route_matches.add(route_match)
     key_owners: dict[str, str] = {}
-    for team in table.teams:
-        for key_hash in team.key_hashes:
+    for number, team in enumerate(table.teams):
+        for position, key_hash in enumerate(team.key_hashes):
             owner = key_owners.setdefault(key_hash, team.name)
             if owner != team.name:
-                errors.append(
-                    f"team {team.name!r}: shares a key with {owner!r}"
-                )
+                message = f"team {team.name!r}: shares a key with {owner!r}"
+                key_place = ("teams", number, "key_hashes", position)
+                errors.append(TableError(key_place, message))
     return errors
 
 
-def _find_route_errors(route: Route, services: set[str]) -> list[str]:
+def _locate_route_errors(route: Route, services: set[str]) -> list[TableError]:
     errors = []
-    for share in route.shares:
+    for number, share in enumerate(route.shares):
         if share.service not in services:
-            errors.append(f"unknown service {share.service!r}")
+            message = f"unknown service {share.service!r}"
+            errors.append(TableError(("shares", number, "service"), message))
         if share.weight < 0:
-            errors.append(f"weight: {share.weight}; allowed: 0 and more")
+            message = f"weight: {share.weight}; allowed: 0 and more"
+            errors.append(TableError(("shares", number, "weight"), message))
     if sum(share.weight for share in route.shares) <= 0:
-        errors.append("the weights add up to 0")
+        errors.append(TableError(("shares",), "the weights add up to 0"))
     if route.time_limit <= 0:
-        errors.append(f"time limit: {route.time_limit} s; allowed: over 0")
-    return [f"route {route.name!r}: {error}" for error in errors]
+        message = f"time limit: {route.time_limit} s; allowed: over 0"
+        errors.append(TableError(("time_limit",), message))
+    return errors
--- a/galenashed/tests/test_path.py
+++ b/galenashed/tests/test_path.py
@@ -262,6 +262,27 @@
         )
         self.assertEqual([2, 2, 2], [item["note"] for item in status])
 
+    def test_note_is_checked_against_the_one_in_force(self):
+        path = self.fleet.folder / "checked.toml"
+        for number, place in ((1, ["note.number"]), (99, [])):
+            path.write_text(
+                f'[note]\nnumber = {number}\nauthor = "x"\n', encoding="utf-8"
+            )
+            result = self.fleet.run_operator_cli(
+                "note",
+                "check",
+                str(path),
+                "--against",
+                "in-force",
+                "--json",
+                check=False,
+            )
+            report = json.loads(result.stdout)
+            self.assertEqual(2 if place else 0, result.returncode)
+            self.assertEqual(
+                place, [error["place"] for error in report["errors"]]
+            )
+
     def test_operator_commands_require_the_operator_key(self):
         path = self.fleet.folder / "intruder.toml"
         text = self.fleet.operator_path.read_text(encoding="utf-8")
