Count a failed run beside the winner towards the targets of a route

Cause: of two runs, one that had failed before the other won was not counted, so that a stream of the winner that broke could go on at a third target where max_targets is 2. Found by reading. Change: the winner records the outcome of the other run, ended or failed. Tests: gateway/tests/test_hedges.py, 15 passed; the new one fails without the change.

--- a/galenashed/gateway/_hedges.py
+++ b/galenashed/gateway/_hedges.py
@@ -82,14 +82,19 @@
             return not self.task.done()
         return not self._exchange.done()
 
-    def end(self) -> None:
+    def end(self) -> _attempts.AttemptOutcome:
         """Closes the connection, unless the answer is complete or lost.
 
         What follows a lost answer, such as the report of a crash, goes on.
+        Returns the outcome, as another run answers the request.
         """
         if self.is_live:
-            self.race.context.attempts.record(_attempts.AttemptOutcome.LOST)
             self.task.cancel()
+            return _attempts.AttemptOutcome.LOST
+        exchange = self._exchange
+        if exchange is None or exchange.cancelled() or exchange.exception():
+            return _attempts.AttemptOutcome.LOST
+        return exchange.result() or _attempts.AttemptOutcome.LOST
 
     # As a relay
 
@@ -161,14 +166,18 @@
         return any(other.is_live for other in self.runs if other is not run)
 
     def win(self, run: _Run) -> None:
-        """Has a run answer the request, and ends the other at once."""
+        """Has a run answer the request, and ends the other at once.
+
+        The other one counts, whether it is ended here or had failed: another
+        target may have to continue the stream of the winner.
+        """
         self.winner = run
         names = self.context.attempted_targets
         names.remove(run.target.name)
         names.append(run.target.name)
         for other in self.runs:
             if other is not run:
-                other.end()
+                self.context.attempts.record(other.end())
 
     async def close(self) -> None:
         """Ends all runs, as their request has ended."""
@@ -191,7 +200,8 @@
             if self.winner is None and self.context.crashed_target:
                 # One request must not crash several targets.
                 for run in self.runs:
-                    run.end()
+                    if run.is_live:
+                        self.context.attempts.record(run.end())
         if self.winner is not None:
             return await self.winner.task
         outcomes = [
--- a/galenashed/gateway/tests/test_hedges.py
+++ b/galenashed/gateway/tests/test_hedges.py
@@ -45,8 +45,10 @@
         self.before = before
         self.breaks = breaks or crashes
         self.crashes = crashes
+        self.writer = None
 
     async def serve(self, reader, writer):
+        self.writer = writer
         try:
             while True:
                 self.requests.append(await reader.readuntil(b"\r\n\r\n"))
@@ -288,6 +290,31 @@
             Target(b"", breaks=True), Target(b"", breaks=True), steps
         )
 
+    def test_failed_run_counts_if_the_stream_of_the_winner_breaks(self):
+        async def steps(fixture):
+            task = await fixture.start(
+                msgspec.structs.replace(fixture.route, max_targets=2)
+            )
+            await _fixture.wait_until(lambda: fixture.second.requests)
+            fixture.first.may_answer.set()
+            await _fixture.wait_until(
+                lambda: not fixture.targets.get("t1").in_flight
+            )
+            third = await fixture.add(Target(b""))
+            fixture.second.may_answer.set()
+            await _fixture.wait_until(lambda: fixture.writer.body)
+            fixture.second.writer.transport.abort()
+            await task
+            self.assertTrue(fixture.writer.aborted)
+            self.assertEqual([], third.requests)
+
+        self.run_with(
+            Target(b"", breaks=True),
+            Target(CHUNKED + events(b"second", end=False)),
+            steps,
+            kind=STREAM,
+        )
+
 
 class TestNotHedged(HedgeTestCase):
     """Guards against second runs of requests that must have only one."""
