--- a/galenashed/control/__init__.py
+++ b/galenashed/control/__init__.py
@@ -14,6 +14,7 @@
 from galenashed.control._evacuations import find_old_build
 from galenashed.control._notes import compute_digest
 from galenashed.control._notes import merge as merge_release
+from galenashed.control._preview import NotePreview
 from galenashed.control._replicas import make_members
 from galenashed.control._server import ControlServer
 from galenashed.control._state_machine import ControlStateMachine
@@ -25,6 +26,7 @@
     "ControlStateMachine",
     "ControlUnavailableError",
     "FeedClient",
+    "NotePreview",
     "UnannouncedGrant",
     "VersionRecords",
     "compute_digest",
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -137,6 +137,8 @@
             return wire.QueryReply(
                 evacuations=_evacuations.list_records(self.state)
             )
+        if query.kind == "release":
+            return wire.QueryReply(release=self.state.release)
         audit = self.state.audit
         matches = [r for r in audit if query.subject in ("", r.subject)]
         return wire.QueryReply(audit=matches[-query.limit :])
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -661,11 +661,12 @@
 
 
 class Query(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Reads balances, bills, audit records, routes or evacuations.
+    """Reads balances, bills, audit records or what is in force.
 
-    ``kind`` is ``balance``, ``bill``, ``audit``, ``routes`` or
-    ``evacuations``; ``subject`` filters by budget or by request, ``team`` by
-    team.
+    ``kind`` is ``balance``, ``bill``, ``audit``, ``evacuations``, ``routes``
+    for the routing table, or ``release``; ``subject`` filters by budget or by
+    request, ``team`` by team.  Replicas of earlier builds know neither
+    ``evacuations`` nor ``release``.
     """
 
     kind: str
@@ -704,6 +705,7 @@
     routes_version: int = 0
     routes_source: bytes = b""
     evacuations: list[Evacuation] = []
+    release: Release | None = None
 
 
 class FollowReport(msgspec.Struct, frozen=True, kw_only=True):
