--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -23,6 +23,7 @@
 from galenashed import gateway
 from galenashed import gossip
 from galenashed import membership
+from galenashed.node import _budget_log
 from galenashed.node import _entries
 from galenashed.node import _evacuations
 from galenashed.node import _guards
@@ -73,10 +74,7 @@
 MAX_LOGGED_DOMAINS = 64
 # Time between attempts to restart a replica whose disk has failed.
 REPLICA_RESTART_INTERVAL_SECONDS = 0.5
-BUDGET_LOG_INTERVAL_SECONDS = 2.0
-SPENDING_LOG_INTERVAL_SECONDS = 1.0
 NAMED_CHECK_INTERVAL_SECONDS = 2.0
-MAX_LOGGED_HOLDERS = 8
 # Higher than the sequence number of any report that a target sends.
 LAST_SEQUENCE = 1 << 40
 # A node that has just started knows too few other entries to answer discovery
@@ -141,8 +139,6 @@
             cfg=cfg, log=log, metrics=metrics, rng=rng
         )
         self._control_contact_at = 0.0
-        self._next_budget_log_at = 0.0
-        self._next_spending_log_at = 0.0
         self._has_current_routes = False
         self._logged_cut_off = False
         self._tasks: list[asyncio.Task] = []
@@ -298,6 +294,9 @@
             log=self.log,
         )
         self._loan_exchange.attach(self.budget_manager)
+        self._budget_log = _budget_log.BudgetLog(
+            budget_manager=self.budget_manager, log=self.log
+        )
 
     def _make_peer_services(self) -> None:
         """Creates the gossiper and the server for requests of other nodes."""
@@ -873,30 +872,7 @@
             self.gateway.retries.max_saved = max(MIN_SAVED_RETRIES, burst)
             self._check_control_contact()
             self._update_named(now)
-            self._log_budget_totals(now)
-            self._log_spending(now)
-
-    def _log_budget_totals(self, now: float) -> None:
-        """Logs the totals of all budgets periodically, on the leader only."""
-        if self.replica is None or not self.replica.node.is_leader:
-            return
-        if now >= self._next_budget_log_at:
-            self._next_budget_log_at = now + BUDGET_LOG_INTERVAL_SECONDS
-            state_machine = self.replica.state_machine
-            self.log.write(
-                "budgets",
-                **state_machine.budget_totals(),
-                holders=state_machine.largest_holders(MAX_LOGGED_HOLDERS),
-            )
-
-    def _log_spending(self, now: float) -> None:
-        """Logs periodically what the grants of this entry are used for."""
-        if now < self._next_spending_log_at:
-            return
-        self._next_spending_log_at = now + SPENDING_LOG_INTERVAL_SECONDS
-        spending = self.budget_manager.escrow.summarize(now)
-        if any(spending):
-            self.log.write("spending", **spending._asdict())
+            self._budget_log.write(self.replica, now)
 
     @property
     def gossip_kind(self) -> str:
