Keep tokens for own requests when others need some

Cause: an entry that is recalled returned all tokens that were not in use, the announced ones too. All holders of a team are recalled at once, so every hot entry then ran short, waited for a grant and, with little free, caused the next recall.

Ruled out: keeping the whole lending reserve (1 s of demand), which leaves others less than they need near the end of a total.

Change: a recalled entry keeps 0.5 s of its demand, announced tokens first.

No history overspends.

--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -537,27 +537,30 @@
         if account is not None:
             account.shortage = None
 
-    def recall(self, budget: str) -> list[wire.ShrinkGrant]:
-        """Stops spending the free part of a budget's grants.
+    def recall(self, budget: str, kept: int = 0) -> list[wire.ShrinkGrant]:
+        """Stops spending the free part of a budget's grants, but ``kept``.
 
-        Unused grants are closed by the next :meth:`close_grants`.  The
-        commands return the free part of grants in use; each must be sent
-        until it is answered.
+        Unused grants are closed by the next :meth:`close_grants`.  Each of
+        the commands must be sent until it is answered.
         """
         account = self.accounts.get(budget)
         commands: list[wire.ShrinkGrant] = []
-        for grant in account.grants.values() if account else ():
-            if grant.unspent <= 0 or grant.borrowed:
+        for grant in _placement.order_for_return(account):
+            kept_here = min(kept, grant.unspent)
+            kept -= kept_here
+            if kept_here == grant.unspent:
                 continue
-            if grant.reserved or grant.unsettled:
-                commands.append(self._shrink(grant))
+            if kept_here or grant.reserved or grant.unsettled:
+                commands.append(self._shrink(grant, kept_here))
             else:
                 grant.closing = True
         return commands
 
-    def _shrink(self, grant: _account.Grant) -> wire.ShrinkGrant:
-        """Shrinks a grant to its used and reserved tokens."""
-        grant.shrink(0)
+    def _shrink(
+        self, grant: _account.Grant, kept: int = 0
+    ) -> wire.ShrinkGrant:
+        """Shrinks a grant to its used, reserved and ``kept`` tokens."""
+        grant.shrink(kept)
         return wire.ShrinkGrant(
             grant=grant.id, holder=self.holder, amount=grant.amount
         )
--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -12,6 +12,7 @@
 from galenashed.budget import _bounds_writer
 from galenashed.budget import _durability
 from galenashed.budget import _measured_control
+from galenashed.budget import _placement
 from galenashed.budget import _policy
 from galenashed.budget import _ports
 from galenashed.budget import _round_trips
@@ -290,10 +291,13 @@
         await self._durability.wait(self.escrow.bills.latest)
 
     def recall(self, budget: str) -> None:
-        """Returns idle tokens because another entry needs them."""
+        """Returns tokens because another entry needs them."""
         if budget in self._waiters.budgets:
             return
-        for command in self.escrow.recall(budget):
+        kept = _placement.kept_when_recalled(
+            self.escrow.accounts.get(budget), time.monotonic()
+        )
+        for command in self.escrow.recall(budget, kept):
             self._spawn(self._send_shrink(command))
         self._close_grants()
 
--- a/galenashed/budget/_placement.py
+++ b/galenashed/budget/_placement.py
@@ -13,6 +13,9 @@
 
 # A budget with a lower expected demand is hardly used.
 MIN_EXPECTED_TOKENS = 500
+# A recalled entry keeps this many seconds of its demand: about what it takes
+# to get tokens again.
+KEPT_SECONDS = 0.5
 
 
 def expected_demand(
@@ -101,3 +104,31 @@
     if account.max_spare is not None:
         spare = min(spare, account.max_spare)
     return missing + max(spare, int(demand * policy.horizon))
+
+
+def kept_when_recalled(account: _account.Account | None, now: float) -> int:
+    """Returns the tokens that an entry keeps though others need some.
+
+    An entry that returns all tokens makes its own next requests wait for a
+    grant and for the recall that this one causes.
+    """
+    if account is None:
+        return 0
+    return int(account.demand(now) * KEPT_SECONDS)
+
+
+def order_for_return(
+    account: _account.Account | None,
+) -> list[_account.Grant]:
+    """Returns the grants with tokens to return, those to keep first.
+
+    What is announced is kept because it can be spent at once.
+    """
+    if account is None:
+        return []
+    grants = [
+        grant
+        for grant in account.grants.values()
+        if grant.unspent > 0 and not grant.borrowed
+    ]
+    return sorted(grants, key=lambda grant: -grant.announced)
--- a/galenashed/budget/tests/test_recalls.py
+++ b/galenashed/budget/tests/test_recalls.py
@@ -3,6 +3,9 @@
 import testtools
 
 from galenashed import budget
+from galenashed.budget import _placement
+from galenashed.budget.tests import test_scarce_budgets
+from galenashed.budget.tests import test_standby
 from galenashed.protocol import control as wire
 
 TEAM = "rounds"
@@ -44,3 +47,65 @@
         second = open_grant(escrow, 10_000, 0.2)
         escrow.raise_limits(TEAM, 5_000, 0.2)
         self.assertGreaterEqual(escrow.limits()[second], 5_000)
+
+
+class Entry(test_scarce_budgets.Entry):
+    """An entry that keeps tokens for its own requests when it is recalled."""
+
+    keeps = True
+
+    def commit(self, command):
+        self.state_machine = self.ledger.state_machine
+        self.index = self.ledger.index
+        reply = test_standby.Entry.commit(self, command)
+        self.ledger.index = self.index
+        if isinstance(reply, wire.Short):
+            for peer in self.peers:
+                kept = 0
+                if self.keeps:
+                    kept = _placement.kept_when_recalled(
+                        peer.escrow.accounts.get(TEAM), peer.now
+                    )
+                for shrink in peer.escrow.recall(TEAM, kept):
+                    peer.send(shrink, lambda reply: None)
+        return reply
+
+
+class ReturningEntry(Entry):
+    """An entry that returns all tokens, as before."""
+
+    keeps = False
+
+
+class TestKeptTokens(testtools.TestCase):
+    """A team whose total is nearly used up, and hot at all entries."""
+
+    def play(self, entry_class, seed):
+        """Returns requests refused while tokens last, and settled tokens."""
+        ledger = test_scarce_budgets.Ledger()
+        fleet = [
+            entry_class(seed * 10 + number, place=f"p{number}", ledger=ledger)
+            for number in range(test_scarce_budgets.ENTRIES)
+        ]
+        for entry in fleet:
+            entry.peers = [peer for peer in fleet if peer is not entry]
+        test_scarce_budgets.run_until_spent(fleet, 0.6)
+        for entry in fleet:
+            entry.refused = 0
+        test_scarce_budgets.run_until_spent(fleet, 0.95)
+        refused = sum(entry.refused for entry in fleet)
+        for _ in range(2_000):
+            for entry in fleet:
+                entry.step()
+        settled = ledger.state_machine.budget_totals()["settled"]
+        return refused, settled
+
+    def test_recalled_entries_serve_their_own_requests(self):
+        """Guards against recalls that make all entries run short at once."""
+        kept = returned = 0
+        for seed in range(5):
+            refused, settled = self.play(Entry, seed)
+            self.assertLessEqual(settled, test_scarce_budgets.PREPAID)
+            kept += refused
+            returned += self.play(ReturningEntry, seed)[0]
+        self.assertLess(kept, returned)
