Parse a run of empty lines at once

Cause: the soak showed a node that answered no ordinary request in 5 s after clients had sent empty lines: each two of them were a piece of their own for the parser, so that 32 KiB took over 20 ms (reckoned). The tests of bounds passed, as they check no times.

Change: a run of empty lines is one piece, up to 1 KiB.

--- a/galenashed/config/tests/test_config.py
+++ b/galenashed/config/tests/test_config.py
@@ -113,6 +113,21 @@
         ):
             self.assertIn(expected, text)
 
+    def test_limits_of_clients_are_checked(self):
+        findings = self.load_findings(
+            "[callers]\nmax_head_bytes = 1\nmax_held_bytes = 1\n"
+            "stall_timeout = 0.0\n[peers]\nmax_connections = 1\n",
+            lambda path: config.load_settings(path, "entry"),
+        )
+        text = "\n".join(findings)
+        for name in (
+            "callers.max_head_bytes",
+            "callers.max_held_bytes",
+            "callers.stall_timeout",
+            "peers.max_connections",
+        ):
+            self.assertIn(name, text)
+
     def test_examples_are_valid(self):
         for kind in ("entry", "control", "operator"):
             path = EXAMPLES / "settings" / f"{kind}.toml"
--- a/galenashed/web/_protocol.py
+++ b/galenashed/web/_protocol.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import re
 import typing
 
 import httptools
@@ -25,6 +26,7 @@
 HEAD_PIECE_BYTES = 1024
 CHUNKS_BYTES = 512
 HEAD_END = b"\r\n\r\n"
+EMPTY_LINES = re.compile(b"(?:\r\n)+")
 # Reading pauses when a larger response waits to be sent.
 WRITE_BUFFER_BYTES = 32 * 1024
 # What a header, and a request beside its head and body, hold.
@@ -324,6 +326,8 @@
             end = data.find(HEAD_END, start + CHUNKS_BYTES)
             return len(data) if end < 0 else end + len(HEAD_END)
         limit = start + HEAD_PIECE_BYTES
+        if empty_lines := EMPTY_LINES.match(data, start, limit):
+            return empty_lines.end()
         end = data.find(HEAD_END, start, limit)
         return limit if end < 0 else end + len(HEAD_END)
 
