Compare targets by how long work takes there now

Cause: the fourth figure of X-Instance-Load was dropped and placement assumed one speed: six of 30 emulated targets that were three times as slow got 10 % of the requests.

Ruled out: following single reports (all entries read the same ones and would send to the same target); counting figures down to 0.5 (11 to 14 requests to one target in 0.1 s, with 0.75 9 to 11, with the figure dropped 8 to 10).

Change: Load.slowness; gateway/_slowness.py averages it and lets it return to 1.0 without reports; the predicted wait grows with it, with a random part. Targets that report three figures draw the same random numbers and are compared as before. Not done: the entry's own measurements of the time to the first event; the third figure, as slots are announced.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -174,11 +174,7 @@
             )
         route = self.route_index.match(host, path)
         if route is None:
-            raise web.ApiError(
-                status=404,
-                code="no_route",
-                message=f"no route for host {host!r} and path {path!r}",
-            )
+            raise _refusals.no_route_error(host, path)
         team = self.route_index.team_for_key(key) if key else None
         if team is None and self.route_index.table.teams and not route.keyless:
             raise web.ApiError(
@@ -533,6 +529,7 @@
             or context.request.resume_after,
             running=target.running,
             waiting=target.waiting,
+            slowness=round(target.slowness, 2),
             report_age=target.report_age(now),
             unread=target.pending_prefill_tokens,
             missing=target.uncached_tokens(context.request.prompt),
--- a/galenashed/gateway/_placement.py
+++ b/galenashed/gateway/_placement.py
@@ -34,6 +34,13 @@
 # at the affinity target, only this share counts as uncached there: requests of
 # other entries may have had the target cache the rest.
 AFFINITY_UNCACHED_SHARE = 0.5
+# Seconds to the first event of a small request at an idle target, which take
+# longer at a slow one.
+IDLE_SECONDS = 0.2
+IDLE_ENGINE_SECONDS = 0.05
+# Share by which predictions for targets of unusual speed are varied at random:
+# all entries get the same reports, and must not choose the same target.
+SPEED_JITTER = 0.2
 # Round trip to a target in another failure domain.
 CROSS_DOMAIN_SECONDS = 0.003
 # Rings whose points are kept, for the sets of candidates used last.
@@ -65,6 +72,10 @@
     @property
     def waiting(self) -> int: ...
 
+    @property
+    def slowness(self) -> float:
+        """Factor by which work takes longer than usual now."""
+
     @property
     def pending_prefill_tokens(self) -> int:
         """Prompt tokens that it must prefill before a new request."""
@@ -184,21 +195,42 @@
     return min(
         sampled,
         key=lambda candidate: (
-            predicted_wait(
-                candidate, prompt, is_affinity_target=candidate is preferred
+            _vary(
+                predicted_wait(
+                    candidate,
+                    prompt,
+                    is_affinity_target=candidate is preferred,
+                ),
+                candidate,
+                prompt,
+                rng,
             ),
             rng.random(),
         ),
     )
 
 
+def _vary(
+    seconds: float,
+    candidate: Candidate,
+    prompt: tuple[_request.PromptPart, ...],
+    rng: random.Random,
+) -> float:
+    """Returns a prediction with the random part of an unusual speed."""
+    if candidate.slowness == 1.0:
+        return seconds
+    idle = IDLE_ENGINE_SECONDS if prompt else IDLE_SECONDS
+    spread = SPEED_JITTER * (seconds + idle)
+    return seconds + rng.uniform(-spread, spread)
+
+
 def predicted_wait(
     candidate: Candidate,
     prompt: tuple[_request.PromptPart, ...],
     *,
     is_affinity_target: bool = False,
 ) -> float:
-    """Returns the seconds by which load delays the first event."""
+    """Returns the seconds by which load and speed delay the first event."""
     slots = max(1, candidate.slots)
     full_batch_seconds = (
         FULL_ENGINE_BATCH_SECONDS if prompt else FULL_BATCH_SECONDS
@@ -217,6 +249,11 @@
             candidate.pending_prefill_tokens + uncached * UNCACHED_TOKEN_WEIGHT
         )
         seconds += tokens / PREFILL_TOKENS_PER_SECOND
+    if candidate.slowness != 1.0:
+        idle = IDLE_ENGINE_SECONDS if prompt else IDLE_SECONDS
+        seconds = seconds * candidate.slowness + idle * (
+            candidate.slowness - 1.0
+        )
     return seconds if candidate.same_domain else seconds + CROSS_DOMAIN_SECONDS
 
 
--- a/galenashed/gateway/_refusals.py
+++ b/galenashed/gateway/_refusals.py
@@ -7,6 +7,15 @@
 RETRY_OTHER_INSTANCE_SECONDS = 0.1
 
 
+def no_route_error(host: str, path: str) -> web.ApiError:
+    """Returns the error of a request that no route matches."""
+    return web.ApiError(
+        status=404,
+        code="no_route",
+        message=f"no route for host {host!r} and path {path!r}",
+    )
+
+
 def stopping_error() -> web.ApiError:
     """Returns the error of a request that can't end before the stop."""
     return web.ApiError(
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -7,6 +7,7 @@
 from galenashed.gateway import _placement
 from galenashed.gateway import _prompts
 from galenashed.gateway import _request
+from galenashed.gateway import _slowness
 from galenashed.protocol import gossip as wire
 from galenashed.protocol import streams
 from galenashed import routing
@@ -57,6 +58,8 @@
         "seen_down_at",
         "seen_down_sequence",
         "sent_since_report",
+        "slowness",
+        "slowness_average",
     )
 
     def __init__(self, *, announced: wire.Target, same_domain: bool):
@@ -67,6 +70,10 @@
         # Updated by :meth:`Targets.set_alive`.
         self.answered_recently = False
         self.sent_since_report = 0
+        self.slowness_average = _slowness.SlownessAverage()
+        # How much longer than usual work takes there, as of the last report
+        # or :meth:`Targets.set_alive`.
+        self.slowness = _slowness.USUAL
         self.in_flight = 0
         # Tokens of these requests, at their most.
         self.in_flight_tokens = 0
@@ -193,6 +200,7 @@
         self._update_versions(alive_names, now)
         for target in self._known.values():
             self._check_reported_since_down(target, now)
+            target.slowness = target.slowness_average.value(now)
             age = target.report_age(now)
             answered_recently = age is not None and age < RECENT_ANSWER_SECONDS
             if answered_recently != target.answered_recently:
@@ -556,6 +564,8 @@
         """Applies the load that a response reports."""
         target.report = load
         target.reported_at = now
+        target.slowness_average.add(load.slowness, now)
+        target.slowness = target.slowness_average.value(now)
         target.sent_since_report = 0
 
     def on_limit(
--- a/galenashed/gateway/tests/test_placement.py
+++ b/galenashed/gateway/tests/test_placement.py
@@ -18,6 +18,7 @@
         self.same_domain = same_domain
         self.running = 0
         self.waiting = 0
+        self.slowness = 1.0
         self.pending_prefill_tokens = 0
         self.cached = set()
 
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -8,6 +8,9 @@
 MILLISECONDS_PER_SECOND = 1000.0
 LOWEST_PRIORITY = 9  # lower values are more urgent
 MISDIRECTED_STATUS = 421  # the address belongs to another target
+# Position of the figure for slowness, and its value for the usual speed.
+SLOWNESS_POSITION = 3
+USUAL_SLOWNESS = 100.0
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -84,8 +87,18 @@
 
 
 def _parse_load(value: str | None) -> wire.Load | None:
-    """Parses ``running,waiting,slots``; returns None if it is invalid."""
+    """Parses ``running,waiting,slots[,slowness]``; None if it is invalid.
+
+    The slots are known from announcements.
+    """
     parts = (value or "").split(",")
     if len(parts) < 2 or not all(map(_headers.is_number, parts[:2])):
         return None
-    return wire.Load(running=int(parts[0]), waiting=int(parts[1]))
+    slowness = 1.0
+    if len(parts) > SLOWNESS_POSITION:
+        figure = parts[SLOWNESS_POSITION].strip()
+        if _headers.is_number(figure) and int(figure):
+            slowness = int(figure) / USUAL_SLOWNESS
+    return wire.Load(
+        running=int(parts[0]), waiting=int(parts[1]), slowness=slowness
+    )
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -335,6 +335,20 @@
             self.assertEqual(limit, engines.parse_decimal(value), value)
         self.assertIsNone(engines.parse_decimal(None))
 
+    def test_fourth_figure_of_the_load_is_the_slowness(self):
+        for value, slowness in (
+            ("3,1,8,250", 2.5),
+            ("3,1,8,100", 1.0),
+            ("3,1,8", 1.0),
+            ("3,1,8,0", 1.0),
+            ("3,1,8,-5", 1.0),
+            ("3,1,8,x", 1.0),
+        ):
+            load = self.decode(200, x_instance_load=value).load
+            self.assertEqual(
+                (3, 1, slowness), (load.running, load.waiting, load.slowness)
+            )
+
     def test_load_that_is_no_number_is_ignored(self):
         for value in ODD_NUMBERS:
             answer = self.decode(200, x_instance_load=f"{value},1,8")
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -4,10 +4,15 @@
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
-    """The numbers of running and waiting requests reported by a target."""
+    """The numbers of running and waiting requests reported by a target.
+
+    ``slowness`` is the factor by which work takes longer there than usual;
+    1.0 if the target does not report it.
+    """
 
     running: int = 0
     waiting: int = 0
+    slowness: float = 1.0
 
 
 class Target(msgspec.Struct, frozen=True, kw_only=True):
