--- a/galenashed/gateway/__init__.py
+++ b/galenashed/gateway/__init__.py
@@ -26,8 +26,8 @@
 from galenashed.gateway._stop import PlannedStop
 from galenashed.gateway._table import hash_key
 from galenashed.gateway._table import RouteIndex
+from galenashed.gateway._target import TargetState
 from galenashed.gateway._targets import Targets
-from galenashed.gateway._targets import TargetState
 
 __all__ = [
     "MAX_ORIGIN_RECORDS",
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -19,6 +19,7 @@
 from galenashed.gateway import _request
 from galenashed.gateway import _stop
 from galenashed.gateway import _table
+from galenashed.gateway import _target
 from galenashed.gateway import _targets
 from galenashed.protocol import gossip as gossip_wire
 from galenashed.protocol import routes as wire
@@ -447,7 +448,7 @@
 
     def choose_target(
         self, context: _context.RequestContext
-    ) -> _targets.TargetState | None:
+    ) -> _target.TargetState | None:
         now = time.monotonic()
         unsuitable: set[str] = set()
         if context.begun is not None:
@@ -522,7 +523,7 @@
     async def send(
         self,
         context: _context.RequestContext,
-        target: _targets.TargetState,
+        target: _target.TargetState,
         relay: _relay.Relay,
     ) -> _attempts.AttemptOutcome | None:
         """Sends the request to a target.
@@ -590,7 +591,7 @@
     async def _check_crashed(
         self,
         context: _context.RequestContext,
-        target: _targets.TargetState,
+        target: _target.TargetState,
         relay: _relay.Relay,
         known: int,
         *,
@@ -767,13 +768,13 @@
         )
 
     def _note_limit(
-        self, target: _targets.TargetState, limit: float | None
+        self, target: _target.TargetState, limit: float | None
     ) -> None:
         if self.targets.on_limit(target, limit, time.monotonic()):
             self.log.write("target limit", target=target.name, limit=limit)
 
     def _note_max_rejections(
-        self, target: _targets.TargetState, rejections: float | None
+        self, target: _target.TargetState, rejections: float | None
     ) -> None:
         if self.targets.on_max_rejections(
             target, rejections, time.monotonic()
--- a/galenashed/gateway/_hedges.py
+++ b/galenashed/gateway/_hedges.py
@@ -17,7 +17,7 @@
 from galenashed.gateway import _context
 from galenashed.gateway import _events
 from galenashed.gateway import _relay
-from galenashed.gateway import _targets
+from galenashed.gateway import _target
 from galenashed.protocol import routes as wire
 from galenashed import routing
 
@@ -64,7 +64,7 @@
         "task",
     )
 
-    def __init__(self, *, race: "_Race", target: _targets.TargetState):
+    def __init__(self, *, race: "_Race", target: _target.TargetState):
         self.race = race
         self.target = target
         self.sent_at = time.monotonic()
@@ -155,7 +155,7 @@
         self.runs: list[_Run] = []
         self.winner: _Run | None = None
 
-    def start(self, target: _targets.TargetState) -> _Run:
+    def start(self, target: _target.TargetState) -> _Run:
         """Sends the request to a target."""
         run = _Run(race=self, target=target)
         self.runs.append(run)
@@ -249,7 +249,7 @@
     async def send(
         self,
         context: _context.RequestContext,
-        target: _targets.TargetState,
+        target: _target.TargetState,
         relay: _relay.Relay,
     ) -> Outcome:
         """Sends a request to a target, and to another if that one is slow.
@@ -282,7 +282,7 @@
         finally:
             self._record(race, key, overdue=overdue)
 
-    def _start(self, race: _Race, target: _targets.TargetState) -> _Run:
+    def _start(self, race: _Race, target: _target.TargetState) -> _Run:
         run = race.start(target)
         self._tasks.add(run.task)
         run.task.add_done_callback(self._tasks.discard)
@@ -371,8 +371,10 @@
         return state
 
     def _choose(
-        self, context: _context.RequestContext, first: _targets.TargetState
-    ) -> _targets.TargetState | None:
+        self,
+        context: _context.RequestContext,
+        first: _target.TargetState,
+    ) -> _target.TargetState | None:
         """Returns the second target; None if none has a slot to spare.
 
         It has the software version of the first.
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -6,10 +6,9 @@
 
 from galenashed.gateway import _cold
 from galenashed.gateway import _placement
-from galenashed.gateway import _prompts
 from galenashed.gateway import _regions
 from galenashed.gateway import _request
-from galenashed.gateway import _slowness
+from galenashed.gateway import _target
 from galenashed.gateway import _warmth
 from galenashed.protocol import gossip as wire
 from galenashed.protocol import routes as routes_wire
@@ -38,102 +37,10 @@
 MAX_CLOCK_DIFFERENCE_SECONDS = 1.0
 # A report may arrive this long after the target has sent it.
 MAX_REPORT_DELAY_SECONDS = 3.0
-# Tokens of shared parts that a target is assumed to cache: about half of the
-# memory of the emulated engines, the rest is for running requests.
-MAX_CACHED_TOKENS = 120_000
-
 # How long the places of a service are not counted again.
 ROOM_TTL_SECONDS = 0.1
 
 
-class TargetState:
-    """The announcement, reported load and local requests of a target."""
-
-    __slots__ = (
-        "announced",
-        "answered_recently",
-        "cached_parts",
-        "consecutive_failures",
-        "ejected_until",
-        "in_flight",
-        "in_flight_tokens",
-        "paused_until",
-        "pending_prompts",
-        "report",
-        "reported_at",
-        "same_domain",
-        "seen_down_at",
-        "seen_down_sequence",
-        "sent_since_report",
-        "slowness",
-        "slowness_average",
-    )
-
-    def __init__(self, *, announced: wire.Target, same_domain: bool):
-        self.announced = announced
-        self.same_domain = same_domain
-        self.report = wire.Load()
-        self.reported_at: float | None = None
-        # Updated by :meth:`Targets.set_alive`.
-        self.answered_recently = False
-        self.sent_since_report = 0
-        self.slowness_average = _slowness.SlownessAverage()
-        # How much longer than usual work takes there, as of the last report
-        # or :meth:`Targets.set_alive`.
-        self.slowness = _slowness.USUAL
-        self.in_flight = 0
-        # Tokens of these requests, at their most.
-        self.in_flight_tokens = 0
-        self.consecutive_failures = 0
-        self.ejected_until = 0.0
-        # Until when it wants no requests of this entry.
-        self.paused_until = 0.0
-        # When its address refused connections, until it has reported since,
-        # and the number of the last report that it may have sent before.
-        self.seen_down_at: float | None = None
-        self.seen_down_sequence = 0
-        self.pending_prompts = _prompts.PendingPrompts()
-        self.cached_parts = _prompts.CachedParts(max_tokens=MAX_CACHED_TOKENS)
-
-    @property
-    def name(self) -> str:
-        return self.announced.name
-
-    @property
-    def incarnation_name(self) -> str:
-        return f"{self.name}/{self.announced.incarnation}"
-
-    @property
-    def slots(self) -> int:
-        return self.announced.slots
-
-    @property
-    def running(self) -> int:
-        """Running requests: the higher of the reported and the local count."""
-        return max(
-            self.report.running + self.sent_since_report, self.in_flight
-        )
-
-    @property
-    def waiting(self) -> int:
-        return self.report.waiting
-
-    @property
-    def pending_prefill_tokens(self) -> int:
-        """Prompt tokens sent to it that it has not prefilled yet."""
-        return self.pending_prompts.tokens
-
-    def uncached_tokens(self, prompt: tuple[_request.PromptPart, ...]) -> int:
-        """Tokens of a prompt that it is not known to have cached."""
-        return self.cached_parts.uncached_tokens(prompt)
-
-    def report_age(self, now: float) -> float | None:
-        """Returns the seconds since the last report; None before one."""
-        if self.reported_at is None:
-            return None
-        return round(now - self.reported_at, 3)
-
-
 class Targets:
     """Tracks known targets and chooses among them by :mod:`_placement`.
 
@@ -162,7 +69,7 @@
         self.cold = _cold.ColdTargets(
             limits=routing.ColdLimits(name=limits.name)
         )
-        self._known: dict[str, TargetState] = {}
+        self._known: dict[str, _target.TargetState] = {}
         self._alive: frozenset[str] = frozenset()
         self._rings: dict[str, _placement.HashRing] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -223,7 +130,7 @@
             or current.announced.started != announced.started
         ):
             same_domain = announced.failure_domain == self.domain
-            self._known[announced.name] = TargetState(
+            self._known[announced.name] = _target.TargetState(
                 announced=announced, same_domain=same_domain
             )
             self._rings.clear()
@@ -248,7 +155,7 @@
         self._evacuated = frozenset(domains)
         self._rings.clear()
 
-    def is_evacuated(self, target: TargetState) -> bool:
+    def is_evacuated(self, target: _target.TargetState) -> bool:
         """Whether no request may be sent to a target, by its domain.
 
         Checked again right before a request is sent, as an order may arrive
@@ -304,7 +211,7 @@
                 del self._known[name]
                 self._rings.clear()
 
-    def on_refused(self, target: TargetState, now: float) -> None:
+    def on_refused(self, target: _target.TargetState, now: float) -> None:
         """Notes that the address of a target refuses connections.
 
         The process that listens there next may run other software, and its
@@ -315,7 +222,7 @@
         self.cold.on_refused(target, now)
 
     def _check_reported_since_down(
-        self, target: TargetState, now: float
+        self, target: _target.TargetState, now: float
     ) -> None:
         if target.seen_down_at is None:
             return
@@ -447,9 +354,9 @@
             self._rings[service] = ring
         return ring
 
-    def usable(self, service: str) -> list[TargetState]:
+    def usable(self, service: str) -> list[_target.TargetState]:
         """Returns the targets of a service that may receive requests."""
-        by_address: dict[str, TargetState] = {}
+        by_address: dict[str, _target.TargetState] = {}
         for target in self._known.values():
             current = by_address.get(target.announced.address)
             if current is None or current.announced.started < (
@@ -524,9 +431,9 @@
     def _barred(
         self,
         service: str,
-        ring: _placement.HashRing[TargetState],
+        ring: _placement.HashRing[_target.TargetState],
         now: float,
-    ) -> list[TargetState]:
+    ) -> list[_target.TargetState]:
         """Returns the targets that take no more requests of this entry now.
 
         These are at the limits that they named or that cold ones have, or
@@ -583,7 +490,10 @@
         return known[1]
 
     def on_max_rejections(
-        self, target: TargetState, rejections: float | None, now: float
+        self,
+        target: _target.TargetState,
+        rejections: float | None,
+        now: float,
     ) -> bool:
         """Applies how many rejections a second an answer says it can bear.
 
@@ -602,7 +512,7 @@
         known = self._brittle.get(service)
         return known is not None and now - known[1] < BRITTLE_SECONDS
 
-    def _has_room(self, target: TargetState, tokens: int) -> bool:
+    def _has_room(self, target: _target.TargetState, tokens: int) -> bool:
         """Whether this entry's part of a brittle target has room.
 
         All entries together fill no more than its slots and its memory, so
@@ -618,7 +528,7 @@
         most = self.limits.divide(name, memory)
         return target.in_flight_tokens + tokens <= most
 
-    def back_off(self, target: TargetState, now: float) -> None:
+    def back_off(self, target: _target.TargetState, now: float) -> None:
         """Backs off from a target that has rejected a request.
 
         If it is brittle, for so long that all entries together cause fewer
@@ -632,7 +542,9 @@
                 target, self.limits.sender_count / max(1.0, rejections), now
             )
 
-    def pause(self, target: TargetState, seconds: float, now: float) -> None:
+    def pause(
+        self, target: _target.TargetState, seconds: float, now: float
+    ) -> None:
         """Sends a target nothing for the time that it has asked for.
 
         Unlike an ejected target, it gets nothing even if no other is left.
@@ -643,13 +555,13 @@
 
     def affinity_target(
         self, service: str, prompt, now: float
-    ) -> TargetState | None:
+    ) -> _target.TargetState | None:
         """Returns the target to which the session of a prompt hashes."""
         return _placement.affinity_target(
             self._ring_for(service, now), prompt, ()
         )
 
-    def get(self, name: str) -> TargetState:
+    def get(self, name: str) -> _target.TargetState:
         """Returns a known target; raises KeyError."""
         return self._known[name]
 
@@ -657,7 +569,7 @@
 
     def on_request_start(
         self,
-        target: TargetState,
+        target: _target.TargetState,
         request: str,
         prompt: tuple[_request.PromptPart, ...],
         now: float,
@@ -675,7 +587,7 @@
 
     def on_request_end(
         self,
-        target: TargetState,
+        target: _target.TargetState,
         request: str,
         *,
         failed: bool,
@@ -696,7 +608,10 @@
             self.eject(target, now)
 
     def eject(
-        self, target: TargetState, now: float, seconds: float = EJECT_SECONDS
+        self,
+        target: _target.TargetState,
+        now: float,
+        seconds: float = EJECT_SECONDS,
     ) -> None:
         """Sends a target no new requests for ``seconds``."""
         target.ejected_until = max(target.ejected_until, now + seconds)
@@ -704,7 +619,7 @@
         self._rings.clear()
 
     def on_report(
-        self, target: TargetState, load: wire.Load, now: float
+        self, target: _target.TargetState, load: wire.Load, now: float
     ) -> None:
         """Applies the load that a response reports."""
         target.report = load
@@ -714,7 +629,10 @@
         target.sent_since_report = 0
 
     def on_limit(
-        self, target: TargetState, limit: float | None, now: float
+        self,
+        target: _target.TargetState,
+        limit: float | None,
+        now: float,
     ) -> bool:
         """Applies the limit that a response names, None for none.
 
