--- a/galenashed/budget/_measured_control.py
+++ b/galenashed/budget/_measured_control.py
@@ -9,6 +9,9 @@
 
 # Grants that take longer are logged: most take a few milliseconds.
 SLOW_GRANT_SECONDS = 0.1
+# While control is out of reach, grants of every team are slow, and writing
+# their lines would take processor time from requests.
+LOG_INTERVAL_SECONDS = 1.0
 
 
 class MeasuredControl:
@@ -27,7 +30,13 @@
         Receives a line for each grant that is slow or not answered.
     """
 
-    __slots__ = ("_control", "_log", "_round_trips")
+    __slots__ = (
+        "_control",
+        "_left_out",
+        "_log",
+        "_next_line_at",
+        "_round_trips",
+    )
 
     def __init__(
         self,
@@ -39,6 +48,9 @@
         self._control = control
         self._round_trips = round_trips
         self._log = log
+        self._next_line_at = 0.0
+        # Slow grants without a line of their own since the last one.
+        self._left_out = 0
 
     async def propose(
         self, command: wire.Command, *, timeout: float
@@ -63,10 +75,16 @@
         self, command: wire.Command, outcome: str, sent_at: float
     ) -> None:
         """Writes a line about a grant that took long."""
-        seconds = time.monotonic() - sent_at
+        now = time.monotonic()
+        seconds = now - sent_at
         if seconds < SLOW_GRANT_SECONDS:
             return
         if isinstance(command, wire.OpenGrant):
+            if now < self._next_line_at:
+                self._left_out += 1
+                return
+            self._next_line_at = now + LOG_INTERVAL_SECONDS
+            left_out, self._left_out = self._left_out, 0
             self._log.write(
                 "slow grant",
                 budget=command.budget,
@@ -75,4 +93,5 @@
                 need=command.need,
                 want=command.want,
                 after=round(seconds, 3),
+                left_out=left_out,
             )
