--- a/galenashed/engines/tests/test_early_responses.py
+++ b/galenashed/engines/tests/test_early_responses.py
@@ -316,7 +316,7 @@
     def __init__(self, address):
         self.address = address
 
-    def entries_with_path(self, service):
+    def entries_with_path(self, service, regions):
         return [self.address]
 
 
