--- a/galenashed/engines/tests/test_early_responses.py
+++ b/galenashed/engines/tests/test_early_responses.py
@@ -292,6 +292,7 @@
                 "s",
                 writer,
                 loop.time() + TIME_LIMIT_SECONDS,
+                None,
             )
         except web.ApiError as exc:
             assert exc.execution_status is web.ExecutionStatus.UNKNOWN
