Select entries by all resources only where the settings ask for it

Deployments that don't set [naming] allResources are named entries by their processors again, as before.

--- a/galenashed/node/_entries.py
+++ b/galenashed/node/_entries.py
@@ -77,7 +77,7 @@
     """Returns where to forward requests for a service, the best first.
 
     Those in contact with control come first, as others may lack tokens, and
-    then those that are not busy: the few that remain in a domain
+    then those whose processors are not busy: the few that remain in a domain
     can't serve the callers of all others there.  Among these, entries of the
     failure domain ``domain`` come first, as bytes between domains cost more.
     Entries outside of ``regions``, if there are any, are left out.
@@ -94,7 +94,7 @@
     usable.sort(
         key=lambda entry: (
             entry.state != "serving",
-            _capacity.share_used(entry) > BUSY_UTILIZATION,
+            entry.cores_used > BUSY_UTILIZATION * entry.cores,
             entry.failure_domain != domain,
         )
     )
@@ -120,18 +120,23 @@
     order, those with a replica first, and name the first ones whose processors
     have room for the load.  Load that grows is followed at once; while it
     falls, its highest value of the last seconds counts, so that a pause
-    between two bursts does not send callers to other entries.  Where entries
-    announce more than their cores, :mod:`_capacity` selects them.
+    between two bursts does not send callers to other entries.
 
     Parameters
     ----------
+    by_all_resources : bool
+        Whether entries that announce more than their cores are selected by
+        all of their resources; see :mod:`_capacity`.
     losses : int
-        Number of entries whose simultaneous loss is tolerated.
+        Number of entries whose simultaneous loss is tolerated then.
     """
 
-    __slots__ = ("_peaks", "losses")
+    __slots__ = ("_peaks", "by_all_resources", "losses")
 
-    def __init__(self, *, losses: int = 1) -> None:
+    def __init__(
+        self, *, by_all_resources: bool = False, losses: int = 1
+    ) -> None:
+        self.by_all_resources = by_all_resources
         self.losses = losses
         # By domain and resource: the highest load, and when it was.
         self._peaks: dict[tuple[str, str], tuple[float, float]] = {}
@@ -150,7 +155,7 @@
         local = [entry for entry in usable if entry.region == region]
         replicas = [entry for entry in local if entry.replica]
         chosen = replicas
-        if len(replicas) < MIN_ENTRIES or not _have_room(replicas, local):
+        if len(replicas) < MIN_ENTRIES or not self._have_room(replicas, local):
             members = [e for e in usable if e.failure_domain == domain]
             named = self._choose_members(members, domain, now)
             # In the shuffled order, so that callers spread over them.
@@ -178,7 +183,9 @@
         self, members: list[wire.Instance], domain: str, now: float
     ) -> set[str]:
         """Returns the names of the entries that serve a failure domain."""
-        if not any(map(_capacity.announces_limits, members)):
+        if not self.by_all_resources or not any(
+            map(_capacity.announces_limits, members)
+        ):
             demand = _capacity.cores_demand(members)
             load = self._hold_peak(domain, _capacity.CORES, demand, now)
             return first_with_room(members, load)
@@ -192,6 +199,23 @@
             _rank(members), _capacity.add_reserve(loads, members), self.losses
         )
 
+    def _have_room(
+        self, replicas: list[wire.Instance], local: list[wire.Instance]
+    ) -> bool:
+        """Whether the entries with a replica can serve a region's callers."""
+        used = sum(entry.cores_used for entry in local)
+        if used > MAX_UTILIZATION * sum(entry.cores for entry in replicas):
+            return False
+        if not self.by_all_resources:
+            return True
+        # The rule for the processors is above.
+        loads = _capacity.measure(local)
+        del loads[_capacity.CORES]
+        return all(
+            _capacity.can_bear(entry, loads, len(replicas))
+            for entry in replicas
+        )
+
     def _hold_peak(
         self,
         domain: str,
@@ -209,21 +233,6 @@
         return peak
 
 
-def _have_room(
-    replicas: list[wire.Instance], local: list[wire.Instance]
-) -> bool:
-    """Whether the entries with a replica can serve all callers of a region."""
-    used = sum(entry.cores_used for entry in local)
-    if used > MAX_UTILIZATION * sum(entry.cores for entry in replicas):
-        return False
-    # The rule for the processors is above.
-    loads = _capacity.measure(local)
-    del loads[_capacity.CORES]
-    return all(
-        _capacity.can_bear(entry, loads, len(replicas)) for entry in replicas
-    )
-
-
 def _rank(members: list[wire.Instance]) -> list[wire.Instance]:
     """Returns entries in the order in which all instances name them."""
     return sorted(
--- a/galenashed/node/_server.py
+++ b/galenashed/node/_server.py
@@ -128,7 +128,8 @@
         self.draining = False
         self._sequence = 0
         self._named_entries = _entries.NamedEntries(
-            losses=cfg.tolerated_losses
+            by_all_resources=cfg.names_by_all_resources,
+            losses=cfg.tolerated_losses,
         )
         self._naming = _token_holders.Naming()
         self._next_named_check_at = 0.0
--- a/galenashed/node/_settings.py
+++ b/galenashed/node/_settings.py
@@ -56,6 +56,9 @@
         Limits of the process; 0 if unknown.
     max_peer_connections : int
         Connections that other nodes may open to each internal address.
+    names_by_all_resources : bool
+        Whether callers are sent to entries by link, memory and descriptors
+        as well as by processor.
     tolerated_losses : int
         Number of nodes whose simultaneous loss is tolerated.
     """
@@ -75,6 +78,7 @@
         "max_peer_connections",
         "memory_bytes",
         "name",
+        "names_by_all_resources",
         "peer_key",
         "peers_address",
         "region",
@@ -117,6 +121,7 @@
         max_descriptors: int = 0,
         max_peer_connections: int = rpc.MAX_CONNECTIONS,
         max_hedge_share: float = 0.0,
+        names_by_all_resources: bool = False,
         tolerated_losses: int = 1,
     ):
         self.name = name
@@ -144,4 +149,5 @@
         self.max_descriptors = max_descriptors
         self.max_peer_connections = max_peer_connections
         self.max_hedge_share = max_hedge_share
+        self.names_by_all_resources = names_by_all_resources
         self.tolerated_losses = tolerated_losses
--- a/galenashed/node/tests/test_uneven_entries.py
+++ b/galenashed/node/tests/test_uneven_entries.py
@@ -68,7 +68,7 @@
 
     def setUp(self):
         super().setUp()
-        self.selector = _entries.NamedEntries()
+        self.selector = _entries.NamedEntries(by_all_resources=True)
 
     def choose(self, entries, now=0.0, seed=1, selector=None):
         found = (selector or self.selector).choose(
@@ -119,14 +119,19 @@
         entries = serve(site(), {"r1:1", "r2:1", "n0:1"}, 300.0)
         first = self.choose(entries, seed=1)
         second = self.choose(
-            entries[::-1], seed=2, selector=_entries.NamedEntries()
+            entries[::-1],
+            seed=2,
+            selector=_entries.NamedEntries(by_all_resources=True),
         )
         self.assertEqual(first, second)
 
     def test_tolerated_losses_leave_room(self):
         entries = serve(site(), {"r1:1", "r2:1"}, 400.0)
         one = self.choose(entries)
-        three = self.choose(entries, selector=_entries.NamedEntries(losses=3))
+        three = self.choose(
+            entries,
+            selector=_entries.NamedEntries(by_all_resources=True, losses=3),
+        )
         self.assertEqual(len(one) + 2, len(three))
 
     def test_entry_of_an_old_build_is_judged_by_its_cores(self):
--- a/galenashed/platform/_settings.py
+++ b/galenashed/platform/_settings.py
@@ -123,6 +123,16 @@
     stall_s: _Seconds = web.STALL_SECONDS
 
 
+class Naming(msgspec.Struct, frozen=True, rename="camel"):
+    """How the entries that callers use are selected; not the platform's.
+
+    With ``all_resources``, by link, memory and descriptors as well as by
+    processor.
+    """
+
+    all_resources: bool = False
+
+
 class Settings(msgspec.Struct, frozen=True, rename="camel"):
     """The contents of the settings file.
 
@@ -148,6 +158,7 @@
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
     connections: Connections = Connections()
+    naming: Naming = Naming()
     zones: dict[str, str] = {}
 
 
@@ -260,6 +271,7 @@
             cfg, INTERNAL_DESCRIPTOR_SHARE
         ),
         max_hedge_share=cfg.bounds.hedge_ratio,
+        names_by_all_resources=cfg.naming.all_resources,
         tolerated_losses=cfg.tolerance.machines,
     )
 
