--- a/galenashed/gateway/_placement.py
+++ b/galenashed/gateway/_placement.py
@@ -45,13 +45,8 @@
 CROSS_DOMAIN_SECONDS = 0.003
 # Rings whose points are kept, for the sets of candidates used last.
 MAX_CACHED_RINGS = 16
-# Number of random targets compared besides the affinity target, and how many
-# of them are of other failure domains if there are enough of both.
+# Number of random targets compared besides the affinity target.
 SAMPLE_SIZE = 6
-CROSS_DOMAIN_SAMPLE_SIZE = 2
-# Sessions keep to the targets of the entry's own failure domain if it has so
-# many.  With fewer, their shared parts are cached best by one of all targets.
-MIN_NEAR = 6
 
 
 class Candidate(typing.Protocol):
@@ -111,24 +106,13 @@
         preferred = ring.affinity_target("5c1e07a2", excluded=())
     """
 
-    __slots__ = (
-        "_near_ring",
-        "_points",
-        "_positions",
-        "candidates",
-        "distant",
-        "near",
-    )
+    __slots__ = ("_points", "_positions", "candidates")
 
     # Evens out the share of each candidate to within about a tenth.
     POINTS_PER_CANDIDATE = 64
 
     def __init__(self, *, candidates: list[C]):
         self.candidates = candidates
-        # Those of the entry's own failure domain, and all others.
-        self.near = [c for c in candidates if c.same_domain]
-        self.distant = [c for c in candidates if not c.same_domain]
-        self._near_ring: HashRing[C] | None = None
         self._points, self._positions = _sorted_points(
             tuple(candidate.name for candidate in candidates),
             self.POINTS_PER_CANDIDATE,
@@ -137,16 +121,7 @@
     def affinity_target(
         self, key: str, excluded: typing.Collection[str]
     ) -> C | None:
-        """Returns the first candidate not excluded, from the key's hash on.
-
-        Those of the own failure domain come first if it has enough.
-        """
-        if self.distant and len(self.near) >= MIN_NEAR:
-            if self._near_ring is None:
-                self._near_ring = HashRing(candidates=self.near)
-            found = self._near_ring.affinity_target(key, excluded)
-            if found is not None:
-                return found
+        """Returns the first candidate not excluded, from the key's hash on."""
         start = bisect.bisect(
             self._points, xxhash.xxh64_intdigest(key.encode())
         )
@@ -183,11 +158,10 @@
 ) -> C | None:
     """Returns the target with the shortest predicted wait.
 
-    Compares a random sample, most of it from the entry's own failure domain,
-    and the affinity target of the session.
+    Compares a random sample and the affinity target of the session.
     """
     preferred = affinity_target(ring, prompt, excluded)
-    sampled = _sample_domains(ring, excluded, rng)
+    sampled = _sample(ring.candidates, excluded, rng)
     if preferred is not None and preferred not in sampled:
         sampled.append(preferred)
     if not sampled:
@@ -257,30 +231,13 @@
     return seconds if candidate.same_domain else seconds + CROSS_DOMAIN_SECONDS
 
 
-def _sample_domains(
-    ring: HashRing[C],
-    excluded: typing.Collection[str],
-    rng: random.Random,
-) -> list[C]:
-    """Returns random targets, few of other domains if its own has enough."""
-    if not ring.near or not ring.distant:
-        return _sample(ring.candidates, excluded, rng, SAMPLE_SIZE)
-    sampled = _sample(
-        ring.near, excluded, rng, SAMPLE_SIZE - CROSS_DOMAIN_SAMPLE_SIZE
-    )
-    size = SAMPLE_SIZE - len(sampled)
-    return sampled + _sample(ring.distant, excluded, rng, size)
-
-
 def _sample(
     candidates: list[C],
     excluded: typing.Collection[str],
     rng: random.Random,
-    size: int,
 ) -> list[C]:
-    """Returns up to ``size`` random targets that are not excluded."""
-    if len(candidates) > size + len(excluded):
-        candidates = rng.sample(candidates, size + len(excluded))
+    if len(candidates) > SAMPLE_SIZE + len(excluded):
+        candidates = rng.sample(candidates, SAMPLE_SIZE + len(excluded))
     return [
         candidate for candidate in candidates if candidate.name not in excluded
     ]
