--- a/review/site2.py
+++ b/review/site2.py
@@ -257,7 +257,8 @@
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         env["GALENASHED_BOOT"] = str(self.settings)
-        with open(self.site.folder / f"{self.name}.log", "ab") as out:
+        out = self._open_log()
+        try:
             self.process = await asyncio.create_subprocess_exec(
                 "python3",
                 "-m",
@@ -268,6 +269,11 @@
                 stdout=out,
                 stderr=out,
             )
+        finally:
+            out.close()
+
+    def _open_log(self):
+        return open(self.site.folder / f"{self.name}.log", "ab")
 
     def signal(self, number):
         if self.process is not None and self.process.returncode is None:
@@ -378,9 +384,7 @@
     async def _serve_one(self, reader, writer):
         first, headers = await read_head(reader)
         method, path, _ = first.split(" ")
-        body, _ = await read_body(
-            reader, {"content-length": "0", **headers}
-        )
+        body, _ = await read_body(reader, {"content-length": "0", **headers})
         if headers.get("x-expect-instance", self.id) != self.id:
             self.send(writer, 421, headers, b"", extra="X-Not-Executed: 1\r\n")
             await writer.drain()
