--- a/review/site2.py
+++ b/review/site2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -31,6 +32,10 @@
 CONFIG_MS = 2000
 GRACE_S = 8
 START_SECONDS = 40.0
+# The addresses of a site's machines use a block of ports from this range.
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+BLOCK = 20
 SETTINGS = """nodeName = "{name}"
 role = "node"
 machineClass = "edge"
@@ -134,6 +139,22 @@
         return sock.getsockname()[1]
 
 
+def free_block(ips):
+    """Returns the first of ``BLOCK`` ports that are free at all addresses.
+
+    They lie below those that the operating system gives to connections.
+    """
+    for _ in range(100):
+        first = random.randrange(FIRST_PORT, LAST_PORT, BLOCK)
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for ip in ips:
+                for port in range(first, first + BLOCK):
+                    sock = stack.enter_context(socket.socket())
+                    sock.bind((ip, port))
+            return first
+    raise CannotRunError("no free ports")
+
+
 async def read_head(reader):
     """Returns the first line and the headers, with names in lower case."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -427,10 +448,8 @@
     def __init__(self, folder, *, machines=4, core=3):
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
-        low = free_port("127.0.0.1")
-        while low + 15 > 60000:
-            low = free_port("127.0.0.1")
-        self.ports = [free_port("127.0.0.1") for _ in range(4)] + [low]
+        first = free_block([f"127.0.0.{10 + n}" for n in range(machines)])
+        self.ports = [first, first + 1, first + 2, first + 3, first + 4]
         self.machines = [
             Machine(self, number, core=number < core)
             for number in range(machines)
