--- a/review/site2.py
+++ b/review/site2.py
@@ -610,11 +610,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run(folder, case, **options):
+def run(folder, case, *, site_class=Site, **options):
     """Runs a case; exits with 1 if it says that the rule was broken."""
 
     async def main():
-        site = Site(folder, **options)
+        site = site_class(folder, **options)
         try:
             async with asyncio.timeout(110.0):
                 await site.start()
