--- a/review/7/case.py
+++ b/review/7/case.py
@@ -18,7 +18,11 @@
 import site2  # noqa: E402
 
 MEMORY_BYTES = 300 * 1_000_000
+# Connections of the client to each of two machines.
 CONNECTIONS = 3
+MACHINES = 2
+# Ends of a process by themselves that the rule counts.
+COUNTED_ENDS = 3
 PARTS = 1500
 ATTACK_SECONDS = 40.0
 RESTART_SECONDS = 1.0
@@ -41,27 +45,23 @@
 
     def __init__(self, site):
         self.site = site
-        self.highest = {}
-        self.kills = []
+        self.highest = {machine.name: 0 for machine in site.machines}
+        self.kills = dict(self.highest)
 
-    async def run(self):
+    async def run(self, machine):
         while True:
-            for machine in self.site.machines:
-                await self.check(machine)
+            size = resident_bytes(machine.process.pid)
+            self.highest[machine.name] = max(size, self.highest[machine.name])
+            if size > MEMORY_BYTES:
+                self.kills[machine.name] += 1
+                self.site.record.write(
+                    "killed", machine=machine.name, size=size
+                )
+                await machine.kill()
+                await asyncio.sleep(RESTART_SECONDS)
+                await machine.start()
             await asyncio.sleep(0.1)
 
-    async def check(self, machine):
-        size = resident_bytes(machine.process.pid)
-        self.highest[machine.name] = max(
-            size, self.highest.get(machine.name, 0)
-        )
-        if size > MEMORY_BYTES:
-            self.kills.append(machine.name)
-            self.site.record.write("killed", machine=machine.name, size=size)
-            await machine.kill()
-            await asyncio.sleep(RESTART_SECONDS)
-            await machine.start()
-
 
 def resident_bytes(pid):
     text = pathlib.Path(f"/proc/{pid}/statm").read_text()
@@ -73,29 +73,38 @@
         await site.add_target(f"i-{number}", "app", home=number)
     await asyncio.sleep(3.0)
     platform = Platform(site)
-    watch = asyncio.create_task(platform.run())
+    watch = [
+        asyncio.create_task(platform.run(machine)) for machine in site.machines
+    ]
     until = time.monotonic() + ATTACK_SECONDS
+    attacked = site.machines[-MACHINES:]
     clients = [
-        asyncio.create_task(send_forever(site, site.machines[-1], until))
+        asyncio.create_task(send_forever(site, machine, until))
+        for machine in attacked
         for _ in range(CONNECTIONS)
     ]
     ordinary = []
     while time.monotonic() < until:
-        ordinary.append(
-            await site.request(site.machines[-1], "/look/1", body=b"")
-        )
+        for machine in attacked:
+            ordinary.append(await site.request(machine, "/look/1", body=b""))
         await asyncio.sleep(0.2)
     sent = sum(await asyncio.gather(*clients))
-    watch.cancel()
+    for task in watch:
+        task.cancel()
     unserved = sum(item.status != 200 for item in ordinary)
     print(
-        f"{sent} requests of the client; the memory of its machine reached"
-        f" {max(platform.highest.values()) / 1e6:.0f} of"
-        f" {MEMORY_BYTES / 1e6:.0f} MB; processes ended for that:"
-        f" {len(platform.kills)}; {unserved} of {len(ordinary)} ordinary"
-        " requests not served"
+        f"{sent} requests of the client; {unserved} of {len(ordinary)} ordinary"
+        " requests to the same machines not served"
     )
-    return bool(platform.kills)
+    for machine in attacked:
+        print(
+            f"  {machine.name}: memory up to"
+            f" {platform.highest[machine.name] / 1e6:.0f} of"
+            f" {MEMORY_BYTES / 1e6:.0f} MB, ended for that"
+            f" {platform.kills[machine.name]} times"
+        )
+    often = [n for n, kills in platform.kills.items() if kills >= COUNTED_ENDS]
+    return len(often) >= MACHINES
 
 
 async def send_forever(site, machine, until):
