--- a/review/7/case.py
+++ b/review/7/case.py
@@ -93,8 +93,8 @@
         task.cancel()
     unserved = sum(item.status != 200 for item in ordinary)
     print(
-        f"{sent} requests of the client; {unserved} of {len(ordinary)} ordinary"
-        " requests to the same machines not served"
+        f"{sent} requests of the client; {unserved} of {len(ordinary)}"
+        " ordinary requests to the same machines not served"
     )
     for machine in attacked:
         print(
