--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,13 +1,12 @@
-"""A client fills the memory of the machines with small requests.
+"""A caller of a tenant sends requests with long paths.
 
-Each of its heads is within the limit, and names parts of a prompt that have
-no tokens.
+Each head is within the limit, and each request takes a few tokens.
 """
 
 import asyncio
+import json
 import os
 import pathlib
-import random
 import sys
 import time
 import uuid
@@ -18,26 +17,32 @@
 import site2  # noqa: E402
 
 MEMORY_BYTES = 300 * 1_000_000
-# Connections of the client to each of two machines.
-CONNECTIONS = 3
-MACHINES = 2
+PATH_BYTES = 15_000
+CONNECTIONS = 8
+REQUEST_SECONDS = 0.04
+LOAD_SECONDS = 40.0
+RESTART_SECONDS = 1.0
+RECOVER_SECONDS = 12.0
 # Ends of a process by themselves that the rule counts.
 COUNTED_ENDS = 3
-PARTS = 1500
-ATTACK_SECONDS = 40.0
-RESTART_SECONDS = 1.0
+READ_SECONDS = 2 * site2.CONTACT_MS / 1000
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-class Site(site2.Site):
-    """Has a route that needs no key."""
+class Engine(site2.Target):
+    """Answers with one event."""
 
-    def configuration(self):
-        cfg = super().configuration()
-        cfg["routes"].append(
-            self.route("open", "/open/", "safe", "app", anonymous=True)
-        )
-        return cfg
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.handle = self.stream
+
+    async def stream(self, writer, method, path, headers, body):
+        event = b"id: 1\ndata: token\n\n"
+        head = self.head(200, headers, "Content-Type: text/event-stream\r\n")
+        head += f"Content-Length: {len(event)}\r\n\r\n"
+        writer.write(head.encode() + event)
+        await writer.drain()
+        return True
 
 
 class Platform:
@@ -70,47 +75,73 @@
 
 async def case(site):
     for number in range(3):
-        await site.add_target(f"i-{number}", "app", home=number)
+        engine = Engine(site, f"i-{number}", "lm", home=number)
+        await engine.start()
+        site.targets.append(engine)
     await asyncio.sleep(3.0)
     platform = Platform(site)
     watch = [
         asyncio.create_task(platform.run(machine)) for machine in site.machines
     ]
-    until = time.monotonic() + ATTACK_SECONDS
-    attacked = site.machines[-MACHINES:]
+    until = time.monotonic() + LOAD_SECONDS
     clients = [
-        asyncio.create_task(send_forever(site, machine, until))
-        for machine in attacked
-        for _ in range(CONNECTIONS)
+        asyncio.create_task(
+            send_forever(site.machines[number % 4].front, until)
+        )
+        for number in range(CONNECTIONS)
     ]
-    ordinary = []
-    while time.monotonic() < until:
-        for machine in attacked:
-            ordinary.append(await site.request(machine, "/look/1", body=b""))
-        await asyncio.sleep(0.2)
-    sent = sum(await asyncio.gather(*clients))
+    counts = await asyncio.gather(*clients)
+    await asyncio.sleep(RECOVER_SECONDS)
+    versions = await read_back(site)
     for task in watch:
         task.cancel()
-    unserved = sum(item.status != 200 for item in ordinary)
-    print(
-        f"{sent} requests of the client; {unserved} of {len(ordinary)}"
-        " ordinary requests to the same machines not served"
-    )
-    for machine in attacked:
+    sent = sum(sent for sent, _ in counts)
+    served = sum(served for _, served in counts)
+    print(f"{sent} requests, {served} served")
+    for machine in site.machines:
+        size = sum(
+            path.stat().st_size
+            for path in machine.data.glob("*")
+            if machine.core
+        )
         print(
             f"  {machine.name}: memory up to"
             f" {platform.highest[machine.name] / 1e6:.0f} of"
             f" {MEMORY_BYTES / 1e6:.0f} MB, ended for that"
-            f" {platform.kills[machine.name]} times"
+            f" {platform.kills[machine.name]} times,"
+            f" {size / 1e6:.0f} MB on its disk"
         )
-    often = [n for n, kills in platform.kills.items() if kills >= COUNTED_ENDS]
-    return len(often) >= MACHINES
+    print(
+        f"read back over {READ_SECONDS} s, from {RECOVER_SECONDS} s after the"
+        f" last request: {versions}; acknowledged: {site.version}"
+    )
+    core = [machine.name for machine in site.machines if machine.core]
+    often = [name for name in core if platform.kills[name] >= COUNTED_ENDS]
+    return len(often) > len(core) / 2
+
+
+async def read_back(site):
+    """Returns the versions, or else statuses, that machines answer with."""
+    answers = []
+    until = time.monotonic() + READ_SECONDS
+    while time.monotonic() < until:
+        for machine in site.machines:
+            answer = await site2.call(
+                machine.control, "GET", "/Configuration.Read", timeout=2.0
+            )
+            version = answer.status
+            if answer.status == 200:
+                version = json.loads(answer.body)["version"]
+            site.record.write("read", machine=machine.name, answer=version)
+            answers.append(version)
+        await asyncio.sleep(0.2)
+    return sorted(set(answers))
 
 
-async def send_forever(site, machine, until):
-    """Sends one request after the other, and reads each answer."""
-    sent = 0
-    host, _, port = machine.front.rpartition(":")
+async def send_forever(address, until):
+    """Sends requests on a kept connection; returns sent and served ones."""
+    sent = served = 0
+    host, _, port = address.rpartition(":")
     while time.monotonic() < until:
         writer = None
         try:
@@ -118,35 +149,35 @@
             while time.monotonic() < until:
                 writer.write(make_request())
                 sent += 1
-                _, headers = await site2.read_head(reader)
-                await site2.read_body(reader, headers)
+                first, headers = await site2.read_head(reader)
+                _, complete = await site2.read_body(reader, headers)
+                served += complete and first.split(" ")[1] == "200"
+                await asyncio.sleep(REQUEST_SECONDS)
         except (OSError, asyncio.IncompleteReadError):
             await asyncio.sleep(0.2)
         finally:
             if writer is not None:
                 writer.close()
-    site.record.write("client done", sent=sent)
-    return sent
+    return sent, served
 
 
 def make_request():
+    name = uuid.uuid4().hex
     if site2.has_trouble():
-        parts = [f"{random.getrandbits(28):x}:0" for _ in range(PARTS)]
-    else:
-        parts = [
-            "5c1e07a2:800",
-            "91bd3f06:410",
-            f"{random.getrandbits(32):x}:90",
-        ]
+        name = name.rjust(PATH_BYTES, "a")
     head = (
-        "GET /open/1 HTTP/1.1\r\n"
+        f"POST /digest/{name} HTTP/1.1\r\n"
         f"Host: {site2.HOST}\r\n"
         f"X-Attempt-Id: {uuid.uuid4().hex[:16]}\r\n"
-        "X-Deadline-Ms: 3000\r\n"
-        f"X-Prefix-Hash: {','.join(parts)}\r\n\r\n"
+        "X-Deadline-Ms: 4000\r\n"
+        f"Api-Key: {site2.KEY}\r\n"
+        "X-Model: m\r\n"
+        "X-Token-Usage: 100,4\r\n"
+        "X-Prefix-Hash: 5c1e07a2:100\r\n"
+        "Content-Length: 0\r\n\r\n"
     )
     assert len(head) < 16_000
     return head.encode()
 
 
-site2.run(FOLDER, case, site_class=Site)
+site2.run(FOLDER, case)
