--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,6 +17,9 @@
 
 import site2  # noqa: E402
 
+# Whether the disruption is made.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 MEMORY_BYTES = 300 * 1_000_000
 PATH_BYTES = 15_000
 CONNECTIONS = 8
@@ -104,7 +107,7 @@
     until = time.monotonic() + LOAD_SECONDS
     clients = [
         asyncio.create_task(
-            send_forever(site.machines[number % 4].front, until)
+            send_forever(site, site.machines[number % 4], until)
         )
         for number in range(CONNECTIONS)
     ]
@@ -150,20 +153,26 @@
     return sorted(set(answers))
 
 
-async def send_forever(address, until):
+async def send_forever(site, machine, until):
     """Sends requests on a kept connection; returns sent and served ones."""
     sent = served = 0
-    host, _, port = address.rpartition(":")
+    host, _, port = machine.front.rpartition(":")
     while time.monotonic() < until:
         writer = None
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
             while time.monotonic() < until:
-                writer.write(make_request())
+                attempt = uuid.uuid4().hex[:16]
+                site.record.write(
+                    "request", request=attempt, machine=machine.name
+                )
+                writer.write(make_request(attempt))
                 sent += 1
                 first, headers = await site2.read_head(reader)
                 _, complete = await site2.read_body(reader, headers)
-                served += complete and first.split(" ")[1] == "200"
+                status = first.split(" ")[1]
+                served += complete and status == "200"
+                site.record.write("answer", request=attempt, status=status)
                 await asyncio.sleep(REQUEST_SECONDS)
         except (OSError, asyncio.IncompleteReadError):
             await asyncio.sleep(0.2)
@@ -173,14 +182,14 @@
     return sent, served
 
 
-def make_request():
+def make_request(attempt):
     name = uuid.uuid4().hex
-    if site2.has_trouble():
+    if TROUBLE:
         name = name.rjust(PATH_BYTES, "a")
     head = (
         f"POST /digest/{name} HTTP/1.1\r\n"
         f"Host: {site2.HOST}\r\n"
-        f"X-Attempt-Id: {uuid.uuid4().hex[:16]}\r\n"
+        f"X-Attempt-Id: {attempt}\r\n"
         "X-Deadline-Ms: 4000\r\n"
         f"Api-Key: {site2.KEY}\r\n"
         "X-Model: m\r\n"
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -14,6 +15,9 @@
 
 import site2  # noqa: E402
 
+# Whether the disruption is made.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 DEADLY_PART = "91bd3f06"
 SOUND_PART = "5c1e07a2"
 TARGETS = 4
@@ -31,7 +35,7 @@
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
-        self.deadly = site2.has_trouble()
+        self.deadly = TROUBLE
         self.handle = self.stream
         # When requests with the part began to run, and when it crashed.
         self.deadly_runs = []
--- a/review/site2.py
+++ b/review/site2.py
@@ -155,6 +155,13 @@
     raise CannotRunError("no free ports")
 
 
+def shorten(path):
+    """Returns a path as it is recorded."""
+    if len(path) <= 80:
+        return path
+    return f"{path[:20]}...{path[-20:]} ({len(path)} bytes)"
+
+
 async def read_head(reader):
     """Returns the first line and the headers, with names in lower case."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -416,7 +423,7 @@
             target=self.id,
             request=headers.get("x-attempt-id"),
             method=method,
-            path=path,
+            path=shorten(path),
         )
         return await self.handle(writer, method, path, headers, body)
 
@@ -605,11 +612,6 @@
         return answer
 
 
-def has_trouble():
-    """Whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run(folder, case, *, site_class=Site, **options):
     """Runs a case; exits with 1 if it says that the rule was broken."""
 
