Bound the bytes that replicas keep of each request

What callers saw: 830 of 5,513 requests failed, and control was away much of the time.

Why it works: no text of a caller enters what is kept in more than 100 bytes, so that counts bound bytes. The shortened fields are read by queries only, so that replicas of both builds reach the same decisions.

--- a/galenashed/budget/_bills.py
+++ b/galenashed/budget/_bills.py
@@ -2,6 +2,11 @@
 
 from galenashed.protocol import control as wire
 
+# Bounds the size of a command of the replicated log.
+MAX_BATCH_BILLS = 500
+# Bills that may wait while control can't be reached; some 10 MB.
+MAX_WAITING_BILLS = 20_000
+
 
 class BillQueue:
     """Numbers bills and sends them in numbered batches, one at a time.
@@ -32,6 +37,16 @@
         """Whether any bill is not yet acknowledged."""
         return bool(self._waiting or self._in_flight)
 
+    @property
+    def waiting(self) -> int:
+        """The number of bills that were not sent yet."""
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether too many bills wait for more requests to be admitted."""
+        return self.waiting >= MAX_WAITING_BILLS
+
     @property
     def last_settled(self) -> int:
         """Number of the latest bill that control has acknowledged."""
@@ -56,9 +71,9 @@
             holder=self.holder,
             sequence=self.sequence + 1,
             first=self.latest - len(self._waiting) + 1,
-            bills=self._waiting,
+            bills=self._waiting[:MAX_BATCH_BILLS],
         )
-        self._waiting = []
+        del self._waiting[:MAX_BATCH_BILLS]
         return self._in_flight
 
     def on_settled(self, reply: wire.Settled) -> list[wire.Bill]:
--- a/galenashed/budget/_escrow.py
+++ b/galenashed/budget/_escrow.py
@@ -12,6 +12,8 @@
 
 import typing
 
+import msgspec
+
 from galenashed.budget import _account
 from galenashed.budget import _announcer
 from galenashed.budget import _bills
@@ -123,17 +125,7 @@
         account = self.accounts[reservation.budget]
         for part in parts:
             account.grants[part.grant].unsettled += 1
-        final = wire.Bill(
-            id=bill.id,
-            team=bill.team,
-            budget=bill.budget,
-            subject=bill.subject,
-            attempt=bill.attempt,
-            keyed=bill.keyed,
-            prompt_tokens=bill.prompt_tokens,
-            output_tokens=bill.output_tokens,
-            parts=parts,
-        )
+        final = wire.shorten_bill(msgspec.structs.replace(bill, parts=parts))
         self.bills.add(final)
         return final
 
--- a/galenashed/budget/_manager.py
+++ b/galenashed/budget/_manager.py
@@ -155,8 +155,12 @@
         ``time_limit``, a monotonic time.
         Raises BudgetExhaustedError if the budget does not cover the request,
         or the control client's error if the tokens held do not suffice and
-        control does not answer.
+        control does not answer, or if too many bills wait for it.
         """
+        if self.escrow.bills.is_full:
+            raise self.unavailable(
+                f"{self.escrow.bills.waiting} bills wait for control"
+            )
         now = time.monotonic()
         reservation = self.escrow.reserve(budget, tokens, now)
         if reservation is not None:
@@ -194,7 +198,7 @@
     async def lend(self, budget: str, tokens: int, borrower: str) -> int:
         """Lends tokens to another entry and returns how many."""
         now = time.monotonic()
-        if budget in self._waiters.budgets:
+        if budget in self._waiters.budgets or self.escrow.bills.is_full:
             return 0
         lendable = self.escrow.lendable(budget, tokens, now)
         if self._bounds_writer is not None and (
--- a/galenashed/consensus/_log.py
+++ b/galenashed/consensus/_log.py
@@ -39,6 +39,16 @@
             return None
         return self.entries[index - self.base.index - 1].term
 
+    def count_last(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Returns how many of the last entries up to ``index`` fit."""
+        count = size = 0
+        for entry in reversed(self.entries[: index - self.base.index]):
+            size += len(entry.data)
+            if count >= max_entries or size > max_bytes:
+                break
+            count += 1
+        return count
+
     def after(self, index: int, max_bytes: int) -> list[wire.Entry]:
         """Returns entries after ``index``, limited to ``max_bytes`` of data.
 
--- a/galenashed/consensus/_node.py
+++ b/galenashed/consensus/_node.py
@@ -18,7 +18,9 @@
 
 SNAPSHOT_EVERY_ENTRIES = 10_000
 SNAPSHOT_EVERY_BYTES = 16 * 1024 * 1024
+# Entries that stay in memory after a snapshot, for replicas that lag behind.
 SNAPSHOT_KEEP_ENTRIES = 1_000
+SNAPSHOT_KEEP_BYTES = 4 * 1024 * 1024
 
 
 MembershipChange = typing.Callable[[_membership.Members], _membership.Members]
@@ -120,6 +122,9 @@
         self._task: asyncio.Task | None = None
         self._last_snapshot = 0
         self._bytes_since_snapshot = 0
+        # Whether the state is to be stored in the form of this build, which
+        # may take less space.
+        self._replaces_snapshot = False
         self._applied = 0
         self._current_as_of = float("-inf")
         self._members: _membership.Members = ()
@@ -132,6 +137,7 @@
                 restored.snapshot.index, restored.snapshot_data
             )
         self._last_snapshot = restored.snapshot.index
+        self._replaces_snapshot = self._is_large(restored.snapshot_data)
         self._applied = restored.snapshot.index
         self.core = _core.Core(
             name=self.name,
@@ -322,6 +328,7 @@
             )
             self._last_snapshot = ready.snapshot.index
             self._bytes_since_snapshot = 0
+            self._replaces_snapshot = self._is_large(ready.snapshot_data)
             self._applied = ready.snapshot.index
         for entry in ready.committed:
             self._apply(entry)
@@ -340,13 +347,19 @@
         else:
             _fail_not_leader(fut, self.leader)
 
+    def _is_large(self, snapshot_data: bytes) -> bool:
+        """Whether a restored snapshot should be replaced by an own one."""
+        return len(snapshot_data) >= self.snapshot_every_bytes
+
     async def _maybe_snapshot(self) -> None:
         core = self.core
         if (
             core.applied - self._last_snapshot < self.snapshot_every
             and self._bytes_since_snapshot < self.snapshot_every_bytes
+            and not self._replaces_snapshot
         ):
             return
+        self._replaces_snapshot = False
         term = core.log.term_at(core.applied)
         assert term is not None
         meta = wire.SnapshotMeta(
@@ -363,7 +376,13 @@
         await loop.run_in_executor(
             None, self.storage.save_snapshot, meta, data, hard_state, entries
         )
-        core.compact(meta, data, SNAPSHOT_KEEP_ENTRIES)
+        core.compact(
+            meta,
+            data,
+            keep=core.log.count_last(
+                meta.index, SNAPSHOT_KEEP_ENTRIES, SNAPSHOT_KEEP_BYTES
+            ),
+        )
         self._last_snapshot = meta.index
         self._bytes_since_snapshot = 0
 
--- a/galenashed/consensus/_storage.py
+++ b/galenashed/consensus/_storage.py
@@ -68,8 +68,12 @@
         os.close(fd)
 
 
+def _make_header(payload: bytes) -> bytes:
+    return RECORD_HEADER.pack(len(payload), zlib.crc32(payload))
+
+
 def _encode_record(payload: bytes) -> bytes:
-    return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+    return _make_header(payload) + payload
 
 
 def write_file(path: pathlib.Path, payload: bytes) -> None:
@@ -78,7 +82,9 @@
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
     fd = os.open(partial, flags, 0o666)
     try:
-        _write(fd, _encode_record(payload))
+        # Without a copy of the payload, which may be large.
+        _write(fd, _make_header(payload))
+        _write(fd, payload)
         os.fsync(fd)
     finally:
         os.close(fd)
@@ -86,10 +92,10 @@
     _sync_directory(path.parent)
 
 
-def read_file(path: pathlib.Path) -> bytes:
+def read_file(path: pathlib.Path) -> memoryview:
     """Returns what :func:`write_file` wrote; raises StorageError."""
     raw = path.read_bytes()
-    payload = raw[RECORD_HEADER.size :]
+    payload = memoryview(raw)[RECORD_HEADER.size :]
     if len(raw) < RECORD_HEADER.size:
         raise StorageError(f"{path}: file is truncated")
     length, checksum = RECORD_HEADER.unpack_from(raw)
@@ -316,7 +322,7 @@
 
 
 def _read_wal(path: pathlib.Path) -> list[WalRecord]:
-    raw = path.read_bytes()
+    raw = memoryview(path.read_bytes())
     records = []
     offset = 0
     while offset < len(raw):
@@ -346,7 +352,7 @@
     return snapshot.index == 0
 
 
-def _read_record(raw: bytes, offset: int) -> bytes | None:
+def _read_record(raw: memoryview, offset: int) -> memoryview | None:
     start = offset + RECORD_HEADER.size
     if start > len(raw):
         return None
@@ -358,7 +364,7 @@
     return payload if zlib.crc32(payload) == checksum else None
 
 
-def _is_torn(raw: bytes, offset: int) -> bool:
+def _is_torn(raw: memoryview, offset: int) -> bool:
     """Whether the record at ``offset`` was cut short by a crash.
 
     That is, it reaches the end of the file, or only zeros follow.
--- a/galenashed/consensus/tests/test_node.py
+++ b/galenashed/consensus/tests/test_node.py
@@ -8,6 +8,8 @@
 import testtools
 
 from galenashed import consensus
+from galenashed.consensus import _node
+from galenashed.protocol import consensus as wire
 
 COMMAND_BYTES = 16 * 1024
 DISK_BYTES = 1024 * 1024
@@ -95,3 +97,43 @@
         # A start writes the log once more before it removes the old one.
         self.assertLess(2 * largest, DISK_BYTES)
         self.assertEqual(201, count)
+
+    def test_large_commands_do_not_stay_in_memory(self):
+        """Entries for replicas that lag are bounded in bytes as well."""
+
+        async def run():
+            node = self.make_node(snapshot_every_bytes=DISK_BYTES)
+            await node.start()
+            await self.propose(node, 500)
+            size = node.core.log.size()
+            await node.close()
+            return size
+
+        size = asyncio.run(run())
+        bound = _node.SNAPSHOT_KEEP_BYTES + DISK_BYTES + COMMAND_BYTES
+        self.assertLessEqual(size, bound)
+
+    def test_large_snapshot_is_replaced_by_a_smaller_one(self):
+        """Guards against a state of an earlier build that stays on disk."""
+        self.storage.open()
+        self.storage.save_snapshot(
+            wire.SnapshotMeta(
+                index=7, term=1, members=(consensus.Member("c1"),)
+            ),
+            b"7".rjust(DISK_BYTES),
+            wire.HardState(term=1, voted_for="", commit=7),
+            [],
+        )
+        self.storage.close()
+
+        async def run():
+            node = self.make_node(snapshot_every_bytes=DISK_BYTES // 4)
+            await node.start()
+            await self.propose(node, 1)
+            size = self.storage.size()
+            await node.close()
+            return size, node.state_machine.count
+
+        size, count = asyncio.run(run())
+        self.assertLess(size, DISK_BYTES // 4)
+        self.assertEqual(8, count)
--- a/galenashed/control/_budgets.py
+++ b/galenashed/control/_budgets.py
@@ -455,11 +455,22 @@
         grant.settled += tokens
         budget_state.settled += tokens
         budget_state.outstanding -= tokens
-    state.recent_bills.append(bill)
+    state.recent_bills.append(wire.shorten_bill(bill))
     if len(state.recent_bills) > 2 * MAX_RECENT_BILLS:
         del state.recent_bills[:MAX_RECENT_BILLS]
 
 
+def shorten_recent_bills(state: _state.ControlState) -> None:
+    """Bounds the texts of bills in a snapshot of an earlier build.
+
+    These texts are read by queries only, so that replicas of such a build
+    still reach the same decisions.
+    """
+    state.recent_bills = [
+        wire.shorten_bill(bill) for bill in state.recent_bills
+    ]
+
+
 def expire(state: _state.ControlState) -> None:
     """Deletes expired bill records and inactive holders without grants."""
     cutoff = state.now - BILL_RETENTION_SECONDS
--- a/galenashed/control/_state_machine.py
+++ b/galenashed/control/_state_machine.py
@@ -108,6 +108,7 @@
     def restore(self, index: int, data: bytes) -> None:
         """Replaces the whole state with a snapshot taken at ``index``."""
         self.state = _STATE_DECODER.decode(data)
+        _budgets.shorten_recent_bills(self.state)
         self.applied = index
         self._budget_of_grant = {
             grant: budget_state.name
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -8,6 +8,13 @@
 import msgspec
 
 from galenashed.protocol import routes as routes_wire
+from galenashed.protocol import texts
+
+# Callers choose the path and the id of a request, and replicas keep thousands
+# of bills.
+MAX_BILL_TEXT_BYTES = 100
+# Callers name the parts of prompts, and replicas keep hundreds of suspects.
+MAX_PART_ID_BYTES = 100
 
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
@@ -128,6 +135,24 @@
         return sum(part.tokens for part in self.parts)
 
 
+def shorten_bill(bill: Bill) -> Bill:
+    """Returns a bill whose texts from callers have a bounded length.
+
+    The id and the attempt of a keyed bill are kept, as bills are charged once
+    by these; idempotency keys are bounded where they are received.
+    """
+    subject = texts.shorten(bill.subject, MAX_BILL_TEXT_BYTES)
+    id, attempt = bill.id, bill.attempt
+    if not bill.keyed:
+        id = texts.shorten(id, MAX_BILL_TEXT_BYTES)
+        attempt = texts.shorten(attempt, MAX_BILL_TEXT_BYTES)
+    if (subject, id, attempt) == (bill.subject, bill.id, bill.attempt):
+        return bill
+    return msgspec.structs.replace(
+        bill, subject=subject, id=id, attempt=attempt
+    )
+
+
 class StoredResponse(msgspec.Struct, frozen=True, kw_only=True):
     """The stored response of a non-idempotent call."""
 
@@ -322,7 +347,8 @@
     """Reports that a target crashed with a request that it had not answered.
 
     ``request`` is the digest of the request and ``parts`` are the ids of the
-    parts of its prompt that other requests may share.  ``begun`` tells
+    parts of its prompt that other requests may share, as :func:`shorten_part`
+    returns them.  ``begun`` tells
     whether the target had begun the answer, without a complete event.
     ``known`` is the index of the :class:`Quarantine` that the sender knew
     when it sent the request to the target.
@@ -335,6 +361,11 @@
     known: int
 
 
+def shorten_part(part: str) -> str:
+    """Returns the id of a part of prompts in a bounded length."""
+    return texts.shorten(part, MAX_PART_ID_BYTES)
+
+
 def name_part(part: str) -> str:
     """Returns the name of a part of prompts as a suspect."""
     return f"part:{part}"
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -26,6 +26,8 @@
 MAX_REPORTS_PER_CRASH = 8
 MAX_TRACKED_CRASHES = 64
 MAX_UNREPORTED_REQUESTS = 1024
+# Parts of the prompts of all these; a prompt may have over a thousand.
+MAX_UNREPORTED_PARTS = 50_000
 QUARANTINE_CRASHES = 2
 REQUEST_QUARANTINE_CRASHES = 3
 
@@ -61,9 +63,14 @@
         """The parts of the prompt that other requests may have too."""
 
 
+def _shorten_parts(request: SuspectedRequest) -> list[str]:
+    """Returns the parts as control knows them."""
+    return [wire.shorten_part(part) for part in request.part_ids]
+
+
 def _suspect_names(request: SuspectedRequest) -> list[str]:
     """What may crash a target: each shared part, and the whole."""
-    names = [wire.name_part(part) for part in request.part_ids]
+    names = [wire.name_part(part) for part in _shorten_parts(request)]
     return [*names, wire.name_request(request.digest)]
 
 
@@ -287,7 +294,7 @@
         command = wire.ReportLostTarget(
             target=target,
             request=request.digest,
-            parts=list(request.part_ids),
+            parts=_shorten_parts(request),
             begun=begun,
             known=known,
         )
@@ -295,8 +302,7 @@
         is_sampled = begun or self._is_sampled(target)
         if not is_sampled and not self._lost_before(request, commands):
             self._unreported[request.digest] = commands
-            while len(self._unreported) > MAX_UNREPORTED_REQUESTS:
-                self._unreported.popitem(last=False)
+            self._forget_unreported()
             return
         reports = self._add_pending(commands, set(_suspect_names(request)))
         for report in reports:
@@ -307,6 +313,20 @@
         for report in unacknowledged:
             report.overdue = True
 
+    def _forget_unreported(self) -> None:
+        """Forgets the oldest crashes that are not reported, if too many."""
+        parts = sum(
+            len(command.parts)
+            for commands in self._unreported.values()
+            for command in commands
+        )
+        while self._unreported and (
+            len(self._unreported) > MAX_UNREPORTED_REQUESTS
+            or parts > MAX_UNREPORTED_PARTS
+        ):
+            _, commands = self._unreported.popitem(last=False)
+            parts -= sum(len(command.parts) for command in commands)
+
     def _is_sampled(self, target: str) -> bool:
         """Whether a request is among the first that a target has lost."""
         count = self._report_counts.get(target, 0)
--- a/galenashed/quarantine/tests/test_quarantine.py
+++ b/galenashed/quarantine/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 import testtools
 
 from galenashed.protocol import control as wire
+from galenashed.quarantine import _quarantine
 from galenashed.quarantine.tests import _fixture
 from galenashed import web
 
@@ -331,3 +332,39 @@
             self.assertTrue(self.is_quarantined(first, "x"))
 
         self.run_test(scenario)
+
+    def test_long_ids_of_parts_are_stored_in_short(self):
+        """Guards against ids of parts that fill the replicated state."""
+
+        async def scenario(first, second):
+            part = "x" * 8000
+            await self.report(first, "t1", make_request("a", part, body=b"1"))
+            await self.report(first, "t2", make_request("b", part, body=b"2"))
+            self.feed()
+            self.assertTrue(self.is_quarantined(second, "c", part))
+            self.assertFalse(self.is_quarantined(second, "c", part + "y"))
+            (name,) = self.control.state_machine.quarantine().quarantined
+            self.assertLessEqual(len(name), wire.MAX_PART_ID_BYTES + 5)
+
+        self.run_test(scenario)
+
+    def test_long_prompts_of_lost_requests_are_kept_in_part(self):
+        """Guards against lost requests that fill the memory of an entry."""
+
+        async def scenario(first, second):
+            parts = [f"p{number}" for number in range(1500)]
+            for number in range(200):
+                await self.report(
+                    first,
+                    "t1",
+                    make_request(*parts, body=b"%d" % number),
+                    begun=False,
+                )
+            kept = sum(
+                len(command.parts)
+                for commands in first._unreported.values()
+                for command in commands
+            )
+            self.assertLessEqual(kept, _quarantine.MAX_UNREPORTED_PARTS)
+
+        self.run_test(scenario)
