Take only whole answers as proof that a request crashes no target

Cause: a complete event counted as proof. An attempt lost after an event was not reported, and the first event of the answer that crashes cleared what was suspected.

Evidence: no "target crashed" line in the logs of the case; the tests below fail in the ways that the code predicts.

Change: each attempt that is lost with its target is reported, and suspects are cleared by answers that end whole. The rest of a stream is one only if it has more events than the runs that were lost. An answer explains a crash if it has just begun (part of an event, or a fresh head where heads come with the first event) and its parts have had no whole answer since they were suspected. Open answers count like those that waited; an entry leaves out parts with a whole answer in the last second, and holds a report back for 0.3 s while a part that the request lacks is suspected. The same in entry/.

Why it works: a deadly part never has a whole answer, so that its evidence stays and two crashes quarantine it, while sound parts are cleared.

It replaces test_crash_after_an_event_is_not_reported, which asked for the fault: the stream is still continued at one other target, and the crash now has to be reported.

--- a/galenashed/control/_quarantine.py
+++ b/galenashed/control/_quarantine.py
@@ -1,20 +1,22 @@
 """Parts of prompts and requests that crash targets, in the replicated state.
 
-A target that crashes leaves requests without an answer.  One of them may have
-caused the crash, by a part of its prompt that other requests have too, or as a
-whole.  All are suspects, each by the evidence against it, until an answer to a
-request with the suspect begins.
+A target that crashes leaves requests without a whole answer.  One of them may
+have caused the crash, by a part of its prompt that other requests have too, or
+as a whole.  All are suspects, each by the evidence against it, until an answer
+to a request with the suspect ends whole; entries of earlier builds clear it by
+the first event.
 
 A part is quarantined once ``QUARANTINE_CRASHES`` crashes count against it.
 What makes this precise:
 
-- A request whose answer had begun without a complete event explains its crash;
-  the parts of others that were lost with the target are no longer suspected.
+- A request whose answer had just begun explains its crash; the parts of others
+  that were lost with the target, waiting or with answers that were open for
+  longer, are no longer suspected.
 - Crashes under a suspect in quarantine are explained by it.
 - Different requests have to crash different targets before a part that they
   share is quarantined.  Targets that fail together, or shortly after one
   another, take many requests with them, so crashes must be some time apart.
-  A request whose answer had not begun must have been sent when the crash
+  A request whose answer had not just begun must have been sent when the crash
   before was known.
 - If the evidence against several parts is sufficient at the same time, the
   last of them in the prompt is quarantined, as it is the most specific.
@@ -47,7 +49,7 @@
 SUSPECT_RETENTION_SECONDS = 600.0
 QUARANTINED_REQUEST_RETENTION_SECONDS = 24 * 3600.0
 # Crashes within this time may have a cause of their own in common.  The time
-# is longer for answers that had not begun, as any of them may be lost then.
+# is longer for answers that had not just begun, as any of them may be lost.
 CORRELATED_SECONDS = 0.3
 CORRELATED_WAITING_SECONDS = 1.0
 # The whole list is sent to every entry when it changes.
--- a/galenashed/entry/_calls.py
+++ b/galenashed/entry/_calls.py
@@ -235,7 +235,7 @@
         await self.quarantine.report_crash(
             call,
             f"{target.name}/{target.incarnation}",
-            begun=False,
+            answer=quarantine.AnswerState.NONE,
             known=self.quarantine.index,
         )
         return True
@@ -306,7 +306,7 @@
                 before_sending=slot.check_domain,
             )
             body = await self._read_response(call, slot, resp)
-        self.quarantine.on_answer_begun(call)
+        self.quarantine.on_answer_complete(call)
         return wire.StoredResponse(
             status=resp.status,
             headers=[
--- a/galenashed/entry/_models.py
+++ b/galenashed/entry/_models.py
@@ -146,7 +146,7 @@
                 await self.runner.on_target_lost(run, exc)
                 continue
             run.end_slot()
-            self.quarantine.on_answer_begun(run)
+            self.quarantine.on_answer_complete(run)
             self.quarantine.end_trial(run, answered=True)
             self._bill(run, *usage)
             await self.reservations.wait_until_durable()
@@ -178,6 +178,8 @@
                     yield data
         finally:
             run.end_slot()
+            if scanner.finished and run.outlasts_lost_tries(scanner.events):
+                self.quarantine.on_answer_complete(run)
             self.quarantine.end_trial(run, answered=scanner.finished)
             self._settle_stream(run, scanner)
 
--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -13,6 +13,7 @@
 from galenashed.entry import _dispatcher
 from galenashed.entry import _requests
 from galenashed.protocol import control as wire
+from galenashed import quarantine
 from galenashed import telemetry
 from galenashed import web
 
@@ -29,8 +30,10 @@
     """The state of one admitted request across its tries.
 
     ``answer_begun`` and ``answered`` tell of the current try whether its
-    response has a head, and a part that shows that the engine did not crash
-    on the request.  ``part_trial`` is set if a message of the request is
+    response has a head, and a complete event.  ``events_before`` is the number
+    of events before the current try, ``most_lost_events`` that of the longest
+    try that was broken off.  ``part_trial`` is set if a message of the request
+    is
     quarantined and this is the one request that may try it.
     ``quarantine_index`` is that of the quarantine when it was last sent.
     """
@@ -39,8 +42,10 @@
         "answer_begun",
         "answered",
         "caller_disconnected",
+        "events_before",
         "in_trial",
         "last_chunk_at",
+        "most_lost_events",
         "part_trial",
         "quarantine_index",
         "request",
@@ -67,6 +72,8 @@
         self.part_trial = False
         self.answer_begun = False
         self.answered = False
+        self.events_before = 0
+        self.most_lost_events = 0
         self.quarantine_index = 0
         self.caller_disconnected = False
         self.started_at = time.monotonic()
@@ -81,6 +88,31 @@
             else web.ExecutionStatus.NOT_RUN
         )
 
+    @property
+    def answer_state(self) -> quarantine.AnswerState:
+        """How far the answer of the current try has come."""
+        if self.answered:
+            return quarantine.AnswerState.OPEN
+        if self.answer_begun:
+            return quarantine.AnswerState.JUST_BEGUN
+        return quarantine.AnswerState.NONE
+
+    def begin_continuation(self, events: int) -> None:
+        """Notes that the try was broken off after ``events`` in all."""
+        lost = events - self.events_before
+        self.most_lost_events = max(self.most_lost_events, lost)
+        self.events_before = events
+
+    def outlasts_lost_tries(self, events: int) -> bool:
+        """Whether the try has brought more events than those broken off.
+
+        A try that continues a stream may end before the event at which
+        another target has crashed.
+        """
+        if not self.events_before:
+            return True
+        return events - self.events_before > self.most_lost_events
+
     def watch_stream(self, resp) -> None:
         """Closes a stream that stalls while its target's lease is expired.
 
@@ -116,9 +148,6 @@
     def begin_try(self, run: ModelRun) -> None:
         """Prepares a try; raises ApiError if the request must not run."""
 
-    def on_answer_begun(self, run: ModelRun) -> None:
-        """Called when a target has begun an answer without crashing."""
-
 
 class EngineRunner:
     """Sends model requests to engines, and retries where that is safe.
--- a/galenashed/entry/_streams.py
+++ b/galenashed/entry/_streams.py
@@ -200,8 +200,8 @@
             # What another version writes can't follow.
             requirements = run.slot_request.requirements
             requirements.version = run.slot.target.version
-        if data and not run.answered:
-            self.runner.crash_handler.on_answer_begun(run)
+        if data:
+            run.answered = True
         if first and scanner.events:
             elapsed = run.last_chunk_at - run.started_at
             self.metrics.duration("model.first_token", elapsed)
@@ -226,6 +226,7 @@
                 retry_after=RETRY_AFTER_SECONDS,
             )
         scanner.discard_partial()
+        run.begin_continuation(scanner.events)
         return await self.runner.open(run, first_event=scanner.events)
 
 
--- a/galenashed/entry/_suspects.py
+++ b/galenashed/entry/_suspects.py
@@ -118,10 +118,9 @@
         if suspect is not None and not starts_trial:
             raise quarantine.make_error(suspect, executed=run.sent)
 
-    def on_answer_begun(self, run: _runs.ModelRun) -> None:
-        """See :class:`galenashed.entry._runs.CrashHandler`."""
-        run.answered = True
-        self.parts.on_answer_begun(run.request)
+    def on_answer_complete(self, run: _runs.ModelRun) -> None:
+        """Clears the messages of a request with a whole answer."""
+        self.parts.on_answer_complete(run.request)
 
     def _is_quarantined(self, digest: str) -> bool:
         return self.configuration.crash_count(digest) >= QUARANTINE_CRASHES
@@ -149,13 +148,12 @@
         )
         run.in_trial = False
         run.slot_request.requirements.exclusive = True
-        if not run.answered:
-            await self.parts.report_crash(
-                run.request,
-                command.target,
-                begun=run.answer_begun,
-                known=run.quarantine_index,
-            )
+        await self.parts.report_crash(
+            run.request,
+            command.target,
+            answer=run.answer_state,
+            known=run.quarantine_index,
+        )
         commands = self._unacknowledged.setdefault(run.request.digest, [])
         commands.append(command)
         try:
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -6,6 +6,7 @@
 import typing
 
 from galenashed import engines
+from galenashed.gateway import _answer_states
 from galenashed.gateway import _attempts
 from galenashed.gateway import _context
 from galenashed.gateway import _continuations
@@ -99,6 +100,7 @@
         )
         self.retries = retries
         self.retry_times = routing.RetryTimes(rng=rng)
+        self._answer_states = _answer_states.AnswerStates()
         self.hedges = _hedges.Hedges(gateway=self)
         self.log = log
         self.metrics = metrics
@@ -597,20 +599,23 @@
         *,
         suspected: bool,
     ) -> None:
-        """Reports the request if the target crashed without an answer to it.
+        """Reports the request if the target crashed before its answer ended.
 
         ``known`` is the index of the quarantine when the request was sent,
         ``suspected`` tells whether other targets had crashed under it then.
         """
+        lost_at = time.monotonic()
         announced = target.announced
-        if relay.attempt_event_count:
-            if context.route.resumable and await self._is_down(announced):
-                self.targets.on_refused(target, time.monotonic())
-            return
-        if not await self.pool.refuses_connections(announced.address):
+        events = relay.attempt_event_count
+        if events:
+            is_down = await self._is_down(announced)
+        else:
+            is_down = await self.pool.refuses_connections(announced.address)
+        if not is_down:
             return
         self.targets.on_refused(target, time.monotonic())
-        self.targets.eject(target, time.monotonic())
+        if not events:
+            self.targets.eject(target, time.monotonic())
         await self.paths.check(max_age=0.0)
         if self.paths.isolated and await self.peers.any_reaches(
             announced.address
@@ -623,14 +628,24 @@
                 target=target.name,
             )
             return
-        begun = relay.framing is not None
-        context.crashed_target = begun or suspected
+        has_head = relay.framing is not None
+        answer = self._answer_states.find(
+            context.service,
+            head_age=lost_at - relay.head_at if has_head else None,
+            events=events,
+            unfinished=relay.unfinished_bytes,
+        )
+        if not events:
+            # A stream with events is continued, as most are only open on a
+            # target that crashes.
+            context.crashed_target = has_head or suspected
         self.metrics.count("gateway.target_crashed")
         self.log.write(
             "target crashed",
             request=context.request.id,
             target=target.name,
-            begun=begun,
+            answer=answer.value,
+            events=events,
             parts=context.request.part_ids,
             digest=context.request.digest,
             known=known,
@@ -638,7 +653,7 @@
         await self.quarantine.report_crash(
             context.request,
             target.incarnation_name,
-            begun=begun,
+            answer=answer,
             known=known,
         )
 
@@ -731,13 +746,17 @@
                 answered = True
                 if relay.attempt_event_count:
                     self._record_origin(context, announced)
+                    self._answer_states.on_first_event(
+                        context.service, time.monotonic() - relay.head_at
+                    )
                 target.pending_prompts.end(context.request.id)
-                self.quarantine.on_answer_begun(context.request)
 
         outcome = await relay.forward(
             head, conn, on_answer, lambda: self._is_down(announced)
         )
         on_answer()
+        if relay.outlasts_lost_attempts:
+            self.quarantine.on_answer_complete(context.request)
         return outcome
 
     def _attempts_failed_error(
--- a/galenashed/gateway/_hedges.py
+++ b/galenashed/gateway/_hedges.py
@@ -58,6 +58,7 @@
         "_exchange",
         "answered_at",
         "framing",
+        "head_at",
         "race",
         "sent_at",
         "target",
@@ -70,6 +71,7 @@
         self.sent_at = time.monotonic()
         self.answered_at: float | None = None
         self.framing: engines.Framing | None = None
+        self.head_at = 0.0
         self._exchange: asyncio.Future | None = None
         self.task: asyncio.Task[Outcome] = asyncio.create_task(
             race.send(race.context, target, self)
@@ -109,6 +111,18 @@
             return 0
         return self.race.relay.attempt_event_count
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The size of an event that was forwarded in part."""
+        if self.race.winner is not self:
+            return 0
+        return self.race.relay.unfinished_bytes
+
+    @property
+    def outlasts_lost_attempts(self) -> bool:
+        """See :class:`Relay`."""
+        return self.race.relay.outlasts_lost_attempts
+
     def begin_attempt(self) -> None:
         """Does nothing: the relay has begun, for both runs."""
 
@@ -122,6 +136,7 @@
     async def forward(self, head, conn, on_event, has_crashed) -> Outcome:
         """Forwards the response if it is the first; see :class:`Relay`."""
         self.framing = head.framing
+        self.head_at = time.monotonic()
         relay = self.race.relay
         if head.status >= _relay.SERVER_ERROR and self.race.has_other(self):
             if self.race.context.route.kind is wire.RouteKind.IDEMPOTENT:
--- a/galenashed/gateway/_relay.py
+++ b/galenashed/gateway/_relay.py
@@ -31,10 +31,12 @@
         "_buffered_error",
         "_earlier_event_count",
         "_is_stream",
+        "_most_lost_events",
         "_splitter",
         "context",
         "first_event_at",
         "framing",
+        "head_at",
         "started",
         "status",
         "writer",
@@ -47,9 +49,13 @@
         self.status = 0
         # Framing of the response to the current attempt, once it has a head.
         self.framing: engines.Framing | None = None
+        # Monotonic time at which that head arrived.
+        self.head_at = 0.0
         # Monotonic time at which the first event arrived.
         self.first_event_at: float | None = None
         self._earlier_event_count = 0
+        # Of the attempts that were broken off.
+        self._most_lost_events = 0
         self._is_stream = False
         self._splitter = _events.EventSplitter()
         self._buffered_error: tuple[engines.ResponseHead, bytes] | None = None
@@ -72,8 +78,25 @@
     def begin_attempt(self) -> None:
         """Notes that the request is sent to another target."""
         self.framing = None
+        self._most_lost_events = max(
+            self._most_lost_events, self.attempt_event_count
+        )
         self._earlier_event_count = self.event_count
 
+    @property
+    def outlasts_lost_attempts(self) -> bool:
+        """Whether the current attempt has shown more than those broken off.
+
+        An attempt that continues a stream may end before the event at which
+        another target has crashed.
+        """
+        if self.context.request.resume_after is not None:
+            return False
+        return (
+            not self._earlier_event_count
+            or self.attempt_event_count > self._most_lost_events
+        )
+
     async def run(
         self,
         exchange: typing.Coroutine[
@@ -115,6 +138,7 @@
         TargetLostError if the connection breaks.
         """
         self.framing = head.framing
+        self.head_at = time.monotonic()
         if head.status >= SERVER_ERROR and self._retries_server_errors():
             return await self._buffer_error(head, conn)
         if self.started and not is_event_stream(head):
--- a/galenashed/gateway/tests/test_crashes.py
+++ b/galenashed/gateway/tests/test_crashes.py
@@ -8,6 +8,7 @@
 from galenashed.protocol import routes
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+CHUNKLESS = HEAD[:-2] + b"content-length: %d\r\n\r\n"
 EVENT = b"id: 1\ndata: x\n\n"
 
 
@@ -54,7 +55,9 @@
                     _fixture.ResponseWriter(), target, other
                 )
                 # The other target answers, and so would clear the suspects.
-                fixture.gateway.quarantine.on_answer_begun = lambda req: None
+                fixture.gateway.quarantine.on_answer_complete = lambda req: (
+                    None
+                )
                 async with asyncio.timeout(_fixture.TIME_LIMIT_SECONDS):
                     while not task.done() and not other.requests:
                         await asyncio.sleep(0.01)
@@ -77,10 +80,11 @@
         self.assertEqual(0, repeats)
         self.assertEqual(1, len(suspected))
 
-    def test_crash_after_an_event_is_not_reported(self):
-        repeats, suspected = self.relay(HEAD + EVENT + b"id", crashes=True)
-        self.assertEqual(1, repeats)
-        self.assertEqual([], suspected)
+    def test_crash_after_events_is_reported_and_the_stream_continued(self):
+        for first in (HEAD + EVENT, HEAD + EVENT + b"id"):
+            repeats, suspected = self.relay(first, crashes=True)
+            self.assertEqual(1, repeats)
+            self.assertEqual(1, len(suspected))
 
     def test_loss_of_the_path_to_all_targets_is_not_reported(self):
         for first in (b"", HEAD):
@@ -90,12 +94,58 @@
             self.assertEqual(0, repeats)
             self.assertEqual([], suspected)
 
+    def test_loss_of_the_path_after_an_event_is_not_reported(self):
+        _, suspected = self.relay(
+            HEAD + EVENT, crashes=True, all_refuse=True, loses_path=True
+        )
+        self.assertEqual([], suspected)
+
     def test_crash_is_reported_if_no_entry_reaches_any_target(self):
         _, suspected = self.relay(HEAD, crashes=True, all_refuse=True)
         self.assertEqual(1, len(suspected))
 
     def test_lost_connection_to_a_running_target_is_not_reported(self):
-        for first in (b"", HEAD):
+        for first in (b"", HEAD, HEAD + EVENT + b"id"):
             repeats, suspected = self.relay(first, crashes=False)
             self.assertEqual(1, repeats)
             self.assertEqual([], suspected)
+
+
+class TestWholeAnswers(testtools.TestCase):
+    """Which answers prove that their requests crash no target."""
+
+    def relay(self, first, other_answer):
+        """Returns whether the end of an answer has cleared its request."""
+
+        async def run():
+            fixture = _fixture.Fixture(
+                kind=routes.RouteKind.STREAM,
+                resumable=True,
+                time_limit=_fixture.TIME_LIMIT_SECONDS,
+            )
+            cleared = []
+            fixture.gateway.quarantine.on_answer_complete = cleared.append
+            target = BreakingTarget(first, crashes=True)
+            try:
+                await (
+                    await fixture.start_request(
+                        _fixture.ResponseWriter(),
+                        target,
+                        _fixture.Target(other_answer),
+                    )
+                )
+            finally:
+                await fixture.close()
+            return bool(cleared)
+
+        return asyncio.run(run())
+
+    def test_rest_of_a_stream_proves_nothing(self):
+        """A target may crash at an event that the rest does not reach."""
+        for rest in (b"", EVENT, 2 * EVENT):
+            answer = CHUNKLESS % len(rest) + rest
+            self.assertFalse(self.relay(HEAD + 2 * EVENT, answer))
+
+    def test_longer_rest_of_a_stream_is_a_proof(self):
+        answer = CHUNKLESS % (2 * len(EVENT)) + 2 * EVENT
+        self.assertTrue(self.relay(HEAD + EVENT, answer))
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -25,6 +25,7 @@
 # What a target sends without an end, unless its connection closes before.
 ENDLESS_BYTES = 64 * 2**20
 ENDLESS_AFTER_EVENT = 4
+LAST_EVENT = 10
 
 
 class Target:
@@ -52,6 +53,9 @@
         # An engine crashes when it begins to answer a request with this part
         # of its prompt, and starts again after ``restart_seconds``.
         self.deadly_part = None
+        # The number of events of an answer after which it crashes, LAST_EVENT
+        # for all of them; 0 for the middle of the first one.
+        self.deadly_after = 0
         # A target crashes without a response head when it begins to run a
         # request for this path.
         self.deadly_path = None
@@ -69,6 +73,7 @@
         # Rejects every second request, in an answer that names no limit.
         self.rejects_without_limit = False
         self.crashes = 0
+        self.crash_times = []
         self.writers = set()
         self.cancelled_streams = 0
         self.reject = False
@@ -88,7 +93,10 @@
 
     async def crash(self):
         """Closes all connections and refuses new ones for a time."""
+        if not self.server.is_serving():
+            return
         self.crashes += 1
+        self.crash_times.append(time.monotonic())
         self.server.close()
         for writer in list(self.writers):
             writer.close()
@@ -200,7 +208,8 @@
         head = self.response_head(200, headers)
         head += "Content-Type: text/event-stream\r\n"
         prompt = headers.get("x-prefix-hash", "")
-        if self.deadly_part and f"{self.deadly_part}:" in prompt:
+        is_deadly = self.deadly_part and f"{self.deadly_part}:" in prompt
+        if is_deadly and not self.deadly_after:
             writer.write(f"{head}\r\nid: 1\n".encode())
             await self.crash()
             return False
@@ -208,7 +217,7 @@
             return await self.send_events_and_close(writer, head, first)
         head += "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
-        for number in range(first, 11):
+        for number in range(first, LAST_EVENT + 1):
             if self.endless and number > ENDLESS_AFTER_EVENT:
                 await self.send_endless(writer)
                 return False
@@ -218,6 +227,10 @@
                 return False
             event = self.event(number)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if is_deadly and self.crashes_after(number, first):
+                await writer.drain()
+                await self.crash()
+                return False
             try:
                 await writer.drain()
                 await asyncio.sleep(delay)
@@ -231,6 +244,12 @@
         await writer.drain()
         return True
 
+    def crashes_after(self, number, first):
+        """Whether an answer on a deadly part ends with an event."""
+        if self.deadly_after == LAST_EVENT:
+            return number == LAST_EVENT
+        return number - first + 1 == self.deadly_after
+
     async def send_events_and_close(self, writer, head, first):
         writer.write(f"{head}\r\n".encode())
         for number in range(first, self.break_after + 1):
--- a/galenashed/platform/tests/test_quarantine.py
+++ b/galenashed/platform/tests/test_quarantine.py
@@ -1,6 +1,9 @@
 """Requests with one part of their prompts crash every target."""
 
+import asyncio
+import concurrent.futures
 import http.client
+import random
 import time
 
 import testtools
@@ -150,3 +153,156 @@
             for node in range(4):
                 self.assertEqual(422, self.look(DEADLY_PATH, node=node))
         self.assertEqual(before, sum(target.crashes for target in self.apps))
+
+
+# Bounds of the users: of the runs later than this after the fifth crash, three
+# are allowed.
+CONTACT_SECONDS = 3.0
+COUNTED_CRASHES = 5
+MAX_LATE_RUNS = 3
+EVENT_SECONDS = 0.03
+RESTART_SECONDS = 1.0
+COMMON_PART = "common"
+
+
+class OpenStreams(testtools.TestCase):
+    """Streams with a part in common are open on every target."""
+
+    SECONDS = 8.0
+    SENDERS = 24
+
+    def setUp(self):
+        super().setUp()
+        self.site = _site.Site(prepaid=10_000_000)
+        self.site.__enter__()
+        self.addCleanup(self.site.close)
+        self.engines = [self.site.add_target("engines", n) for n in range(4)]
+        for node in range(4):
+            _fleet.wait_for(
+                lambda node=node: self.send("warm", node) == 200, "a target"
+            )
+        for target in self.engines:
+            target.delay = EVENT_SECONDS
+            target.restart_seconds = RESTART_SECONDS
+
+    def send(self, name, node, *parts):
+        """Returns the status, or "cut" for an incomplete response."""
+        prompt = ",".join([*(f"{part}:40" for part in parts), f"{name}:10"])
+        try:
+            response = self.site.generate(node=node, X_Prefix_Hash=prompt)
+        except (http.client.HTTPException, OSError):
+            return "cut"
+        return response.status
+
+    def send_for_a_while(self, choose_parts, pause):
+        """Returns the parts and the status of each request, in order."""
+        rng = random.Random(1)
+        ends = time.monotonic() + self.SECONDS
+        sent = []
+        with concurrent.futures.ThreadPoolExecutor(self.SENDERS) as pool:
+            while time.monotonic() < ends:
+                number = len(sent)
+                parts = choose_parts(number)
+                answer = pool.submit(
+                    self.send, f"own{number}", rng.randrange(4), *parts
+                )
+                sent.append((parts, answer))
+                time.sleep(pause)
+        return [(parts, answer.result()) for parts, answer in sent]
+
+
+class TestDeadlyPartAfterEvents(OpenStreams):
+    """Targets crash on a part of a prompt, but not before the first event.
+
+    Guards against an event that is taken as proof that a request is sound.
+    """
+
+    PAUSE = 0.25
+
+    def check(self, deadly_after):
+        for target in self.engines:
+            target.deadly_part = DEADLY_PART
+            target.deadly_after = deadly_after
+        answers = self.send_for_a_while(
+            lambda number: (
+                [COMMON_PART] if number % 2 else [COMMON_PART, DEADLY_PART]
+            ),
+            self.PAUSE,
+        )
+        crashes = sorted(
+            at for target in self.engines for at in target.crash_times
+        )
+        late = [
+            at
+            for at in crashes
+            if len(crashes) >= COUNTED_CRASHES
+            and at > crashes[COUNTED_CRASHES - 1] + CONTACT_SECONDS
+        ]
+        self.assertLessEqual(len(late), MAX_LATE_RUNS)
+        self.assertLessEqual(len(crashes), COUNTED_CRASHES + MAX_LATE_RUNS)
+        sound = [status for parts, status in answers if len(parts) == 1]
+        half = sound[len(sound) // 2 :]
+        self.assertEqual([200] * len(half), half)
+        self.assertEqual(422, self.send("own", 1, "other", DEADLY_PART))
+
+    def test_crash_after_the_first_event(self):
+        self.check(1)
+
+    def test_crash_after_a_later_event(self):
+        self.check(4)
+
+    def test_crash_after_the_last_event(self):
+        self.check(_site.LAST_EVENT)
+
+    def test_request_that_is_repeated_as_it_is(self):
+        for target in self.engines:
+            target.deadly_part = DEADLY_PART
+            target.deadly_after = 1
+        statuses = []
+        for number in range(12):
+            statuses.append(self.send("same", number % 4, DEADLY_PART))
+            time.sleep(self.PAUSE)
+        crashes = sum(target.crashes for target in self.engines)
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([422] * 3, statuses[-3:])
+
+
+class TestTargetsThatCrashByThemselves(OpenStreams):
+    """Targets crash one after the other, whatever runs there.
+
+    Guards against sound parts that are blamed for crashes under open streams.
+    """
+
+    PAUSE = 0.2
+    CRASH_SECONDS = 1.5
+    RARE_PART = "rare"
+
+    def crash_in_turn(self):
+        async def run():
+            rng = random.Random(2)
+            while True:
+                await asyncio.sleep(self.CRASH_SECONDS)
+                await rng.choice(self.engines).crash()
+
+        return asyncio.run_coroutine_threadsafe(run(), self.site.loop)
+
+    def check(self, choose_parts):
+        crashing = self.crash_in_turn()
+        try:
+            answers = self.send_for_a_while(choose_parts, self.PAUSE)
+        finally:
+            crashing.cancel()
+        crashes = sum(target.crashes for target in self.engines)
+        self.assertGreaterEqual(crashes, 3)
+        statuses = [status for _, status in answers]
+        self.assertEqual([200] * len(statuses), statuses)
+
+    def test_part_that_all_streams_share_is_not_blamed(self):
+        self.check(lambda number: [COMMON_PART])
+
+    def test_part_that_few_streams_share_is_not_blamed(self):
+        self.check(
+            lambda number: (
+                [COMMON_PART] if number % 4 else [COMMON_PART, self.RARE_PART]
+            )
+        )
--- a/galenashed/protocol/control.py
+++ b/galenashed/protocol/control.py
@@ -344,14 +344,14 @@
 
 
 class ReportLostTarget(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Reports that a target crashed with a request that it had not answered.
+    """Reports that a target crashed before the end of its answer to a request.
 
     ``request`` is the digest of the request and ``parts`` are the ids of the
     parts of its prompt that other requests may share, as :func:`shorten_part`
-    returns them.  ``begun`` tells
-    whether the target had begun the answer, without a complete event.
-    ``known`` is the index of the :class:`Quarantine` that the sender knew
-    when it sent the request to the target.
+    returns them.  ``begun`` tells whether the target had just begun the
+    answer, without a complete event.  ``known`` is the index of the
+    :class:`Quarantine` that the sender knew when it sent the request to the
+    target.
     """
 
     target: str
@@ -377,7 +377,7 @@
 
 
 class ClearSuspects(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Reports that a target has begun an answer in spite of the suspects."""
+    """Reports that an answer has ended whole in spite of the suspects."""
 
     suspects: list[str]
 
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -1,12 +1,16 @@
 """Requests that must not run again because targets crash under them."""
 
 import asyncio
-import collections
+import enum
+import time
 import typing
 
 import loguru
+import msgspec
 
 from galenashed.protocol import control as wire
+from galenashed.quarantine import _crash_reports
+from galenashed.quarantine import _sound_parts
 from galenashed import telemetry
 from galenashed import web
 
@@ -20,18 +24,31 @@
 RETRY_AFTER_SECONDS = 1.0
 # Reports that wait for control, as when this entry is cut off.
 MAX_PENDING_REPORTS = 64
-# Requests without a begun answer that are reported of one crash unless they
-# were lost in another one before; a busy target loses many, of which one has
-# caused the crash at most.
-MAX_REPORTS_PER_CRASH = 8
-MAX_TRACKED_CRASHES = 64
-MAX_UNREPORTED_REQUESTS = 1024
-# Parts of the prompts of all these; a prompt may have over a thousand.
-MAX_UNREPORTED_PARTS = 50_000
+# A part whose answers end whole at this rate has not caused a crash.
+RECENT_SECONDS = 1.0
+# How long a whole answer tells that a part of another one, of which only the
+# head is out, is most likely sound.
+SOUND_SECONDS = 60.0
+# How long the report of a request that may just have been beside the cause of
+# a crash waits for the verdict on the other suspects.
+EXPLANATION_SECONDS = 0.3
 QUARANTINE_CRASHES = 2
 REQUEST_QUARANTINE_CRASHES = 3
 
 
+class AnswerState(enum.Enum):
+    """How far a target had come with its answer when it crashed.
+
+    A target most likely crashes on a request when it begins to write, so that
+    ``JUST_BEGUN`` explains a crash to those who merely waited.  Many answers
+    may be ``OPEN`` on a target, with or without events.
+    """
+
+    NONE = "none"
+    JUST_BEGUN = "just begun"
+    OPEN = "open"
+
+
 class ControlClient(typing.Protocol):
     """Commits commands to the replicated state."""
 
@@ -74,23 +91,6 @@
     return [*names, wire.name_request(request.digest)]
 
 
-class _PendingReport:
-    """A report that control has not acknowledged.
-
-    ``names`` are the suspects in it that no answer has cleared since,
-    ``overdue`` tells whether the reply did not come in the usual time, and
-    ``task`` ends once the report is acknowledged.
-    """
-
-    __slots__ = ("command", "names", "overdue", "task")
-
-    def __init__(self, *, command: wire.ReportLostTarget, names: set[str]):
-        self.command = command
-        self.names = names
-        self.overdue = False
-        self.task: asyncio.Task | None = None
-
-
 class Quarantine:
     """Reports requests under which targets crash, and refuses them.
 
@@ -124,15 +124,11 @@
         self._quarantined: frozenset[str] = frozenset()
         self._trials_due: frozenset[str] = frozenset()
         self._asking: set[str] = set()
-        self._pending: list[_PendingReport] = []
+        self._pending: list[_crash_reports.PendingReport] = []
         self._clearing: set[str] = set()
-        self._report_counts: collections.OrderedDict[str, int] = (
-            collections.OrderedDict()
-        )
-        # Crashes of which a request was not reported, by its digest.
-        self._unreported: collections.OrderedDict[
-            str, list[wire.ReportLostTarget]
-        ] = collections.OrderedDict()
+        self._samples = _crash_reports.Samples()
+        self._sound = _sound_parts.SoundParts()
+        self._unreported = _crash_reports.UnreportedCrashes()
         self._tasks: set[asyncio.Task] = set()
 
     async def close(self) -> None:
@@ -156,6 +152,9 @@
         self.index = update.index
         self._quarantined = quarantined
         self._suspected = frozenset(update.suspected)
+        self._sound.set_suspects(
+            self._suspected | quarantined, time.monotonic()
+        )
         self._trials_due = frozenset(update.trials_due)
         self._clearing &= self._suspected | self._quarantined
 
@@ -258,8 +257,14 @@
             raise make_error(name, executed=executed)
         raise _make_unconfirmed_error(executed=executed)
 
-    def on_answer_begun(self, request: SuspectedRequest) -> None:
-        """Clears what was suspected in a request that a target answers."""
+    def on_answer_complete(self, request: SuspectedRequest) -> None:
+        """Clears what was suspected in a request with a whole answer.
+
+        Events are no proof: a target may crash after any of them.
+        """
+        self._sound.add(
+            map(wire.name_part, _shorten_parts(request)), time.monotonic()
+        )
         if not (
             self._suspected
             or self._quarantined
@@ -270,7 +275,7 @@
         names = set(_suspect_names(request))
         for report in self._pending:
             report.names -= names
-        self._unreported.pop(request.digest, None)
+        self._unreported.pop(request.digest)
         names &= self._suspected | self._quarantined
         names -= self._clearing
         if names:
@@ -282,29 +287,91 @@
         request: SuspectedRequest,
         target: str,
         *,
-        begun: bool,
+        answer: AnswerState,
         known: int,
     ) -> None:
         """Reports a crash; waits for the verdict for a short time.
 
-        ``target`` names the incarnation that crashed, ``begun`` tells whether
-        it had begun an answer, and ``known`` is the ``index`` at which the
-        request was sent to it.
+        ``target`` names the incarnation that crashed, and ``known`` is the
+        ``index`` at which the request was sent to it.
         """
+        now = time.monotonic()
+        parts = _shorten_parts(request)
+        is_open = answer is AnswerState.OPEN
+        if answer is AnswerState.JUST_BEGUN:
+            is_open = self._are_sound(parts, now - SOUND_SECONDS)
+        elif is_open:
+            parts = self._exclude_answered(parts, now - RECENT_SECONDS)
+        is_cause = answer is AnswerState.JUST_BEGUN and not is_open
         command = wire.ReportLostTarget(
             target=target,
             request=request.digest,
-            parts=_shorten_parts(request),
-            begun=begun,
+            parts=parts,
+            begun=is_cause,
             known=known,
         )
-        commands = [*self._unreported.pop(request.digest, ()), command]
-        is_sampled = begun or self._is_sampled(target)
-        if not is_sampled and not self._lost_before(request, commands):
-            self._unreported[request.digest] = commands
-            self._forget_unreported()
+        commands = [*self._unreported.pop(request.digest), command]
+        lost_before = self._lost_before(request, commands)
+        new_parts = parts if answer is AnswerState.OPEN else []
+        is_sampled = is_cause or self._samples.add(target, new_parts)
+        if not is_sampled and not lost_before:
+            self._unreported.add(request.digest, commands)
             return
-        reports = self._add_pending(commands, set(_suspect_names(request)))
+        names = set(_suspect_names(request))
+        if is_open and not lost_before and self._has_others(names):
+            self._start(
+                self._report_unexplained(commands, names, now), "crash report"
+            )
+            return
+        await self._send_reports(commands, names)
+
+    def _exclude_answered(self, parts: list[str], since: float) -> list[str]:
+        """Returns the parts without a whole answer after a time."""
+        return [
+            part
+            for part in parts
+            if self._sound.since(wire.name_part(part)) <= since
+        ]
+
+    def _are_sound(self, parts: list[str], not_before: float) -> bool:
+        """Whether all parts of a prompt have had whole answers of late."""
+        return bool(parts) and all(
+            self._sound.is_sound(wire.name_part(part), not_before=not_before)
+            for part in parts
+        )
+
+    def _has_others(self, names: set[str]) -> bool:
+        """Whether a part that a request lacks may explain a crash."""
+        return not names & self._quarantined and any(
+            name not in names and name.startswith(wire.name_part(""))
+            for name in self._suspected
+        )
+
+    async def _report_unexplained(
+        self,
+        commands: list[wire.ReportLostTarget],
+        names: set[str],
+        crashed_at: float,
+    ) -> None:
+        """Reports a crash unless another suspect is found to explain it."""
+        quarantined = self._quarantined
+        await asyncio.sleep(EXPLANATION_SECONDS)
+        if self._quarantined - quarantined:
+            self._unreported.add(commands[0].request, commands)
+            return
+        commands = [
+            msgspec.structs.replace(
+                command,
+                parts=self._exclude_answered(command.parts, crashed_at),
+            )
+            for command in commands
+        ]
+        await self._send_reports(commands, names)
+
+    async def _send_reports(
+        self, commands: list[wire.ReportLostTarget], names: set[str]
+    ) -> None:
+        reports = self._add_pending(commands, names)
         for report in reports:
             report.task = self._start(self._report(report), "crash report")
         unacknowledged = await self._wait_acknowledged(
@@ -313,29 +380,6 @@
         for report in unacknowledged:
             report.overdue = True
 
-    def _forget_unreported(self) -> None:
-        """Forgets the oldest crashes that are not reported, if too many."""
-        parts = sum(
-            len(command.parts)
-            for commands in self._unreported.values()
-            for command in commands
-        )
-        while self._unreported and (
-            len(self._unreported) > MAX_UNREPORTED_REQUESTS
-            or parts > MAX_UNREPORTED_PARTS
-        ):
-            _, commands = self._unreported.popitem(last=False)
-            parts -= sum(len(command.parts) for command in commands)
-
-    def _is_sampled(self, target: str) -> bool:
-        """Whether a request is among the first that a target has lost."""
-        count = self._report_counts.get(target, 0)
-        self._report_counts[target] = count + 1
-        self._report_counts.move_to_end(target)
-        while len(self._report_counts) > MAX_TRACKED_CRASHES:
-            self._report_counts.popitem(last=False)
-        return count < MAX_REPORTS_PER_CRASH
-
     def _lost_before(
         self,
         request: SuspectedRequest,
@@ -347,7 +391,7 @@
 
     def _add_pending(
         self, commands: list[wire.ReportLostTarget], names: set[str]
-    ) -> list[_PendingReport]:
+    ) -> list[_crash_reports.PendingReport]:
         """Returns the reports to send, as far as there is room for them."""
         room = MAX_PENDING_REPORTS - len(self._pending)
         for command in commands[max(0, room) :]:
@@ -355,15 +399,17 @@
                 "crash of target {} not reported: too many", command.target
             )
         reports = [
-            _PendingReport(command=command, names=set(names))
+            _crash_reports.PendingReport(command=command, names=set(names))
             for command in commands[: max(0, room)]
         ]
         self._pending += reports
         return reports
 
     async def _wait_acknowledged(
-        self, reports: typing.Sequence[_PendingReport], timeout: float
-    ) -> list[_PendingReport]:
+        self,
+        reports: typing.Sequence[_crash_reports.PendingReport],
+        timeout: float,
+    ) -> list[_crash_reports.PendingReport]:
         """Returns the reports that are not acknowledged in ``timeout``."""
         tasks = [report.task for report in reports if report.task]
         if tasks:
@@ -378,7 +424,7 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _report(self, report: _PendingReport) -> None:
+    async def _report(self, report: _crash_reports.PendingReport) -> None:
         """Repeats a report until control acknowledges it."""
         while True:
             try:
--- a/galenashed/quarantine/tests/test_quarantine.py
+++ b/galenashed/quarantine/tests/test_quarantine.py
@@ -5,6 +5,8 @@
 import testtools
 
 from galenashed.protocol import control as wire
+from galenashed import quarantine
+from galenashed.quarantine import _crash_reports
 from galenashed.quarantine import _quarantine
 from galenashed.quarantine.tests import _fixture
 from galenashed import web
@@ -21,7 +23,7 @@
     return Request(parts, body)
 
 
-class TestQuarantine(testtools.TestCase):
+class QuarantineTestCase(testtools.TestCase):
     """Entries that share a control replica."""
 
     def run_test(self, scenario):
@@ -39,10 +41,14 @@
         asyncio.run(run())
 
     async def report(self, entry, target, request, *, begun=True, known=None):
+        """Reports a crash at the head of an answer, or else before it."""
+        answer = quarantine.AnswerState.NONE
+        if begun:
+            answer = quarantine.AnswerState.JUST_BEGUN
         await entry.report_crash(
             request,
             target,
-            begun=begun,
+            answer=answer,
             known=entry.index if known is None else known,
         )
 
@@ -60,6 +66,10 @@
         await self.report(second, "t2", make_request("b", "x", body=b"2"))
         self.feed()
 
+
+class TestQuarantine(QuarantineTestCase):
+    """Crashes at the head of answers, or before it."""
+
     def test_part_is_refused_by_every_entry(self):
         async def scenario(first, second):
             await self.crash_twice(first, second)
@@ -91,7 +101,7 @@
         async def scenario(first, second):
             await self.report(first, "t1", make_request("a", "x", body=b"1"))
             self.feed()
-            second.on_answer_begun(make_request("a", body=b"2"))
+            second.on_answer_complete(make_request("a", body=b"2"))
             await asyncio.sleep(0.01)
             suspected = self.control.state_machine.quarantine().suspected
             self.assertIn("part:x", suspected)
@@ -142,7 +152,7 @@
                     first, f"t{number}", make_request("a", body=b"%d" % number)
                 )
             self.assertTrue(self.is_quarantined(first, "a"))
-            first.on_answer_begun(make_request("a", body=b"3"))
+            first.on_answer_complete(make_request("a", body=b"3"))
             self.assertFalse(self.is_quarantined(first, "a"))
 
         self.run_test(scenario)
@@ -308,7 +318,7 @@
             await self.wait_until_trial_is_due()
             request = make_request("c", "x")
             self.assertTrue(await first.begin_trial(request))
-            first.on_answer_begun(request)
+            first.on_answer_complete(request)
             await asyncio.sleep(0.01)
             self.feed()
             self.assertFalse(self.is_quarantined(second, "c", "x"))
@@ -360,11 +370,108 @@
                     make_request(*parts, body=b"%d" % number),
                     begun=False,
                 )
-            kept = sum(
-                len(command.parts)
-                for commands in first._unreported.values()
-                for command in commands
-            )
-            self.assertLessEqual(kept, _quarantine.MAX_UNREPORTED_PARTS)
+            kept = first._unreported.part_count
+            self.assertLessEqual(kept, _crash_reports.MAX_UNREPORTED_PARTS)
+
+        self.run_test(scenario)
+
+
+class TestOpenAnswers(QuarantineTestCase):
+    """Targets crash while answers are open on them.
+
+    Guards against deadly parts that are never blamed since events came before
+    the crash, and against sound parts of the answers beside them.
+    """
+
+    async def lose(self, entry, target, request):
+        await entry.report_crash(
+            request,
+            target,
+            answer=quarantine.AnswerState.OPEN,
+            known=entry.index,
+        )
+        self.feed()
+
+    def suspected(self):
+        return self.control.state_machine.quarantine().suspected
+
+    def test_part_of_answers_that_never_end_whole(self):
+        async def scenario(first, second):
+            for entry in self.entries:
+                entry.on_answer_complete(make_request("a", body=b"0"))
+            await asyncio.sleep(_quarantine.RECENT_SECONDS)
+            for number, entry in enumerate(self.entries):
+                await self.lose(
+                    entry,
+                    f"t{number}",
+                    make_request("a", "x", body=b"%d" % number),
+                )
+            self.assertTrue(self.is_quarantined(first, "b", "x"))
+            self.assertFalse(self.is_quarantined(first, "a"))
+
+        self.run_test(scenario)
+
+    def test_part_with_a_recent_whole_answer_is_not_suspected(self):
+        async def scenario(first, second):
+            first.on_answer_complete(make_request("a", body=b"0"))
+            await self.lose(first, "t1", make_request("a", "x", body=b"1"))
+            self.assertNotIn("part:a", self.suspected())
+            self.assertIn("part:x", self.suspected())
+
+        self.run_test(scenario)
+
+    def test_head_of_a_sound_request_does_not_explain_a_crash(self):
+        """Some targets send heads early, so many are out at a crash."""
+
+        async def scenario(first, second):
+            first.on_answer_complete(make_request("a", body=b"0"))
+            for number in range(2):
+                await self.report(
+                    first,
+                    f"t{number}",
+                    make_request("a", body=b"9%d" % number),
+                )
+                await self.lose(
+                    first, f"t{number}", make_request("x", body=b"%d" % number)
+                )
+                first.on_answer_complete(make_request("a", body=b"0"))
+                await asyncio.sleep(2 * _quarantine.EXPLANATION_SECONDS)
+                self.feed()
+            self.assertTrue(self.is_quarantined(second, "x"))
+            self.assertFalse(self.is_quarantined(second, "a"))
+
+        self.run_test(scenario)
+
+    def test_bystander_is_not_reported_before_the_cause(self):
+        async def scenario(first, second):
+            deadly = make_request("a", "x", body=b"1")
+            await self.lose(first, "t1", deadly)
+            sound = make_request("a", body=b"2")
+            await self.lose(second, "t2", sound)
+            self.assertFalse(self.is_quarantined(first, "a"))
+            await self.lose(first, "t2", make_request("a", "x", body=b"3"))
+            await asyncio.sleep(2 * _quarantine.EXPLANATION_SECONDS)
+            self.feed()
+            self.assertTrue(self.is_quarantined(first, "x"))
+            self.assertFalse(self.is_quarantined(first, "a"))
+
+        self.run_test(scenario)
+
+    def test_bystander_is_reported_if_nothing_explains_the_crash(self):
+        async def scenario(first, second):
+            await self.lose(first, "t1", make_request("x", body=b"1"))
+            await self.lose(second, "t2", make_request("a", body=b"2"))
+            self.assertNotIn("part:a", self.suspected())
+            await asyncio.sleep(2 * _quarantine.EXPLANATION_SECONDS)
+            self.assertIn("part:a", self.suspected())
+
+        self.run_test(scenario)
+
+    def test_request_without_shared_parts_that_crashes_three_targets(self):
+        async def scenario(first, second):
+            request = make_request(body=b"1")
+            for number, entry in enumerate((first, second, first)):
+                await self.lose(entry, f"t{number}", request)
+            self.assertTrue(self.is_quarantined(second, body=b"1"))
 
         self.run_test(scenario)
--- a/galenashed/standins/_engine.py
+++ b/galenashed/standins/_engine.py
@@ -24,6 +24,9 @@
 PREFIX_BYTES = 1024
 # A prompt that contains this text ends the process.
 CRASH_MARKER = "CRASH-THE-ENGINE"
+# One that contains this text does so after some words of the output.
+LATE_CRASH_MARKER = "END-THE-ENGINE-LATER"
+LATE_CRASH_WORDS = 4
 CRASH_EXIT_CODE = 17
 
 
@@ -181,10 +184,13 @@
         try:
             await self._prefill(completion)
             words = completion.words()
+            crashes = LATE_CRASH_MARKER.encode() in completion.prompt
             first_event = completion.body.get("resume_from_event", 0)
             # Counted from the start, so that late wake-ups do not add up.
             next_word_at = time.monotonic()
-            for word in words[first_event:]:
+            for count, word in enumerate(words[first_event:]):
+                if crashes and count == LATE_CRASH_WORDS:
+                    os._exit(CRASH_EXIT_CODE)
                 next_word_at += self.options.token_seconds
                 delay = next_word_at - time.monotonic()
                 if delay > 0:
--- a/galenashed/tests/test_targets_fail.py
+++ b/galenashed/tests/test_targets_fail.py
@@ -130,6 +130,25 @@
         response = self.fleet.ask("e2", messages=[other, question])
         self.assertEqual(200, response.status)
 
+    def test_message_that_crashes_engines_after_some_events(self):
+        """Guards against events that are taken as proof of a message."""
+        marker = _engine.LATE_CRASH_MARKER
+        message = {"role": "system", "content": marker}
+        for number in range(4):
+            question = {"role": "user", "content": f"question {number}"}
+            response = self.fleet.ask(
+                ("e1", "e2")[number % 2],
+                messages=[message, question],
+                stream=True,
+            )
+            time.sleep(1.0)
+        self.assertLessEqual(len(self.exited_engines()), 3)
+        self.assertEqual(422, response.status)
+        other = {"role": "system", "content": "be brief"}
+        question = {"role": "user", "content": "question"}
+        response = self.fleet.ask("e2", messages=[other, question])
+        self.assertEqual(200, response.status)
+
     def exited_engines(self) -> list[str]:
         return [
             name
