Bound the number of prompt parts that are remembered of targets

Cause: an entry forgets the parts that it has sent to a target by their tokens only, and a part without tokens has none.

Why it works: the number and the size of what is remembered are bounded, whatever callers name.

--- a/galenashed/gateway/_prompts.py
+++ b/galenashed/gateway/_prompts.py
@@ -44,7 +44,8 @@
 class CachedParts:
     """Prompt parts that a target is assumed to cache, as they were sent to it.
 
-    The least recently used parts are evicted beyond ``max_tokens`` tokens.
+    The least recently used parts are evicted beyond ``max_tokens`` tokens, and
+    beyond a number of parts, as callers may send parts without tokens.
     """
 
     __slots__ = ("_cached", "_tokens", "max_tokens")
@@ -59,13 +60,21 @@
     def __contains__(self, part: str) -> bool:
         return part in self._cached
 
-    def record(self, prompt: tuple[_request.PromptPart, ...]) -> None:
-        """Records the shared parts of a prompt that was sent to the target."""
+    def __len__(self) -> int:
+        return len(self._cached)
+
+    def record(
+        self, prompt: tuple[_request.PromptPart, ...], max_parts: int
+    ) -> None:
+        """Records the shared parts of a prompt that was sent to the target.
+
+        Keeps ``max_parts`` at most.
+        """
         for part in prompt[:-1]:
             self._tokens += part.tokens - self._cached.get(part.id, 0)
             self._cached[part.id] = part.tokens
             self._cached.move_to_end(part.id)
-        while self._tokens > self.max_tokens:
+        while self._tokens > self.max_tokens or len(self) > max_parts:
             _, tokens = self._cached.popitem(last=False)
             self._tokens -= tokens
 
--- a/galenashed/gateway/_targets.py
+++ b/galenashed/gateway/_targets.py
@@ -40,6 +40,10 @@
 # How long the places of a service are not counted again.
 ROOM_TTL_SECONDS = 0.1
 
+# Parts of prompts that are remembered of all targets, some 25 MB, and of one.
+MAX_CACHED_PARTS = 100_000
+MAX_TARGET_PARTS = 1_000
+
 
 class Targets:
     """Tracks known targets and chooses among them by :mod:`_placement`.
@@ -583,7 +587,14 @@
         target.in_flight += 1
         target.sent_since_report += 1
         target.pending_prompts.begin(request, target.uncached_tokens(prompt))
-        target.cached_parts.record(prompt)
+        target.cached_parts.record(prompt, self._max_cached_parts())
+
+    def _max_cached_parts(self) -> int:
+        """Returns how many parts of prompts are remembered of one target."""
+        return min(
+            MAX_TARGET_PARTS,
+            MAX_CACHED_PARTS // max(1, len(self._known)),
+        )
 
     def on_request_end(
         self,
--- a/galenashed/gateway/tests/test_prompts.py
+++ b/galenashed/gateway/tests/test_prompts.py
@@ -5,6 +5,8 @@
 from galenashed.gateway import _prompts
 from galenashed.gateway import _request
 
+MAX_PARTS = 100
+
 
 def prompt(*parts):
     return tuple(_request.PromptPart(name, tokens) for name, tokens in parts)
@@ -34,7 +36,7 @@
 
     def test_parts_after_an_uncached_part_are_uncached(self):
         parts = _prompts.CachedParts(max_tokens=10_000)
-        parts.record(prompt(("a", 100), ("b", 200), ("own", 5)))
+        parts.record(prompt(("a", 100), ("b", 200), ("own", 5)), MAX_PARTS)
         wanted = prompt(("a", 100), ("c", 300), ("b", 200), ("own", 7))
         self.assertEqual(507, parts.uncached_tokens(wanted))
         wanted = prompt(("a", 100), ("b", 200), ("own", 7))
@@ -42,15 +44,15 @@
 
     def test_last_part_is_not_cached(self):
         parts = _prompts.CachedParts(max_tokens=10_000)
-        parts.record(prompt(("a", 100), ("own", 5)))
+        parts.record(prompt(("a", 100), ("own", 5)), MAX_PARTS)
         self.assertNotIn("own", parts)
 
     def test_least_recently_used_parts_are_evicted(self):
         parts = _prompts.CachedParts(max_tokens=300)
-        parts.record(prompt(("a", 100), ("own", 5)))
-        parts.record(prompt(("b", 200), ("own", 5)))
-        parts.record(prompt(("a", 100), ("own", 5)))
-        parts.record(prompt(("c", 100), ("own", 5)))
+        parts.record(prompt(("a", 100), ("own", 5)), MAX_PARTS)
+        parts.record(prompt(("b", 200), ("own", 5)), MAX_PARTS)
+        parts.record(prompt(("a", 100), ("own", 5)), MAX_PARTS)
+        parts.record(prompt(("c", 100), ("own", 5)), MAX_PARTS)
         self.assertIn("a", parts)
         self.assertNotIn("b", parts)
 
@@ -58,3 +60,12 @@
         self.assertEqual(
             0, _prompts.CachedParts(max_tokens=1).uncached_tokens(())
         )
+
+    def test_parts_without_tokens_are_evicted_by_their_number(self):
+        """Guards against callers that fill the memory with such parts."""
+        parts = _prompts.CachedParts(max_tokens=300)
+        for number in range(10):
+            names = [(f"{number}-{n}", 0) for n in range(50)]
+            parts.record(prompt(*names, ("own", 5)), MAX_PARTS)
+        self.assertEqual(MAX_PARTS, len(parts))
+        self.assertIn("9-49", parts)
--- a/galenashed/platform/_ingress.py
+++ b/galenashed/platform/_ingress.py
@@ -9,6 +9,7 @@
 from galenashed import engines
 from galenashed import gateway
 from galenashed.platform import _headers
+from galenashed.protocol import control as control_wire
 from galenashed.protocol import routes as routes_wire
 from galenashed import web
 
@@ -392,7 +393,11 @@
             raise _make_bad_request_error(
                 _headers.PROMPT_HASHES, value, "ID:TOKENS, separated by commas"
             )
-        parts.append(gateway.PromptPart(id=part, tokens=int(tokens)))
+        parts.append(
+            gateway.PromptPart(
+                id=control_wire.shorten_part(part), tokens=int(tokens)
+            )
+        )
     return tuple(parts)
 
 
