Take no response without an id on a connection that was used before

Cause: a response without an id counted as that to the request, whatever the connection had carried before.

Change: such a response on a connection in use counts as the loss of the target for this attempt, before anything in its head is used. The first response on a new connection may come without an id. The codec tells whether targets return ids at all.

Why it works: only an earlier request can leave bytes, and only on the connection that it used; requests that run once never share one.

--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -670,7 +670,8 @@
                 self.targets.on_refused(target, time.monotonic())
             self.paths.on_connect_failed(target.name)
             return _attempts.AttemptOutcome.NOT_SENT
-        if not conn.used:
+        is_new = not conn.used
+        if is_new:
             self.paths.on_connected()
         if self.targets.is_evacuated(target):
             self.pool.release(conn)
@@ -694,8 +695,11 @@
                 ),
                 no_response_body=context.request.method == "HEAD",
             )
+            head = await conn.head()
+            answer = self.codec.decode(head)
+            self._check_belongs(answer, context.request, conn, is_new=is_new)
             return await self._receive_answer(
-                context, target, announced, conn, relay
+                context, target, conn, relay, head, answer
             )
         except engines.TargetLostError as exc:
             context.last_error = str(exc)
@@ -709,19 +713,41 @@
             del self._sent_at[conn]
             self.pool.release(conn)
 
-    async def _receive_answer(self, context, target, announced, conn, relay):
-        head = await conn.head()
-        answer = self.codec.decode(head)
+    def _check_belongs(
+        self,
+        answer: _request.TargetResponse,
+        request: _request.Request,
+        conn: engines.Connection,
+        *,
+        is_new: bool,
+    ) -> None:
+        """Raises TargetLostError if a response is not that to a request.
+
+        On a connection that was used before, a response without an id may
+        have been left by another request.
+        """
+        if answer.request_id == request.id:
+            return
+        if answer.request_id is not None:
+            raise engines.TargetLostError(
+                f"{conn.address}: response to another request"
+            )
+        if self.codec.returns_ids and not is_new:
+            raise engines.TargetLostError(
+                f"{conn.address}: response without an id on a connection"
+                " that was used before"
+            )
+
+    async def _receive_answer(
+        self, context, target, conn, relay, head, answer
+    ):
+        announced = target.announced
         if answer.load is not None:
             self.targets.on_report(target, answer.load, time.monotonic())
         if answer.misdirected:
             context.last_error = "the address belongs to another target"
             self.targets.eject(target, time.monotonic())
             return _attempts.AttemptOutcome.REJECTED
-        if answer.request_id not in (None, context.request.id):
-            raise engines.TargetLostError(
-                f"{conn.address}: response to another request"
-            )
         if answer.leaving:
             self.on_leaving(announced)
         if answer.max_rejections is not None or not answer.not_executed:
--- a/galenashed/gateway/_request.py
+++ b/galenashed/gateway/_request.py
@@ -181,7 +181,13 @@
 
 
 class TargetCodec(typing.Protocol):
-    """The message format of targets, and of requests that are forwarded."""
+    """The message format of targets, and of requests that are forwarded.
+
+    ``returns_ids`` tells whether targets return the id of a request in each
+    response to it.
+    """
+
+    returns_ids: bool
 
     def encode(self, attempt: Attempt) -> bytes:
         """Returns the bytes of a complete request."""
--- a/galenashed/gateway/tests/_fixture.py
+++ b/galenashed/gateway/tests/_fixture.py
@@ -61,6 +61,8 @@
 class TargetCodec:
     """Encodes a minimal request."""
 
+    returns_ids = False
+
     def encode(self, attempt):
         return b"GET /%s HTTP/1.1\r\nhost: x\r\n\r\n" % (
             (attempt.resume_after or "").encode()
--- a/galenashed/platform/_targets.py
+++ b/galenashed/platform/_targets.py
@@ -23,6 +23,8 @@
         Key that all nodes share, for requests that are forwarded.
     """
 
+    returns_ids = True
+
     def __init__(self, *, peer_key: str):
         self.peer_key = peer_key
 
--- a/galenashed/platform/tests/_site.py
+++ b/galenashed/platform/tests/_site.py
@@ -141,7 +141,8 @@
         if self.rejects_without_limit and len(self.arrivals) % 2:
             writer.write(
                 b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
+                b"X-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                % headers.get("x-attempt-id", "").encode()
             )
             await writer.drain()
             return True
--- a/galenashed/platform/tests/test_target_answers.py
+++ b/galenashed/platform/tests/test_target_answers.py
@@ -76,3 +76,82 @@
             "all nodes",
             timeout=PAUSE_SECONDS + 2.0,
         )
+
+
+class LeftoverTarget(_site.Target):
+    """Leaves ``leftover`` for the next request on a connection.
+
+    It is sent once that request has arrived, before its own response.
+    """
+
+    leftover = b""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.waiting = set()
+        self.leftover_count = 0
+
+    async def run(self, writer, headers, body):
+        if writer in self.waiting:
+            self.waiting.discard(writer)
+            self.leftover_count += 1
+            writer.write(self.leftover)
+        elif self.leftover and headers.get("x-leave"):
+            self.waiting.add(writer)
+        return await super().run(writer, headers, body)
+
+
+class TestLeftovers(testtools.TestCase):
+    """Additional bytes of a target look like the answer to the next request.
+
+    Guards against callers that get them as their own answer.
+    """
+
+    REQUESTS = 20
+
+    def setUp(self):
+        super().setUp()
+        self.site = _site.Site(nodes=3)
+        self.site.__enter__()
+        self.addCleanup(self.site.close)
+        self.faulty = self.site.add_target("app", target_class=LeftoverTarget)
+        _fleet.wait_for(lambda: self.look().status == 200, "an answer")
+
+    def look(self, **headers):
+        return self.site.call("/l/x", method="GET", body=b"", **headers)
+
+    def check(self, leftover):
+        self.faulty.leftover = leftover
+        self.site.add_target("app")
+        for _ in range(self.REQUESTS):
+            self.look(X_Leave="1")
+            response = self.look()
+            self.assertEqual(200, response.status)
+            self.assertEqual(b"ran:", response.body)
+            self.assertIn("X-Instance-Seal", response.headers)
+        self.assertGreater(self.faulty.leftover_count, 0)
+
+    def test_success_without_an_id(self):
+        self.check(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+            b"Content-Length: 5\r\n\r\nother"
+        )
+
+    def test_rejection_without_an_id(self):
+        """It would tell the caller that a request has not run, which has."""
+        rejection = (
+            b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        self.faulty.leftover = rejection
+        for number in range(self.REQUESTS):
+            self.look(X_Leave="1")
+            attempt = f"later-{number}"
+            response = self.look(X_Attempt_Id=attempt)
+            ran = [
+                headers["x-attempt-id"]
+                for _, _, headers, _ in self.faulty.executions
+            ]
+            if response.status in (429, 503):
+                self.assertNotIn(attempt, ran)
+        self.assertGreater(self.faulty.leftover_count, 0)
