Refuse announcements that messages between instances can't carry

Cause: JSON holds any integer, messages hold 64 bits. A message with such an announcement fails, and each repair contains it again, so that nothing from this node reaches the others.

Change: announcements whose numbers exceed 63 bits or whose texts exceed 200 characters are refused with 400, at both interfaces.

Why it works: every announcement that is kept can be sent.

--- a/galenashed/entry/_app.py
+++ b/galenashed/entry/_app.py
@@ -401,11 +401,12 @@
             raise web.ApiError(
                 status=400, code="bad_announcement", message=str(exc)
             ) from None
+        error = gossip_wire.find_error(target)
         if target.state not in ("ready", "leaving"):
+            error = f"state: {target.state!r}; allowed: ready, leaving"
+        if error is not None:
             raise web.ApiError(
-                status=400,
-                code="bad_announcement",
-                message=f"state: {target.state!r}; allowed: ready, leaving",
+                status=400, code="bad_announcement", message=error
             )
         self.announce(target)
         return _json({"lease": self.instances.target_lease})
--- a/galenashed/platform/_announcements.py
+++ b/galenashed/platform/_announcements.py
@@ -76,7 +76,7 @@
         )
     if heartbeat.seq < 0 or heartbeat.born < 0 or heartbeat.slots < 0:
         raise AnnouncementError("seq, born and slots must not be negative")
-    return wire.Target(
+    target = wire.Target(
         name=target_id,
         incarnation=str(heartbeat.born),
         started=heartbeat.born / MILLISECONDS_PER_SECOND,
@@ -92,6 +92,10 @@
             time.time() if received_at is None else received_at,
         ),
     )
+    error = wire.find_error(target)
+    if error is not None:
+        raise AnnouncementError(error)
+    return target
 
 
 def _find_cold_end(left_ms: float | None, received_at: float) -> int | None:
--- a/galenashed/platform/tests/test_decoding.py
+++ b/galenashed/platform/tests/test_decoding.py
@@ -303,6 +303,10 @@
         for changes in (
             {"seq": "4"},
             {"seq": -1},
+            {"seq": 2**127},
+            {"slots": 2**63},
+            {"version": "v" * 201},
+            {"zone": "z" * 201},
             {"born": 1.5},
             {"state": "gone"},
             {"address": "10.1.2.3"},
--- a/galenashed/protocol/gossip.py
+++ b/galenashed/protocol/gossip.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+MAX_NUMBER = 2**63 - 1
+MAX_TEXT_LENGTH = 200
+
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
     """The numbers of running and waiting requests reported by a target.
@@ -44,6 +47,34 @@
     cold_until: int | None = None
 
 
+def find_error(target: Target) -> str | None:
+    """Returns what is wrong with an announcement; None if it can be sent.
+
+    Messages carry integers of 64 bits, and each instance keeps all texts.
+    """
+    numbers = (
+        target.sequence,
+        target.slots,
+        target.load.running,
+        target.load.waiting,
+        target.cold_until or 0,
+    )
+    if not all(0 <= number <= MAX_NUMBER for number in numbers):
+        return f"numbers must be from 0 to {MAX_NUMBER}"
+    texts = (
+        target.name,
+        target.incarnation,
+        target.service,
+        target.address,
+        target.failure_domain,
+        target.version,
+        *target.models,
+    )
+    if any(len(text) > MAX_TEXT_LENGTH for text in texts):
+        return f"texts must have at most {MAX_TEXT_LENGTH} characters"
+    return None
+
+
 class Instance(msgspec.Struct, frozen=True, kw_only=True):
     """An entry's announcement of itself to other entries.
 
