Let a head of any age explain a crash where heads come with the first event

Cause: a head explained a crash for 0.1 s only. Entries that are short of processor time see the loss later, so that the deadly requests counted as open, of which crashes a second apart are needed. Reports of requests that were lost before were not held back, so that two sound streams, each lost with three targets that another part had crashed, were quarantined as requests.

Change: the age of a head does not count; whether heads come with the first event is learned by service, as before. All reports of open answers are held back while a part that the request lacks is suspected, and dropped if that one is quarantined meanwhile.

The tests of the quarantine pass.

--- a/galenashed/gateway/_answer_states.py
+++ b/galenashed/gateway/_answer_states.py
@@ -2,8 +2,6 @@
 
 from galenashed import quarantine
 
-# A crash so soon after the head comes of the request that was begun.
-BEGIN_SECONDS = 0.1
 # Targets that send their heads longer before the first event, on average,
 # have many out at any moment.
 MAX_HEAD_LEAD_SECONDS = 0.05
@@ -32,22 +30,21 @@
         self,
         service: str,
         *,
-        head_age: float | None,
+        has_head: bool,
         events: int,
         unfinished: int,
     ) -> quarantine.AnswerState:
         """Returns the state of an answer whose target has crashed.
 
-        ``head_age`` are the seconds since its head, None without one,
-        ``unfinished`` the bytes after the last of its ``events``.
+        ``unfinished`` are the bytes after the last of its ``events``.
         """
-        if head_age is None:
+        if not has_head:
             return quarantine.AnswerState.NONE
         if events:
             return quarantine.AnswerState.OPEN
         if unfinished:
             return quarantine.AnswerState.JUST_BEGUN
         head_lead = self._head_leads.get(service, float("inf"))
-        if head_age < BEGIN_SECONDS and head_lead < MAX_HEAD_LEAD_SECONDS:
+        if head_lead < MAX_HEAD_LEAD_SECONDS:
             return quarantine.AnswerState.JUST_BEGUN
         return quarantine.AnswerState.OPEN
--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -607,7 +607,6 @@
         ``known`` is the index of the quarantine when the request was sent,
         ``suspected`` tells whether other targets had crashed under it then.
         """
-        lost_at = time.monotonic()
         announced = target.announced
         events = relay.attempt_event_count
         if events:
@@ -634,7 +633,7 @@
         has_head = relay.framing is not None
         answer = self._answer_states.find(
             context.service,
-            head_age=lost_at - relay.head_at if has_head else None,
+            has_head=has_head,
             events=events,
             unfinished=relay.unfinished_bytes,
         )
--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -318,7 +318,7 @@
             self._unreported.add(request.digest, commands)
             return
         names = set(_suspect_names(request))
-        if is_open and not lost_before and self._has_others(names):
+        if is_open and self._has_others(names):
             self._start(
                 self._report_unexplained(commands, names, now), "crash report"
             )
@@ -357,7 +357,8 @@
         quarantined = self._quarantined
         await asyncio.sleep(EXPLANATION_SECONDS)
         if self._quarantined - quarantined:
-            self._unreported.add(commands[0].request, commands)
+            if len(commands) > 1:
+                self._unreported.add(commands[0].request, commands[:-1])
             return
         commands = [
             msgspec.structs.replace(
