--- a/galenashed/entry/_runs.py
+++ b/galenashed/entry/_runs.py
@@ -33,8 +33,7 @@
     response has a head, and a complete event.  ``events_before`` is the number
     of events before the current try, ``most_lost_events`` that of the longest
     try that was broken off.  ``part_trial`` is set if a message of the request
-    is
-    quarantined and this is the one request that may try it.
+    is quarantined and this is the one request that may try it.
     ``quarantine_index`` is that of the quarantine when it was last sent.
     """
 
