--- a/galenashed/gateway/_handler.py
+++ b/galenashed/gateway/_handler.py
@@ -271,9 +271,6 @@
             service = origin.service
         routed_service = self.route_index.service(service)
         engine = routed_service.engine if routed_service is not None else None
-        is_prepaid = team is not None and team.prepaid is not None
-        if engine is not None and is_prepaid and request.usage is None:
-            raise _refusals.usage_required_error()
         reservation = await self.prepaid.open(request, team, route)
         context = _context.RequestContext(
             request=request,
--- a/galenashed/gateway/_refusals.py
+++ b/galenashed/gateway/_refusals.py
@@ -16,16 +16,6 @@
     )
 
 
-def usage_required_error() -> web.ApiError:
-    """Returns the error of a model request whose tokens can't be reserved."""
-    return web.ApiError(
-        status=400,
-        code="token_usage_required",
-        message="the team's tokens are prepaid: name those of the prompt and"
-        " the most of the output",
-    )
-
-
 def stopping_error() -> web.ApiError:
     """Returns the error of a request that can't end before the stop."""
     return web.ApiError(
