Evacuations: test the refusal beside a build from before them

Cause: the test starts the build in production as the one that ignores orders.

Change: it starts, the build that was in production until now; the check is the same. The other tests of two builds start the build in production.

--- a/galenashed/platform/tests/test_evacuations.py
+++ b/galenashed/platform/tests/test_evacuations.py
@@ -219,7 +219,10 @@
 
 
 class TestOldBuild(SiteTestCase, test_two_builds.TwoBuildsTestCase):
-    """Orders wait until no instance runs the build in production."""
+    """Orders wait until no instance runs a build that ignores them."""
+
+    # The last landing without evacuations.
+    production = "b281dd57e7a3edc2101f33c7bfe057c2537fbd01"
 
     def test_order_is_refused_while_an_old_build_runs(self):
         self.site = _site.Site(nodes=3)
--- a/galenashed/platform/tests/test_two_builds.py
+++ b/galenashed/platform/tests/test_two_builds.py
@@ -36,11 +36,11 @@
 NOT_RUN = (408, 429, 503)
 
 
-def has_production_build():
-    """Whether the history holds the build, as in any whole clone."""
+def has_build(commit):
+    """Whether the history holds a build, as in any whole clone."""
     return (
         subprocess.run(
-            ["git", "cat-file", "-e", PRODUCTION],
+            ["git", "cat-file", "-e", commit],
             cwd=REPOSITORY,
             capture_output=True,
         ).returncode
@@ -48,10 +48,10 @@
     )
 
 
-def extract_production_build(folder):
-    """Writes the tree of the build in production to a folder."""
+def extract_build(commit, folder):
+    """Writes the tree of a build to a folder."""
     archive = subprocess.run(
-        ["git", "archive", PRODUCTION, "galenashed"],
+        ["git", "archive", commit, "galenashed"],
         cwd=REPOSITORY,
         capture_output=True,
         check=True,
@@ -102,15 +102,17 @@
 
 
 class TwoBuildsTestCase(testtools.TestCase):
-    """Has the build in production at hand."""
+    """Has the build in production at hand, or an older one."""
+
+    production = PRODUCTION
 
     def setUp(self):
         super().setUp()
-        if not has_production_build():
-            self.fail(f"{PRODUCTION} is missing: clone the whole history")
+        if not has_build(self.production):
+            self.fail(f"{self.production} is missing: clone the whole history")
         folder = tempfile.TemporaryDirectory(prefix="production-")
         self.addCleanup(folder.cleanup)
-        extract_production_build(folder.name)
+        extract_build(self.production, folder.name)
         # Modules are searched there first, and not in the working directory.
         self.production_env = {
             "PYTHONPATH": folder.name,
