Count no correlated crash because its report was held back

Cause: reports of open answers are held back for 0.3 s while another suspect may explain the crash. Control counts crashes a second apart by when it hears of them, so that one 0.6 s after the first counted against the shared part, while the deadly part's own report came at once and did not.

Change: a report that is held back leaves out the parts that were first suspected less than a second before the crash.

Result: test_delay_does_not_turn_one_crash_into_two fails without it.

--- a/galenashed/quarantine/_quarantine.py
+++ b/galenashed/quarantine/_quarantine.py
@@ -32,6 +32,9 @@
 # How long the report of a request that may just have been beside the cause of
 # a crash waits for the verdict on the other suspects.
 EXPLANATION_SECONDS = 0.3
+# Crashes closer than this count as one, by the time at which control hears of
+# them (:mod:`galenashed.control._quarantine`).
+CORRELATED_SECONDS = 1.0
 QUARANTINE_CRASHES = 2
 REQUEST_QUARANTINE_CRASHES = 3
 
@@ -319,6 +322,9 @@
             return
         names = set(_suspect_names(request))
         if is_open and self._has_others(names):
+            # The delay must not make correlated crashes count as two.
+            parts = self._exclude_suspected(parts, now - CORRELATED_SECONDS)
+            commands[-1] = msgspec.structs.replace(command, parts=parts)
             self._start(
                 self._report_unexplained(commands, names, now), "crash report"
             )
@@ -333,6 +339,14 @@
             if self._sound.since(wire.name_part(part)) <= since
         ]
 
+    def _exclude_suspected(self, parts: list[str], since: float) -> list[str]:
+        """Returns the parts that were not first suspected after a time."""
+        return [
+            part
+            for part in parts
+            if self._sound.suspected_at(wire.name_part(part)) <= since
+        ]
+
     def _are_sound(self, parts: list[str], not_before: float) -> bool:
         """Whether all parts of a prompt have had whole answers of late."""
         return bool(parts) and all(
--- a/galenashed/quarantine/_sound_parts.py
+++ b/galenashed/quarantine/_sound_parts.py
@@ -48,10 +48,13 @@
         """Returns when an answer with a part ended whole last."""
         return self._whole_at.get(name, float("-inf"))
 
+    def suspected_at(self, name: str) -> float:
+        """Returns since when a part is suspected."""
+        return self._suspected_at.get(name, float("-inf"))
+
     def is_sound(self, name: str, *, not_before: float) -> bool:
         """Whether an answer has ended whole since a part was suspected.
 
         Answers from before ``not_before`` do not count.
         """
-        suspected_at = self._suspected_at.get(name, float("-inf"))
-        return self.since(name) > max(not_before, suspected_at)
+        return self.since(name) > max(not_before, self.suspected_at(name))
--- a/galenashed/quarantine/tests/test_quarantine.py
+++ b/galenashed/quarantine/tests/test_quarantine.py
@@ -457,6 +457,21 @@
 
         self.run_test(scenario)
 
+    def test_delay_does_not_turn_one_crash_into_two(self):
+        """Guards against a sound part that all requests share, at a start.
+
+        Control hears of the second crash a second after the first.
+        """
+
+        async def scenario(first, second):
+            await self.lose(first, "t1", make_request("a", "x", body=b"1"))
+            await self.lose(second, "t2", make_request("a", body=b"2"))
+            await asyncio.sleep(2 * _quarantine.EXPLANATION_SECONDS)
+            self.feed()
+            self.assertFalse(self.is_quarantined(first, "a"))
+
+        self.run_test(scenario)
+
     def test_bystander_is_reported_if_nothing_explains_the_crash(self):
         async def scenario(first, second):
             await self.lose(first, "t1", make_request("x", body=b"1"))
