--- a/review/site3.py
+++ b/review/site3.py
@@ -405,8 +405,16 @@
 class Site:
     """Nodes on loopback addresses; the first ``core`` of them have a disk."""
 
-    def __init__(self, record: Record, *, nodes: int = 4, core: int = 3):
+    def __init__(
+        self,
+        record: Record,
+        *,
+        nodes: int = 4,
+        core: int = 3,
+        memory_mb: int = 300,
+    ):
         self.record = record
+        self.memory_mb = memory_mb
         self.core = core
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         base = 20 + os.getpid() % 200
@@ -459,7 +467,7 @@
 [limits]
 cpuShare = 0.968
 cores = 2
-memoryMb = 300
+memoryMb = {self.memory_mb}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 64
