--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
-"""A runner leaves before its first status report, which is late, arrives."""
+"""Runners that are replaced finish their last answers before they exit."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 
@@ -9,66 +10,125 @@
 
 import site3  # noqa: E402
 
-# How late the status report is, if it is late.
-LATE = 2.6
-# The runner serves for this long after its leaving was acknowledged.
-SERVES = site3.DRAIN + 4.0
-
-
-async def call(site, number, node):
-    """Sends an order to a node."""
-    request = f"order-{number}-{node}"
-    answer = await site3.fetch(
-        site.front(node),
-        "POST",
-        "/order/book",
-        headers=site.headers(request, ms=3000),
-        timeout=4.0,
-    )
-    status = None if answer is None else answer.status
-    site.record.write(f"{request} sent to node {node}: {status}")
+RUNNERS = 9
+REPLACED = 4
+CALLERS = 72
+# Of a stream: 21 events, 0.4 s apart, take 8 s.
+EVENTS = 21
+PAUSE = 0.4
+# After the time for which a leaving runner has to serve on.
+LINGERS = 0.3
+GAP = 3.0
+SECONDS = 40.0
+# Of the first part of the prompts, as of `check-guide` on the sheet.
+THINGS = 20
 
 
-async def case(site, record):
-    settled = site3.Runner(site, site3.APP, "app-settled")
-    await settled.start()
-    # Until all nodes are in touch, and know the runner.
-    await asyncio.sleep(site3.CONTACT + 2.0)
-    runner = site3.Runner(site, site3.APP, "app-short")
-    await runner.start(beats=False)
-    report = runner.report()
-    late = LATE if site3.trouble() else 0.0
-
-    async def arrive():
-        await asyncio.sleep(late)
-        acked = await runner.beat(0, report)
-        record.write(f"report 1 of app-short reaches node 0, acked: {acked}")
-
-    arriving = asyncio.create_task(arrive())
-    await asyncio.sleep(0.3)
-    # It is taken away at once: it says that it leaves, to another node.
+class Callers:
+    """Requesters that send one stream after the other on kept channels."""
+
+    def __init__(self, site):
+        self.site = site
+        self.counts = collections.Counter()
+        self.lost = []
+        self.refused = []
+        self.sent = 0
+
+    async def run(self, caller, until):
+        node = caller % len(self.site.nodes)
+        channel = site3.Channel(self.site.front(node))
+        await asyncio.sleep(0.1 * (caller % 36))
+        number = 0
+        while self.site.record.now() < until:
+            number += 1
+            kept = channel.writer is not None
+            await self.send(channel, f"stream-{caller}-{number}", node, kept)
+            await asyncio.sleep(0.1)
+        channel.close()
+
+    async def send(self, channel, request, node, kept):
+        self.sent += 1
+        prefix = f"{0xA000 + self.sent % THINGS:x}:100,{self.sent:08x}:600"
+        headers = self.site.headers(request, ms=15000, prefix=prefix)
+        answer = None
+        try:
+            answer = await channel.call("POST", "/guide/x", headers, b"prompt")
+        except (OSError, TimeoutError):
+            channel.close()
+        status = "none" if answer is None else answer.status
+        events = 0 if answer is None else answer.body.count(b"\n\n")
+        complete = answer is not None and answer.complete
+        self.counts[status, complete] += 1
+        self.site.record.write(
+            f"{request} at node {node}, kept channel {kept}: {status},"
+            f" {events} events, complete: {complete}"
+        )
+        if status in ("none", 200) and not complete and kept:
+            self.lost.append(request)
+        elif status in (400, 402, 404, 422):
+            self.refused.append(request)
+
+
+async def leave(runner, node):
+    """Ends a runner as planned, once it has sent what is in flight."""
+    record = runner.site.record
+    runner.stop_beats()
+    runner.state = "draining"
     runner.leaving = True
-    acked = await runner.deregister(1)
-    left_at = record.now()
-    record.write(f"app-short has left, acknowledged by node 1: {acked}")
-    if not acked:
-        raise RuntimeError("the leaving was not acknowledged")
-    number = 0
-    while record.now() < left_at + SERVES:
-        number += 1
-        nodes = range(len(site.nodes))
-        await asyncio.gather(*[call(site, number, node) for node in nodes])
+    while not await runner.beat(node):
         await asyncio.sleep(0.1)
+    record.write(f"{runner.name} is draining, acknowledged by node {node}")
+    await asyncio.sleep(site3.DRAIN + LINGERS)
+    await runner.deregister(node)
+    record.write(f"{runner.name} takes no more, {runner.active} in flight")
+    runner.stop_listening()
+    while runner.active:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.1)
     runner.crash()
-    await arriving
-    too_late = [
-        (at - left_at, request)
-        for at, request, _ in runner.runs
-        if at > left_at + site3.DRAIN
+    record.write(f"{runner.name} has ended")
+
+
+async def start_runner(site, number):
+    runner = site3.Runner(
+        site,
+        site3.ENGINES,
+        f"engine-{number}",
+        framed=False,
+        events=EVENTS,
+        pause=PAUSE,
+    )
+    await runner.start()
+    return runner
+
+
+async def case(site, record):
+    runners = [await start_runner(site, number) for number in range(RUNNERS)]
+    await asyncio.sleep(site3.CONTACT + 2.0)
+    until = record.now() + SECONDS
+    callers = Callers(site)
+    calling = [
+        asyncio.create_task(callers.run(caller, until))
+        for caller in range(CALLERS)
     ]
-    for after, request in too_late:
-        record.write(f"DRAIN: {request} reached app-short {after:.2f} s after")
-    return not too_late
+    await asyncio.sleep(6.0)
+    leaving = []
+    for number, runner in enumerate(runners[:REPLACED]):
+        if not site3.trouble():
+            break
+        await start_runner(site, RUNNERS + number)
+        await asyncio.sleep(1.0)
+        leaving.append(asyncio.create_task(leave(runner, number % 4)))
+        await asyncio.sleep(GAP)
+    await asyncio.gather(*calling, *leaving)
+    ended = {request for runner in site.runners for request in runner.answered}
+    lost = [request for request in callers.lost if request in ended]
+    record.write(f"answers by status, and if complete: {callers.counts}")
+    record.write(f"refused with a 4xx: {callers.refused}")
+    record.write(
+        f"LOST: {len(lost)} that a runner has answered in full: {lost}"
+    )
+    return len(lost) <= 3
 
 
 site3.main(str(FOLDER), case)
