--- a/review/11/case.py
+++ b/review/11/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import sys
 
@@ -10,6 +11,8 @@
 
 import site3  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 RUNNERS = 9
 REPLACED = 4
 CALLERS = 72
@@ -114,7 +117,7 @@
     await asyncio.sleep(6.0)
     leaving = []
     for number, runner in enumerate(runners[:REPLACED]):
-        if not site3.trouble():
+        if not TROUBLE:
             break
         await start_runner(site, RUNNERS + number)
         await asyncio.sleep(1.0)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,7 @@
 """All processes are killed after a runner has left; an old report is late."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -10,10 +11,14 @@
 
 import site3  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 # How late a status report from before the leaving arrives.
 LATE = 7.0
 # The runner serves for this long after its leaving was acknowledged.
 SERVES = site3.DRAIN + 8.0
+# Other runners of the service.
+SETTLED = 7
 
 
 async def call(site, number, node):
@@ -40,8 +45,8 @@
 
 
 async def case(site, record):
-    settled = site3.Runner(site, site3.APP, "app-settled")
-    await settled.start()
+    for number in range(SETTLED):
+        await site3.Runner(site, site3.APP, f"app-{number}").start()
     runner = site3.Runner(site, site3.APP, "app-left")
     await runner.start()
     # Until all nodes are in touch, and know the runners.
@@ -61,7 +66,7 @@
     left_at = record.now()
     record.write("app-left has left, acknowledged by node 1")
     await asyncio.sleep(0.5)
-    if site3.trouble():
+    if TROUBLE:
         await restart_all(site)
         for node in range(len(site.nodes)):
             await site.wait_ready(node)
--- a/review/site3.py
+++ b/review/site3.py
@@ -35,11 +35,6 @@
 HELD, BROKEN, FAILED = 0, 1, 2
 
 
-def trouble() -> bool:
-    """Whether the disruption is to happen."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """The record of a run: one line for each thing that happened."""
 
